--- /dev/null
+++ b/libs/mimosaloom-bench/mimosaloom_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Demo and benchmarks of mimosaloom."""
--- /dev/null
+++ b/libs/mimosaloom-bench/mimosaloom_bench/commands.py
@@ -0,0 +1,11 @@
+"""Adds the demo and the benches to the command line."""
+
+import typer
+
+__all__ = ["register"]
+
+
+def register(app: typer.Typer) -> None:
+    """Add the commands of this package to the command line."""
+    bench = typer.Typer(no_args_is_help=True, help="Measure mimosaloom.")
+    app.add_typer(bench, name="bench")
--- /dev/null
+++ b/libs/mimosaloom-cli/mimosaloom_cli/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Definition, parsing and constants of the command line."""
--- /dev/null
+++ b/libs/mimosaloom-standins/mimosaloom_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Package under construction."""
