Read settings and resource files with all faults in one run

Settings and resources had types but no reader, so a daemon or a command could not tell an operator what is wrong with a file. read_settings and read_resources check files against JSON schemas and then across resources (names, references, class paths, call cycles, protected classes).

--- a/libs/mimosaloom-model/mimosaloom_model/__init__.py
+++ b/libs/mimosaloom-model/mimosaloom_model/__init__.py
@@ -14,9 +14,11 @@
     encode_answer_note,
     encode_context,
 )
+from .faults import Fault, Invalid
 from .ids import digest_bytes, hash_unit, new_request_id
 from .kinds import ANSWERS, Answer, Kind, Ran
 from .outcomes import Answered, Failed, Outcome, Refused
+from .reading import check_documents, read_resources, read_settings
 from .resources import (
     Catalog,
     RequestClass,
@@ -51,6 +53,8 @@
     "Clock",
     "ContextError",
     "Failed",
+    "Fault",
+    "Invalid",
     "Kind",
     "LimitSettings",
     "ListenSettings",
@@ -69,6 +73,7 @@
     "TargetSettings",
     "Upstream",
     "build_catalog",
+    "check_documents",
     "decode_answer_note",
     "decode_context",
     "digest_bytes",
@@ -76,4 +81,6 @@
     "encode_context",
     "hash_unit",
     "new_request_id",
+    "read_resources",
+    "read_settings",
 ]
--- /dev/null
+++ b/libs/mimosaloom-model/mimosaloom_model/schema_faults.py
@@ -0,0 +1,145 @@
+"""Checks values against the package's JSON schemas and words the faults."""
+
+import json
+from collections.abc import Iterator
+from functools import cache
+from importlib.resources import files
+from ipaddress import ip_address
+from math import isfinite
+from urllib.parse import urlsplit
+
+from jsonschema import Draft202012Validator, FormatChecker, ValidationError
+from jsonschema.validators import extend
+
+from .faults import Fault, describe_value, format_path, suggest_name
+
+__all__ = ["find_schema_faults"]
+
+TYPE_TEXTS = {
+    "array": "an array",
+    "boolean": "true or false",
+    "integer": "an integer",
+    "number": "a finite number",
+    "object": "an object",
+    "string": "a text",
+}
+
+
+def find_schema_faults(schema: str, value: object, file: str) -> list[Fault]:
+    """Check a value against one of the package's schemas.
+
+    Args:
+        schema: `settings` or `resources`.
+        value: The decoded JSON value.
+        file: File name for faults.
+
+    Returns:
+        All faults in the order of the document, without repetitions.
+    """
+    errors = _load_validator(schema).iter_errors(value)
+    faults = [
+        Fault(file, format_path(keys), message)
+        for error in errors
+        for keys, message in _word_error(error)
+    ]
+    return list(dict.fromkeys(faults))
+
+
+@cache
+def _load_validator(schema: str) -> Draft202012Validator:
+    text = files(__package__).joinpath(f"schemas/{schema}.json").read_text("utf-8")
+    checker = Draft202012Validator.TYPE_CHECKER.redefine_many(
+        {"integer": _is_integer, "number": _is_finite_number}
+    )
+    validator = extend(Draft202012Validator, type_checker=checker)
+    return validator(json.loads(text), format_checker=_build_format_checker())
+
+
+def _is_integer(_checker, value: object) -> bool:
+    # JSON schema takes 3.0 for an integer, but the typed values need an int.
+    return isinstance(value, int) and not isinstance(value, bool)
+
+
+def _is_finite_number(checker, value: object) -> bool:
+    is_float = isinstance(value, float) and isfinite(value)
+    return is_float or _is_integer(checker, value)
+
+
+def _build_format_checker() -> FormatChecker:
+    checker = FormatChecker(formats=())
+    checker.checks("ip-address", raises=ValueError)(_is_ip_address)
+    checker.checks("http-url", raises=ValueError)(_is_http_url)
+    return checker
+
+
+def _is_ip_address(value: object) -> bool:
+    return not isinstance(value, str) or bool(ip_address(value))
+
+
+def _is_http_url(value: object) -> bool:
+    if not isinstance(value, str):
+        return True
+    if not value.isascii() or not value.isprintable() or " " in value:
+        return False
+    parts = urlsplit(value)
+    # A name would need a lookup, which blocks the event loop.
+    is_address = bool(ip_address(parts.hostname or ""))
+    has_port = parts.port is None or parts.port > 0
+    has_extras = parts.query or parts.fragment or "@" in parts.netloc
+    return parts.scheme in ("http", "https") and (
+        is_address and has_port and not has_extras
+    )
+
+
+def _word_error(
+    error: ValidationError,
+) -> Iterator[tuple[tuple[str | int, ...], str]]:
+    keys = tuple(error.absolute_path)
+    if error.validator == "required":
+        for name in error.validator_value:
+            if name not in error.instance:
+                yield keys, f"expected the field {describe_value(name)}, missing here"
+    elif error.validator == "additionalProperties":
+        known = error.schema["properties"]
+        for name in error.instance:
+            if name not in known:
+                yield (*keys, name), _word_unknown_field(name, known)
+    else:
+        expected = _expectation(error)
+        got = describe_value(error.instance)
+        yield keys, f"expected {expected}, got {got}{_suggest_choice(error)}"
+
+
+def _word_unknown_field(name: str, known: dict) -> str:
+    fields = ", ".join(known)
+    return f"expected one of the fields {fields}{suggest_name(name, known)}"
+
+
+def _expectation(error: ValidationError) -> str:
+    schema = error.schema
+    if error.validator == "enum":
+        return f"one of {', '.join(schema['enum'])}"
+    if "description" in schema:
+        return schema["description"]
+    if "minimum" in schema:
+        noun = TYPE_TEXTS[schema["type"]]
+        return f"{noun} from {schema['minimum']} to {schema['maximum']}"
+    return _expected_size(error)
+
+
+def _suggest_choice(error: ValidationError) -> str:
+    if error.validator != "enum" or not isinstance(error.instance, str):
+        return ""
+    return suggest_name(error.instance, error.schema["enum"])
+
+
+def _expected_size(error: ValidationError) -> str:
+    texts = {
+        "maxItems": "at most {} items",
+        "minItems": "at least {} item",
+        "maxLength": "at most {} characters",
+        "uniqueItems": "each item once",
+    }
+    if error.validator in texts:
+        return texts[error.validator].format(error.validator_value)
+    return TYPE_TEXTS[error.validator_value]
