--- a/libs/mimosaloom-model/mimosaloom_model/checks.py
+++ b/libs/mimosaloom-model/mimosaloom_model/checks.py
@@ -136,11 +136,11 @@
         if reference.name not in names[reference.kind]
     ]
     for count, reference in enumerate(dangling):
-        is_suggested = count < MAX_SUGGESTIONS
-        known = names[reference.kind] if is_suggested else ()
+        known = names[reference.kind] if count < MAX_SUGGESTIONS else ()
+        suggestion = suggest_name(reference.name, known)
         yield reference.source.fault(
             f"expected the name of a declared {reference.kind}, "
-            f"got {describe_value(reference.name)}{suggest_name(reference.name, known)}",
+            f"got {describe_value(reference.name)}{suggestion}",
             "spec",
             *reference.keys,
         )
