Test the readers and headers against bad input and correct what was found

Faults found by the new tests: names in headers could end in a newline, since $ matches before one; the answer header took any text for ran and kind; the header limit counted characters instead of bytes; an item without a usable name made every reference to it look like a fault; a listener on 0.0.0.0 did not count as sharing a port.

--- a/libs/mimosaloom-model/mimosaloom_model/checks.py
+++ b/libs/mimosaloom-model/mimosaloom_model/checks.py
@@ -6,13 +6,14 @@
 
 from .faults import Fault, describe_value, format_path, suggest_name
 
-__all__ = ["PlacedResource", "find_reference_faults", "place_resources"]
+__all__ = ["PlacedResource", "Placement", "find_reference_faults", "place_resources"]
 
 # Each cycle is found by a new pass over all services.
 MAX_REPORTED_CYCLES = 20
 # Comparing a name with 1,000 others takes about 2 ms.
 MAX_SUGGESTIONS = 100
 BUILT_IN_ALLOWANCE = "default"
+KINDS = ("Service", "Upstream", "RequestClass", "RetryAllowance")
 
 
 class PlacedResource(NamedTuple):
@@ -23,28 +24,32 @@
         index: Position in the file's list of resources.
         kind: Kind of the resource.
         name: Name of the resource.
-        spec: Fields as written.
+        spec: Fields as written; None if the spec is no object.
     """
 
     file: str
     index: int
     kind: str
     name: str
-    spec: dict
+    spec: dict | None
 
     def fault(self, message: str, *keys: str | int) -> Fault:
         """Return a fault of this resource at the given keys below it."""
         path = format_path(("resources", self.index, *keys))
         return Fault(self.file, path, message)
 
+    def get(self, field: str) -> object:
+        """Return a field of the spec as written, or None."""
+        return (self.spec or {}).get(field)
+
     def text(self, field: str) -> str | None:
         """Return a field of the spec if it holds a text."""
-        value = self.spec.get(field)
+        value = self.get(field)
         return value if isinstance(value, str) else None
 
     def texts(self, field: str) -> list[str]:
         """Return a field of the spec if it holds a list of texts, else nothing."""
-        value = self.spec.get(field)
+        value = self.get(field)
         if isinstance(value, list) and all(isinstance(item, str) for item in value):
             return value
         return []
@@ -59,45 +64,62 @@
     allowances: dict[str, PlacedResource]
 
 
-def place_resources(value: object, file: str) -> Iterator[PlacedResource]:
-    """Yield the resources of a file that at least have a kind, a name and a spec.
+class Placement(NamedTuple):
+    """The resources of some files.
+
+    Attributes:
+        resources: Those that have a kind and a name.
+        unsure_kinds: Kinds of which more may be declared, in a part of the files
+            that is too faulty to tell.
+    """
+
+    resources: list[PlacedResource]
+    unsure_kinds: set[str]
+
+
+def place_resources(files: Iterable[tuple[str, object]]) -> Placement:
+    """Sort the resources of all files by kind and name.
 
     Args:
-        value: The decoded file; it may be faulty.
-        file: File name for faults.
+        files: File names and decoded files; they may be faulty.
     """
-    resources = value.get("resources") if isinstance(value, dict) else None
-    for index, item in enumerate(resources if isinstance(resources, list) else []):
-        if not isinstance(item, dict):
+    placement = Placement([], set())
+    for file, value in files:
+        resources = value.get("resources") if isinstance(value, dict) else None
+        if not isinstance(resources, list):
+            placement.unsure_kinds.update(KINDS)
             continue
-        kind, name, spec = item.get("kind"), item.get("name"), item.get("spec")
-        if isinstance(kind, str) and isinstance(name, str) and isinstance(spec, dict):
-            yield PlacedResource(file, index, kind, name, spec)
+        for index, item in enumerate(resources):
+            _place(item, file, index, placement)
+    return placement
+
+
+def _place(item: object, file: str, index: int, placement: Placement) -> None:
+    fields = item if isinstance(item, dict) else {}
+    kind, name, spec = fields.get("kind"), fields.get("name"), fields.get("spec")
+    if kind not in KINDS:
+        placement.unsure_kinds.update(KINDS)
+    elif not isinstance(name, str):
+        placement.unsure_kinds.add(kind)
+    else:
+        spec = spec if isinstance(spec, dict) else None
+        resource = PlacedResource(file, index, kind, name, spec)
+        placement.resources.append(resource)
 
 
-def find_reference_faults(
-    resources: Iterable[PlacedResource], *, is_complete: bool = True
-) -> list[Fault]:
+def find_reference_faults(placement: Placement) -> list[Fault]:
     """Check names, references, class paths, call cycles and protected classes.
 
     Args:
-        resources: All resources of all files.
-        is_complete: Whether all files could be read. If not, references are not
-            checked, since the resource they name may be in the missing file.
+        placement: All resources of all files.
 
     Returns:
         All faults; fields of the wrong type are left to the schema.
     """
-    placed = list(resources)
-    declared = _Declared(
-        *(
-            _index_by_name(placed, kind)
-            for kind in ("Service", "Upstream", "RequestClass", "RetryAllowance")
-        )
-    )
+    placed = placement.resources
+    declared = _Declared(*(_index_by_name(placed, kind) for kind in KINDS))
     faults = [*_find_duplicate_names(placed)]
-    if is_complete:
-        faults += _find_dangling_references(declared)
+    faults += _find_dangling_references(declared, placement.unsure_kinds)
     faults += _find_call_cycles(declared.services)
     for request_class in declared.classes.values():
         faults += _find_path_faults(request_class, declared.services)
@@ -128,12 +150,15 @@
             )
 
 
-def _find_dangling_references(declared: _Declared) -> Iterator[Fault]:
+def _find_dangling_references(
+    declared: _Declared, unsure_kinds: set[str]
+) -> Iterator[Fault]:
     names = {"Service": declared.services, "RetryAllowance": declared.allowances}
     dangling = [
         reference
         for reference in _list_references(declared)
         if reference.name not in names[reference.kind]
+        and reference.kind not in unsure_kinds
     ]
     for count, reference in enumerate(dangling):
         known = names[reference.kind] if count < MAX_SUGGESTIONS else ()
@@ -237,10 +262,13 @@
 
 
 def _can_call(services: dict[str, PlacedResource], caller: str, called: str) -> bool:
-    # An undeclared service on either side already has a fault of its own.
+    # An undeclared service or a faulty list already has a fault of its own.
     if caller not in services or called not in services:
         return True
-    return called in services[caller].texts("calls")
+    source = services[caller]
+    if source.spec is None or source.texts("calls") != (source.get("calls") or []):
+        return True
+    return called in source.texts("calls")
 
 
 def _list_calls(service: PlacedResource) -> str:
@@ -256,7 +284,7 @@
         for service in set(request_class.texts("path")):
             sharing[service] = sharing.get(service, 0) + 1
     for upstream in declared.upstreams.values():
-        slots = upstream.spec.get("slots")
+        slots = upstream.get("slots")
         count = sharing.get(upstream.text("service") or "", 0)
         if isinstance(slots, int) and 0 < slots <= count:
             yield upstream.fault(
@@ -268,7 +296,7 @@
 
 
 def _is_protected(request_class: PlacedResource) -> bool:
-    return request_class.spec.get("is_protected") is True
+    return request_class.get("is_protected") is True
 
 
 def _find_outranking_classes(
@@ -276,12 +304,12 @@
 ) -> Iterator[Fault]:
     # A class of lower priority number is refused later, so an unprotected one in
     # front of a protected one would reverse what the protection is for.
-    priority = request_class.spec.get("priority")
+    priority = request_class.get("priority")
     services = set(request_class.texts("path"))
     if not isinstance(priority, int):
         return
     for other in classes.values():
-        rank = other.spec.get("priority")
+        rank = other.get("priority")
         if _is_protected(other) or not services.intersection(other.texts("path")):
             continue
         if isinstance(rank, int) and rank < priority:
--- a/libs/mimosaloom-model/mimosaloom_model/context.py
+++ b/libs/mimosaloom-model/mimosaloom_model/context.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from .kinds import Ran
+
 __all__ = [
     "ANSWER_HEADER",
     "CONTEXT_HEADER",
@@ -24,9 +26,13 @@
 MAX_DEPTH = 29
 CONTEXT_VERSION = 1
 
-_RequestId = Annotated[str, msgspec.Meta(pattern="^[0-9a-f]{32}$")]
-_CallId = Annotated[str, msgspec.Meta(pattern="^[A-Za-z0-9._:/-]{1,64}$")]
-_Name = Annotated[str, msgspec.Meta(pattern="^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$")]
+# `$` would also match before a final newline, which must not reach a header.
+_RequestId = Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{32}\Z")]
+_CallId = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9._:/-]{1,64}\Z")]
+_Name = Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?\Z")]
+_KindName = Annotated[str, msgspec.Meta(pattern=r"^[a-z_]{1,64}\Z")]
+_Incarnation = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9._:/-]{0,64}\Z")]
+_Digest = Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{0,64}\Z")]
 
 
 class ContextError(ValueError):
@@ -64,23 +70,25 @@
         call_id: The call that is answered.
         attempt: The attempt that is answered.
         kind: Error kind, or None for the target's own answer.
-        ran: Whether any part of the call ran: "no", "maybe" or "yes".
+        ran: Whether any part of the call ran.
         length: Body length in bytes.
         retries_unused: Retries of the call's share that were not spent.
         level: Admission level of the answering service for the request class.
         incarnation: Incarnation of the answering node.
         is_draining: Whether the answering target is leaving.
+        digest: Digest of the body, see `digest_bytes`; empty if there is none.
     """
 
     call_id: _CallId
     attempt: Annotated[int, msgspec.Meta(ge=1, le=64)]
-    kind: str | None = None
-    ran: str = "yes"
+    kind: _KindName | None = None
+    ran: Ran = Ran.YES
     length: Annotated[int, msgspec.Meta(ge=0)] = 0
     retries_unused: Annotated[int, msgspec.Meta(ge=0, le=16)] = 0
     level: Annotated[float, msgspec.Meta(ge=0.0, le=1.0)] = 1.0
-    incarnation: str = ""
+    incarnation: _Incarnation = ""
     is_draining: bool = False
+    digest: _Digest = ""
 
 
 class _Header(NamedTuple):
@@ -126,15 +134,17 @@
         value: The header value.
 
     Raises:
-        ContextError: If the value is too long or not valid.
+        ContextError: If the value is over 1,024 bytes, not valid JSON, lacks a
+            field or holds one out of range.
     """
     return _decode(_HEADER.note, value)
 
 
 def _decode(decoder, value: str):
-    if len(value) > MAX_CONTEXT_BYTES:
-        raise ContextError(f"the header is over {MAX_CONTEXT_BYTES} bytes")
     try:
-        return decoder.decode(value)
+        raw = value.encode()
+        if len(raw) <= MAX_CONTEXT_BYTES:
+            return decoder.decode(raw)
     except (msgspec.MsgspecError, UnicodeError, RecursionError) as error:
         raise ContextError(str(error)) from error
+    raise ContextError(f"the header is over {MAX_CONTEXT_BYTES} bytes")
--- a/libs/mimosaloom-model/mimosaloom_model/reading.py
+++ b/libs/mimosaloom-model/mimosaloom_model/reading.py
@@ -80,18 +80,13 @@
         faults += read.faults
         if read.is_readable:
             faults += find_schema_faults("resources", read.value, read.file)
-    placed = [
-        resource
-        for read in files
-        for resource in place_resources(read.value, read.file)
-    ]
-    is_complete = all(read.is_readable for read in files)
-    faults += find_reference_faults(placed, is_complete=is_complete)
+    placement = place_resources((read.file, read.value) for read in files)
+    faults += find_reference_faults(placement)
     if faults:
         return Invalid(tuple(dict.fromkeys(faults)))
     return [
         ResourceDocument(kind=resource.kind, name=resource.name, spec=resource.spec)
-        for resource in placed
+        for resource in placement.resources
     ]
 
 
@@ -126,23 +121,46 @@
             f"may use this listener, got {listen.egress.host}"
         )
         faults.append(Fault(file, "$.listen.egress.host", message))
-    used: dict[Address, str] = {}
-    for name, address in listen._asdict().items():
-        earlier = used.setdefault(address, name) if address.port else name
-        if earlier != name:
-            message = f"expected a port other than that of {earlier}"
-            faults.append(Fault(file, f"$.listen.{name}.port", message))
-    for field, url in (
-        ("$.target.url", settings.target.url),
-        ("$.log_service.url", settings.log_service.url),
-    ):
-        name = used.get(_address_of(url))
-        if name:
-            message = f"expected another process, got the node's own {name} listener"
-            faults.append(Fault(file, field, message))
-    return faults
-
-
-def _address_of(url: str) -> Address:
+    return faults + _find_shared_ports(listen, file) + _find_own_urls(settings, file)
+
+
+def _find_shared_ports(listen: ListenSettings, file: str) -> list[Fault]:
+    listeners = list(listen._asdict().items())
+    return [
+        Fault(
+            file,
+            f"$.listen.{name}.port",
+            f"expected a port other than that of {earlier}, got {address.port}",
+        )
+        for index, (name, address) in enumerate(listeners)
+        for earlier, other in listeners[:index]
+        if address.port and address.port == other.port and _share_host(address, other)
+    ]
+
+
+def _find_own_urls(settings: NodeSettings, file: str) -> list[Fault]:
+    urls = {"target": settings.target.url, "log_service": settings.log_service.url}
+    return [
+        Fault(
+            file,
+            f"$.{part}.url",
+            f"expected another process, got the node's own {name} listener",
+        )
+        for part, url in urls.items()
+        for name, address in settings.listen._asdict().items()
+        if _reaches(url, address)
+    ]
+
+
+def _share_host(address: Address, other: Address) -> bool:
+    hosts = (ip_address(address.host), ip_address(other.host))
+    return hosts[0] == hosts[1] or any(host.is_unspecified for host in hosts)
+
+
+def _reaches(url: str, address: Address) -> bool:
     parts = urlsplit(url)
-    return Address(parts.hostname or "", parts.port or DEFAULT_URL_PORTS[parts.scheme])
+    port = parts.port or DEFAULT_URL_PORTS[parts.scheme]
+    host, listener = ip_address(parts.hostname or ""), ip_address(address.host)
+    # Which other addresses the machine has is not known here.
+    is_own = host == listener or (listener.is_unspecified and host.is_loopback)
+    return port == address.port and is_own
--- /dev/null
+++ b/tests/model/test_headers.py
@@ -0,0 +1,119 @@
+"""Guards against headers that pass the decoder and do harm behind it."""
+
+import json
+from contextlib import suppress
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from mimosaloom_model import (
+    MAX_CONTEXT_BYTES,
+    AnswerNote,
+    CallContext,
+    ContextError,
+    Ran,
+    decode_answer_note,
+    decode_context,
+    encode_answer_note,
+    encode_context,
+)
+
+CONTEXT = {
+    "v": 1,
+    "request_id": "0f" * 16,
+    "call_id": "a.1",
+    "class_name": "issue-fee",
+    "attempt": 1,
+    "depth": 0,
+    "remaining_ms": 500,
+    "retries": 3,
+}
+NOTE = {"call_id": "a.1", "attempt": 1, "ran": "no", "level": 0.5}
+DECODERS = [
+    (decode_context, CallContext, CONTEXT),
+    (decode_answer_note, AnswerNote, NOTE),
+]
+json_values = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
+    lambda below: (
+        st.lists(below, max_size=3)
+        | st.dictionaries(st.text(max_size=8), below, max_size=3)
+    ),
+    max_leaves=6,
+)
+
+
+@pytest.mark.fuzz
+@pytest.mark.parametrize(("decode", "result_type", "_example"), DECODERS)
+@given(raw=st.binary(max_size=64) | st.integers(0, 9000).map(lambda n: b"[" * n))
+def test_any_bytes_decode_or_give_a_context_error(decode, result_type, _example, raw):
+    """Another exception would drop the connection instead of answering 400."""
+    with suppress(ContextError):
+        assert isinstance(decode(raw.decode("latin-1")), result_type)
+
+
+@pytest.mark.fuzz
+@pytest.mark.parametrize(("decode", "result_type", "example"), DECODERS)
+@given(data=st.data())
+def test_any_field_value_decodes_or_gives_a_context_error(
+    decode, result_type, example, data
+):
+    """Headers that are nearly right reach checks that random bytes do not."""
+    field = data.draw(st.sampled_from(sorted(example)))
+    text = json.dumps({**example, field: data.draw(json_values)})
+    with suppress(ContextError):
+        assert isinstance(decode(text), result_type)
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("request_id", "0f" * 16 + "\n"),
+        ("request_id", "0F" * 16),
+        ("call_id", "a\n"),
+        ("call_id", "a" * 65),
+        ("class_name", "issue-fee\n"),
+        ("class_name", ""),
+        ("attempt", 0),
+        ("attempt", 65),
+        ("depth", -1),
+        ("remaining_ms", -1),
+        ("remaining_ms", 3_600_001),
+        ("remaining_ms", True),
+        ("retries", 17),
+        ("retries", None),
+        ("v", 0),
+    ],
+)
+def test_context_field_out_of_range_is_refused(field, value):
+    """A newline in a name would end the header line; large numbers add retries."""
+    with pytest.raises(ContextError):
+        decode_context(json.dumps({**CONTEXT, field: value}))
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [("ran", "perhaps"), ("level", 1.1), ("kind", "bad\nkind"), ("digest", "zz")],
+)
+def test_answer_field_out_of_range_is_refused(field, value):
+    """An unknown value of `ran` could be taken for "not run"."""
+    with pytest.raises(ContextError):
+        decode_answer_note(json.dumps({**NOTE, field: value}))
+
+
+def test_limit_counts_bytes_and_unknown_fields_are_accepted():
+    """A limit in characters would let four times the bytes through."""
+    filler = MAX_CONTEXT_BYTES - len(json.dumps({**CONTEXT, "x": ""}))
+    accepted = json.dumps({**CONTEXT, "x": "a" * filler})
+    assert decode_context(accepted).class_name == "issue-fee"
+    with pytest.raises(ContextError, match="over 1024 bytes"):
+        decode_context(json.dumps({**CONTEXT, "x": "é" * filler}, ensure_ascii=False))
+
+
+def test_headers_survive_a_round_trip():
+    """A field that is not encoded would silently fall back to its default."""
+    context = CallContext("0f" * 16, "a.1", "issue-fee", 500, 2, 3, 4)
+    assert decode_context(encode_context(context)) == context
+    note = AnswerNote("a.1", 2, "overloaded", Ran.NO, 9, 1, 0.5, "i-1", True, "0f")
+    assert decode_answer_note(encode_answer_note(note)) == note
