Add the node and check commands

check tells settings and resource files apart by their content, reads all of them in one run and prints one line per fault; node refuses faulty settings in the same way before it loads the daemon. run_node(settings) -> int comes from mimosaloom_node and is imported inside the command.

--- a/libs/mimosaloom-cli/mimosaloom_cli/exit_codes.py
+++ b/libs/mimosaloom-cli/mimosaloom_cli/exit_codes.py
@@ -2,7 +2,7 @@
 
 from enum import IntEnum
 
-__all__ = ["ExitCode"]
+__all__ = ["EXIT_CODE_MEANINGS", "ExitCode"]
 
 
 class ExitCode(IntEnum):
@@ -16,3 +16,15 @@
     OUTCOME_UNKNOWN = 5
     UNAVAILABLE = 6
     NOT_MET = 7
+
+
+EXIT_CODE_MEANINGS: dict[ExitCode, str] = {
+    ExitCode.OK: "The command did what it was asked to do.",
+    ExitCode.ERROR: "The command failed for the reason on stderr.",
+    ExitCode.USAGE: "An option or argument is missing or unknown.",
+    ExitCode.INVALID: "A file has faults; each is one line on stderr.",
+    ExitCode.CONFLICT: "Another change was accepted first; nothing was changed.",
+    ExitCode.OUTCOME_UNKNOWN: "Whether the change was accepted is unknown; repeat it.",
+    ExitCode.UNAVAILABLE: "The log service can't be reached; nothing was changed.",
+    ExitCode.NOT_MET: "A measurement missed its goal.",
+}
--- a/libs/mimosaloom-model/mimosaloom_model/__init__.py
+++ b/libs/mimosaloom-model/mimosaloom_model/__init__.py
@@ -18,7 +18,13 @@
 from .ids import digest_bytes, hash_unit, new_request_id
 from .kinds import ANSWERS, Answer, Kind, Ran
 from .outcomes import Answered, Failed, Outcome, Refused
-from .reading import check_documents, read_resources, read_settings
+from .reading import (
+    FileKind,
+    check_documents,
+    detect_file_kind,
+    read_resources,
+    read_settings,
+)
 from .resources import (
     Catalog,
     RequestClass,
@@ -54,6 +60,7 @@
     "ContextError",
     "Failed",
     "Fault",
+    "FileKind",
     "Invalid",
     "Kind",
     "LimitSettings",
@@ -76,6 +83,7 @@
     "check_documents",
     "decode_answer_note",
     "decode_context",
+    "detect_file_kind",
     "digest_bytes",
     "encode_answer_note",
     "encode_context",
--- a/libs/mimosaloom-model/mimosaloom_model/reading.py
+++ b/libs/mimosaloom-model/mimosaloom_model/reading.py
@@ -1,6 +1,7 @@
 """Reads settings and resource files into typed values, or returns all faults."""
 
 from collections.abc import Iterable
+from enum import StrEnum
 from ipaddress import ip_address
 from pathlib import Path
 from urllib.parse import urlsplit
@@ -20,11 +21,48 @@
     TargetSettings,
 )
 
-__all__ = ["check_documents", "read_resources", "read_settings"]
+__all__ = [
+    "FileKind",
+    "check_documents",
+    "detect_file_kind",
+    "read_resources",
+    "read_settings",
+]
 
 DEFAULT_URL_PORTS = {"http": 80, "https": 443}
 
 
+class FileKind(StrEnum):
+    """What a file declares."""
+
+    RESOURCES = "resources"
+    SETTINGS = "settings"
+
+
+def detect_file_kind(path: str | Path) -> FileKind | Invalid:
+    """Tell by its top-level fields whether a file holds resources or settings.
+
+    Args:
+        path: The file.
+
+    Returns:
+        The kind, or the faults of a file that is neither.
+    """
+    read = read_json_file(path)
+    if not read.is_readable:
+        return Invalid(read.faults)
+    fields = read.value if isinstance(read.value, dict) else {}
+    if "resources" in fields:
+        return FileKind.RESOURCES
+    if any(field in fields for field in NodeSettings._fields):
+        return FileKind.SETTINGS
+    message = (
+        "expected a resource file with the field resources, or a settings file with "
+        f"the fields {', '.join(NodeSettings._fields)}"
+    )
+    return Invalid((Fault(read.file, "$", message),))
+
+
 def read_settings(path: str | Path) -> NodeSettings | Invalid:
     """Read the settings of a node.
 
--- /dev/null
+++ b/tests/cli/test_commands.py
@@ -0,0 +1,124 @@
+"""Guards against commands that fail without telling the operator what to do."""
+
+import json
+from pathlib import Path
+
+import pytest
+import typer
+from typer.testing import CliRunner
+
+import mimosaloom_node
+from mimosaloom_cli import ExitCode
+from mimosaloom_cli.cli.definition import build_app
+from mimosaloom_cli.exit_codes import EXIT_CODE_MEANINGS
+
+EXAMPLES = Path(__file__).parents[2] / "examples"
+NODE_SETTINGS = EXAMPLES / "water" / "node-billing-1.json"
+
+
+def run(*arguments):
+    """Run the command line in this process."""
+    return CliRunner().invoke(build_app(), [str(argument) for argument in arguments])
+
+
+def list_commands(group, above=()):
+    """Return the words of each command that this package defines."""
+    commands = []
+    for name, command in group.commands.items():
+        words = (*above, name)
+        if hasattr(command, "commands"):
+            commands += list_commands(command, words)
+        elif command.callback.__module__.startswith("mimosaloom_cli"):
+            commands.append(words)
+    return commands
+
+
+def test_every_command_shows_an_example_that_it_takes():
+    """Help without an example, or with an outdated one, sends operators to the code."""
+    commands = list_commands(typer.main.get_command(build_app()))
+    assert {"node", "check"} <= {words[0] for words in commands}
+    for words in commands:
+        help_text = run(*words, "--help").stdout
+        example = f"mimosaloom {' '.join(words)} "
+        assert f"  {example}" in help_text
+        assert "Exit codes:" in help_text
+
+
+def test_help_lists_every_exit_code():
+    """A script can't handle a code that is not documented."""
+    help_text = run("--help").stdout
+    for code in ExitCode:
+        assert f"{code:d}  {EXIT_CODE_MEANINGS[code]}" in help_text
+
+
+@pytest.mark.parametrize("mesh", ["water", "cooperative"])
+def test_check_passes_the_examples(mesh):
+    """A correct directory that fails the check can't be deployed."""
+    result = run("check", EXAMPLES / mesh)
+    assert (result.exit_code, result.stdout) == (ExitCode.OK, "2 files are valid\n")
+
+
+def test_check_prints_one_line_per_fault_of_all_files(tmp_path):
+    """Faults of the second file must not wait for the correction of the first."""
+    settings = json.loads(NODE_SETTINGS.read_text("utf-8"))
+    settings["log_service"]["timeout_ms"] = settings["limits"].pop("queue_capacity")
+    (tmp_path / "a.json").write_text(json.dumps(settings))
+    (tmp_path / "b.json").write_bytes(b"\xff")
+    (tmp_path / "c.json").write_text('{"resources": [{"kind": "Service"}]}')
+    (tmp_path / "d.json").write_text('{"colour": "red"}')
+    result = run("check", tmp_path, tmp_path / "e.json")
+    assert result.exit_code == ExitCode.INVALID
+    assert result.stdout == ""
+    lines = result.stderr.splitlines()
+    expected = [
+        ("a.json: $.log_service.timeout_ms: ", 'did you mean "timeout_s"?'),
+        ("b.json: $: ", "expected UTF-8 text"),
+        ("d.json: $: ", "expected a resource file with the field resources"),
+        ("e.json: $: ", "it does not exist"),
+        ("c.json: $.resources[0]: ", 'expected the field "name"'),
+        ("c.json: $.resources[0]: ", 'expected the field "spec"'),
+    ]
+    assert len(lines) == len(expected)
+    for line, (start, message) in zip(lines, expected, strict=True):
+        assert line.startswith(f"{tmp_path}/{start}")
+        assert message in line
+
+
+@pytest.mark.parametrize(
+    ("part", "field", "value", "message"),
+    [
+        ("target", "upstream", "billing-9", "expected an Upstream of"),
+        ("target", "service", "intake", 'expected "billing", the service of'),
+        ("node", "failure_domain", "x", 'expected "quetzaltenango-1", the failure'),
+    ],
+)
+def test_settings_are_checked_against_their_resources(
+    tmp_path, part, field, value, message
+):
+    """A node of another service would answer calls that it can't run."""
+    settings = json.loads(NODE_SETTINGS.read_text("utf-8"))
+    settings[part][field] = value
+    settings["resources_file"] = str(EXAMPLES / "water" / "resources.json")
+    (tmp_path / "node.json").write_text(json.dumps(settings))
+    for command in (("check",), ("node", "--settings")):
+        result = run(*command, tmp_path / "node.json")
+        assert result.exit_code == ExitCode.INVALID
+        assert f"node.json: $.{part}.{field}: {message}" in result.stderr
+
+
+def test_node_passes_the_exit_code_of_the_daemon_on(monkeypatch):
+    """A supervisor that sees 0 for a failed node doesn't start it again."""
+    monkeypatch.setattr(mimosaloom_node, "run_node", lambda settings: 7, raising=False)
+    assert run("node", "--settings", NODE_SETTINGS).exit_code == 7
+
+
+def test_node_names_the_fix_when_an_address_is_in_use(monkeypatch):
+    """A traceback for a busy port hides which file to correct."""
+
+    def fail(settings):
+        raise OSError(98, "Address already in use")
+
+    monkeypatch.setattr(mimosaloom_node, "run_node", fail, raising=False)
+    result = run("node", "--settings", NODE_SETTINGS)
+    assert result.exit_code == ExitCode.ERROR
+    assert f"Correct the addresses under listen in {NODE_SETTINGS}" in result.stderr
