Keep each fault on one line and end without a traceback if output fails

Trying the commands on odd files showed that a file name with a newline broke a fault into two lines, and that a full disk behind stdout ended in a traceback. File names are escaped where they are not printable; an OSError ends the command with exit code 1 and one line.

--- a/libs/mimosaloom-cli/mimosaloom_cli/__main__.py
+++ b/libs/mimosaloom-cli/mimosaloom_cli/__main__.py
@@ -1,13 +1,21 @@
 """Entry point of the `mimosaloom` command."""
 
+import sys
+
 from .cli.definition import build_app
+from .exit_codes import ExitCode
 
 __all__ = ["main"]
 
 
 def main() -> None:
     """Run the command line."""
-    build_app()()
+    try:
+        build_app()()
+    except OSError as error:
+        # Output to a full disk, for example; the commands handle all other cases.
+        print(f"mimosaloom: {error}", file=sys.stderr)
+        sys.exit(ExitCode.ERROR)
 
 
 if __name__ == "__main__":
--- a/libs/mimosaloom-model/mimosaloom_model/faults.py
+++ b/libs/mimosaloom-model/mimosaloom_model/faults.py
@@ -32,7 +32,9 @@
 
     def __str__(self) -> str:
         """Return the fault as one line."""
-        return f"{self.file}: {self.path}: {self.message}"
+        # A file name may hold a newline, which would look like a second fault.
+        file = self.file if self.file.isprintable() else json.dumps(self.file)
+        return f"{file}: {self.path}: {self.message}"
 
 
 class Invalid(NamedTuple):
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -1,6 +1,7 @@
 """Guards against commands that fail without telling the operator what to do."""
 
 import json
+import sys
 from pathlib import Path
 
 import pytest
@@ -9,6 +10,7 @@
 
 import mimosaloom_node
 from mimosaloom_cli import ExitCode
+from mimosaloom_cli.__main__ import main
 from mimosaloom_cli.cli.definition import build_app
 from mimosaloom_cli.exit_codes import EXIT_CODE_MEANINGS
 
@@ -84,6 +86,28 @@
         assert message in line
 
 
+def test_file_name_with_a_newline_stays_on_one_line(tmp_path):
+    """A second line would look like a fault of another file."""
+    (tmp_path / "a\nb.json").write_text("{")
+    result = run("check", tmp_path)
+    (line,) = result.stderr.splitlines()
+    assert 'a\\nb.json": $: expected JSON' in line
+
+
+def test_output_that_fails_is_an_error_without_a_traceback(monkeypatch, capsys):
+    """A full disk behind a redirected output ended in a traceback."""
+
+    def fail(*_arguments, **_options):
+        raise OSError(28, "No space left on device")
+
+    monkeypatch.setattr(sys, "argv", ["mimosaloom", "check", str(EXAMPLES / "water")])
+    monkeypatch.setattr(typer, "echo", fail)
+    with pytest.raises(SystemExit) as ended:
+        main()
+    assert ended.value.code == ExitCode.ERROR
+    assert "mimosaloom: [Errno 28] No space left" in capsys.readouterr().err
+
+
 @pytest.mark.parametrize(
     ("part", "field", "value", "message"),
     [
