Add the stand-ins for the log service and for targets

The log service has a limited append rate, limited retention, outages, slow and lost answers; a target has slots, a cold start, drain, cancellation and deadlines, and records every run, so that duplicate runs are counted from what really ran and not from what a node reports.

--- a/libs/mimosaloom-standins/mimosaloom_standins/__init__.py
+++ b/libs/mimosaloom-standins/mimosaloom_standins/__init__.py
@@ -1,1 +1,17 @@
-"""Package under construction."""
+"""Small stand-ins for the platform's log service and for targets."""
+
+from .log_service import LogOptions, LogStore, build_log_application
+from .record import Run, RunRecord
+from .target import Target, TargetOptions
+from .target_server import build_target_application
+
+__all__ = [
+    "LogOptions",
+    "LogStore",
+    "Run",
+    "RunRecord",
+    "Target",
+    "TargetOptions",
+    "build_log_application",
+    "build_target_application",
+]
--- /dev/null
+++ b/libs/mimosaloom-standins/mimosaloom_standins/record.py
@@ -0,0 +1,101 @@
+"""Record of what really ran on a target."""
+
+import time
+from dataclasses import asdict, dataclass
+from typing import NamedTuple
+
+__all__ = ["CallMark", "Run", "RunRecord"]
+
+
+class CallMark(NamedTuple):
+    """What identifies a call, as read from its headers and its body.
+
+    Attributes:
+        request_id: The root request.
+        call_id: The call; the same on each attempt.
+        attempt: Number of the attempt, from 1.
+        class_name: Request class.
+        remaining_ms: Time left for the call; None if the call states none.
+        token: Text that the first caller chose for its order. It is independent of
+            all ids that the system under test creates.
+    """
+
+    request_id: str = ""
+    call_id: str = ""
+    attempt: int = 1
+    class_name: str = ""
+    remaining_ms: int | None = None
+    token: str = ""
+
+
+@dataclass
+class Run:
+    """One run of a call on a target.
+
+    Attributes:
+        request_id: The root request.
+        call_id: The call.
+        attempt: Number of the attempt.
+        class_name: Request class.
+        token: The first caller's own text.
+        service: Service of the target.
+        upstream: Name of the target.
+        start_s: Start on the machine's monotonic clock.
+        end_s: End on the same clock; None while the call runs.
+        end: How it ended: "running", "whole", "cancelled", "deadline",
+            "failed_downstream" or "crashed".
+    """
+
+    request_id: str
+    call_id: str
+    attempt: int
+    class_name: str
+    token: str
+    service: str
+    upstream: str
+    start_s: float
+    end_s: float | None = None
+    end: str = "running"
+
+    @property
+    def is_whole(self) -> bool:
+        """Whether the run reached its regular end."""
+        return self.end == "whole"
+
+
+class RunRecord:
+    """All runs of one target, in the order of their starts.
+
+    Args:
+        service: Service of the target.
+        upstream: Name of the target.
+    """
+
+    def __init__(self, service: str, upstream: str):
+        self._service = service
+        self._upstream = upstream
+        self._runs: list[Run] = []
+
+    def start(self, mark: CallMark) -> Run:
+        """Record that a call starts to run."""
+        run = Run(
+            request_id=mark.request_id,
+            call_id=mark.call_id,
+            attempt=mark.attempt,
+            class_name=mark.class_name,
+            token=mark.token,
+            service=self._service,
+            upstream=self._upstream,
+            start_s=time.monotonic(),
+        )
+        self._runs.append(run)
+        return run
+
+    def finish(self, run: Run, end: str) -> None:
+        """Record the end of a run; see `Run.end` for the values."""
+        run.end_s = time.monotonic()
+        run.end = end
+
+    def read(self, start: int = 0) -> list[dict]:
+        """Return the runs from a position on as plain objects, with `is_whole`."""
+        return [{**asdict(run), "is_whole": run.is_whole} for run in self._runs[start:]]
--- /dev/null
+++ b/libs/mimosaloom-standins/mimosaloom_standins/target_server.py
@@ -0,0 +1,164 @@
+"""HTTP interface of the target stand-in."""
+
+import json
+
+import tornado.httpclient
+from tornado.curl_httpclient import CurlAsyncHTTPClient
+from tornado.httpclient import HTTPRequest
+from tornado.web import Application, RequestHandler
+
+from .record import CallMark
+from .target import NextAnswer, Result, Target
+
+__all__ = ["CallHandler", "build_target_application"]
+
+CONTEXT_HEADER = "Mimosaloom-Context"
+RAN_HEADER = "Mimosaloom-Ran"
+NO_ANSWER_STATUS = 599
+# Limit for a sub-call of a call that states no deadline.
+SUBCALL_TIMEOUT_S = 30.0
+MAX_SUBCALLS = 1_000
+
+
+class _Handler(RequestHandler):
+    def initialize(self, target: Target):
+        self.target = target
+
+    def set_default_headers(self):
+        self.set_header("Content-Type", "application/json")
+
+    def answer(self, body: object) -> None:
+        self.finish(json.dumps(body))
+
+
+class CallHandler(RequestHandler):
+    """Runs the calls of other programs."""
+
+    def initialize(self, target: Target, client: CurlAsyncHTTPClient):
+        """Receive what the handler works on."""
+        self.target = target
+        self.client = client
+
+    async def post(self):
+        """Run the call; the body is a JSON object that is handed to sub-calls."""
+        try:
+            mark = _read_mark(self.request.headers, self.request.body)
+        except (ValueError, TypeError, AttributeError) as error:
+            self._send(Result(400, "no", {"error": f"unreadable call: {error}"}))
+            return
+        self._send(await self.target.run(mark, self._call_next))
+
+    async def get(self):
+        """Run a call without a body."""
+        await self.post()
+
+    async def _call_next(self, service: str) -> NextAnswer:
+        headers = {"Content-Type": "application/json"}
+        context = self.request.headers.get(CONTEXT_HEADER)
+        if context is not None:
+            headers[CONTEXT_HEADER] = context
+        request = HTTPRequest(
+            f"{self.target.options.egress_url}/{service}/call",
+            method="POST",
+            headers=headers,
+            body=self.request.body,
+            connect_timeout=SUBCALL_TIMEOUT_S,
+            request_timeout=SUBCALL_TIMEOUT_S,
+        )
+        try:
+            response = await self.client.fetch(request, raise_error=False)
+            return NextAnswer(response.code, json.loads(response.body or b"null"))
+        except (ValueError, OSError, tornado.httpclient.HTTPError) as error:
+            return NextAnswer(NO_ANSWER_STATUS, {"error": str(error)})
+
+    def _send(self, result: Result) -> None:
+        body = json.dumps(result.body).encode()
+        self.set_status(result.status, "Answer")
+        self.set_header("Content-Type", "application/json")
+        self.set_header(RAN_HEADER, result.ran)
+        options = self.target.options
+        if options.cut_answers > 0:
+            self.target.change({"cut_answers": options.cut_answers - 1})
+            self._send_half(body)
+            return
+        self.finish(body)
+
+    def _send_half(self, body: bytes) -> None:
+        stream = self.detach()
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n".encode()
+        stream.write(head + body[: len(body) // 2])
+        stream.close()
+
+
+class _CancelHandler(_Handler):
+    def post(self, call_id: str):
+        self.answer({"was": self.target.cancel(call_id)})
+
+
+class _ControlHandler(_Handler):
+    def post(self):
+        try:
+            self.target.change(json.loads(self.request.body))
+        except (TypeError, ValueError) as error:
+            self.set_status(400)
+            self.answer({"error": str(error)})
+            return
+        self.get()
+
+    def get(self):
+        self.answer(self.target.controls())
+
+
+class _DrainHandler(_Handler):
+    def post(self):
+        self.target.change({"is_draining": True})
+        self.answer({"in_flight": self.target.in_flight})
+
+
+class _RecordHandler(_Handler):
+    def get(self):
+        start = int(self.get_argument("from", "0"))
+        self.answer({"runs": self.target.record.read(start), "shed": self.target.shed})
+
+
+class _HealthHandler(_Handler):
+    def get(self):
+        health = self.target.health()
+        self.set_status(200 if health["is_healthy"] else 503)
+        self.answer(health)
+
+
+class _LoadHandler(_Handler):
+    def get(self):
+        self.answer(self.target.load())
+
+
+def _read_mark(headers, body: bytes) -> CallMark:
+    context = json.loads(headers.get(CONTEXT_HEADER, "{}"))
+    order = json.loads(body) if body else {}
+    return CallMark(
+        request_id=context.get("request_id", ""),
+        call_id=context.get("call_id", ""),
+        attempt=context.get("attempt", 1),
+        class_name=context.get("class_name", ""),
+        remaining_ms=context.get("remaining_ms"),
+        token=order.get("token", ""),
+    )
+
+
+def build_target_application(target: Target) -> Application:
+    """Return the HTTP interface of a target; call it on the running event loop."""
+    arguments = {"target": target}
+    client = CurlAsyncHTTPClient(force_instance=True, max_clients=MAX_SUBCALLS)
+    return Application(
+        [
+            (r"/\.target/cancel/(.+)", _CancelHandler, arguments),
+            (r"/\.target/control", _ControlHandler, arguments),
+            (r"/\.target/drain", _DrainHandler, arguments),
+            (r"/\.target/record", _RecordHandler, arguments),
+            (r"/health", _HealthHandler, arguments),
+            (r"/load", _LoadHandler, arguments),
+            (r"/.*", CallHandler, {"target": target, "client": client}),
+        ],
+        log_function=lambda handler: None,
+    )
