--- /dev/null
+++ b/libs/mimosaloom-node/mimosaloom_node/log_client.py
@@ -0,0 +1,326 @@
+"""Client of the platform's log service.
+
+An append whose answer was lost may have taken effect. The client therefore gives each
+record a unique id and repeats the append; readers drop a record whose id they have
+seen. Where the client gives up, its outcome says whether the record may be in the log.
+"""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from datetime import timedelta
+
+import msgspec
+from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
+from tornado.httpclient import HTTPError, HTTPRequest, HTTPResponse
+
+from mimosaloom_model import Clock, LogServiceSettings
+
+__all__ = [
+    "AppendOutcome",
+    "AppendUnknown",
+    "Appended",
+    "Backoff",
+    "Gone",
+    "LogClient",
+    "NotAppended",
+    "Page",
+    "ReadOutcome",
+    "Record",
+    "Unreadable",
+    "follow_stream",
+]
+
+BACKOFF_BASE_S = 0.1
+BACKOFF_CAP_S = 5.0
+PAGE_RECORDS = 500
+MAX_CLIENTS = 8
+RECORD_ID_BITS = 96
+# Tornado's status for a request without an answer.
+NO_ANSWER_STATUS = 599
+CURL_COULDNT_CONNECT = 7
+
+
+@dataclass(frozen=True, slots=True)
+class Appended:
+    """The record is in the log at this offset, perhaps also at a lower one."""
+
+    offset: int
+
+
+@dataclass(frozen=True, slots=True)
+class NotAppended:
+    """The log service has refused the record; it is not in the log."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class AppendUnknown:
+    """An answer was lost; the record may be in the log."""
+
+    reason: str
+
+
+AppendOutcome = Appended | NotAppended | AppendUnknown
+
+
+class Record(msgspec.Struct, frozen=True):
+    """A record with its offset; `value` is any JSON value."""
+
+    offset: int
+    value: object
+
+
+class Page(msgspec.Struct, frozen=True):
+    """Records of one read.
+
+    Attributes:
+        records: In the order of offsets; empty if there were none in time.
+        first_offset: Oldest offset that the service keeps.
+        next_offset: Where the next read starts.
+    """
+
+    records: tuple[Record, ...]
+    first_offset: int
+    next_offset: int
+
+
+@dataclass(frozen=True, slots=True)
+class Gone:
+    """The offset asked for is no longer kept; the oldest kept one is given."""
+
+    first_offset: int
+
+
+@dataclass(frozen=True, slots=True)
+class Unreadable:
+    """The log service gave no usable answer."""
+
+    reason: str
+
+
+ReadOutcome = Page | Gone | Unreadable
+
+
+class _Offset(msgspec.Struct):
+    offset: int
+
+
+class _FirstOffset(msgspec.Struct):
+    first_offset: int
+
+
+class Backoff:
+    """Growing random delays, so that many nodes do not come back at once.
+
+    Args:
+        rng: Source of the jitter.
+        base_s: Upper bound of the first delay.
+        cap_s: Upper bound of all delays.
+    """
+
+    def __init__(
+        self,
+        rng: random.Random,
+        *,
+        base_s: float = BACKOFF_BASE_S,
+        cap_s: float = BACKOFF_CAP_S,
+    ):
+        self._rng = rng
+        self._base_s = base_s
+        self._cap_s = cap_s
+        self._bound_s = base_s
+
+    def next_delay_s(self) -> float:
+        """Return the next delay: uniform between 0 and a bound that doubles."""
+        bound_s = self._bound_s
+        self._bound_s = min(self._cap_s, 2 * bound_s)
+        return self._rng.uniform(0, bound_s)
+
+    def reset(self) -> None:
+        """Start again with the shortest bound after a success."""
+        self._bound_s = self._base_s
+
+
+Sleep = Callable[[float], Awaitable[None]]
+
+
+class LogClient:
+    """Appends to and reads from the streams of the log service.
+
+    Create it on a running event loop.
+
+    Args:
+        settings: Where the service is, and the limit for one try.
+        clock: Measures the time that an append may take with its repeats.
+        rng: Source of record ids and of the jitter between repeats.
+        sleep: Waits between repeats, in seconds.
+    """
+
+    def __init__(
+        self,
+        settings: LogServiceSettings,
+        clock: Clock,
+        rng: random.Random,
+        *,
+        sleep: Sleep = asyncio.sleep,
+    ):
+        self._settings = settings
+        self._clock = clock
+        self._rng = rng
+        self._sleep = sleep
+        self._client = CurlAsyncHTTPClient(force_instance=True, max_clients=MAX_CLIENTS)
+
+    async def append(
+        self, stream: str, record: dict, *, give_up_after: timedelta
+    ) -> AppendOutcome:
+        """Append a record, repeating the append until it is known to be in the log.
+
+        Args:
+            stream: Name of the stream.
+            record: JSON object. It receives a unique `id` if it has none.
+            give_up_after: No repeat starts after this time; at least one try is made.
+
+        Returns:
+            The outcome over all tries. `NotAppended` only if every try was refused.
+        """
+        named = {"id": self.new_record_id(), **record}
+        give_up_s = self._clock.monotonic_s() + give_up_after.total_seconds()
+        backoff = Backoff(self._rng)
+        unknown: AppendUnknown | None = None
+        while True:
+            outcome = await self._append_once(stream, named)
+            if isinstance(outcome, Appended):
+                return outcome
+            if isinstance(outcome, AppendUnknown):
+                unknown = outcome
+            delay_s = backoff.next_delay_s()
+            if self._clock.monotonic_s() + delay_s >= give_up_s:
+                return unknown or outcome
+            await self._sleep(delay_s)
+
+    async def read(
+        self,
+        stream: str,
+        start: int,
+        *,
+        limit: int = PAGE_RECORDS,
+        wait: timedelta = timedelta(0),
+    ) -> ReadOutcome:
+        """Read records from an offset on, once.
+
+        Args:
+            stream: Name of the stream.
+            start: Offset of the first record wanted.
+            limit: Most records to return.
+            wait: How long the service may hold the request when there is no record.
+        """
+        wait_s = wait.total_seconds()
+        path = f"/streams/{stream}/records?from={start}&limit={limit}&wait_s={wait_s}"
+        response = await self._fetch(path, timeout_s=wait_s + self._settings.timeout_s)
+        try:
+            if response.code == 200:
+                return msgspec.json.decode(response.body, type=Page)
+            if response.code == 410:
+                gone = msgspec.json.decode(response.body, type=_FirstOffset)
+                return Gone(gone.first_offset)
+        except msgspec.MsgspecError as error:
+            return Unreadable(f"unreadable page: {error}")
+        return Unreadable(_describe(response))
+
+    def new_record_id(self) -> str:
+        """Return a random id for a record."""
+        return f"{self._rng.getrandbits(RECORD_ID_BITS):0{RECORD_ID_BITS // 4}x}"
+
+    def new_backoff(self) -> Backoff:
+        """Return delays for a loop that reads."""
+        return Backoff(self._rng)
+
+    async def wait(self, delay_s: float) -> None:
+        """Wait between two tries."""
+        await self._sleep(delay_s)
+
+    def close(self) -> None:
+        """Close the connections; requests under way are dropped."""
+        self._client.close()
+
+    async def _append_once(self, stream: str, record: dict) -> AppendOutcome:
+        response = await self._fetch(
+            f"/streams/{stream}/records",
+            timeout_s=self._settings.timeout_s,
+            body=msgspec.json.encode(record),
+        )
+        if response.code == 200:
+            try:
+                return Appended(msgspec.json.decode(response.body, type=_Offset).offset)
+            except msgspec.MsgspecError as error:
+                return AppendUnknown(f"unreadable answer: {error}")
+        if response.code == NO_ANSWER_STATUS and not _is_connect_error(response):
+            return AppendUnknown(_describe(response))
+        return NotAppended(_describe(response))
+
+    async def _fetch(
+        self, path: str, *, timeout_s: float, body: bytes | None = None
+    ) -> HTTPResponse:
+        request = HTTPRequest(
+            self._settings.url.rstrip("/") + path,
+            method="GET" if body is None else "POST",
+            body=body,
+            connect_timeout=self._settings.timeout_s,
+            request_timeout=timeout_s,
+        )
+        try:
+            return await self._client.fetch(request, raise_error=False)
+        except HTTPError as error:
+            # `raise_error` covers answers only, not connections that fail.
+            return HTTPResponse(request, NO_ANSWER_STATUS, error=error)
+
+
+async def follow_stream(
+    client: LogClient,
+    stream: str,
+    apply: Callable[[Page], None],
+    *,
+    start: int = 0,
+    wait: timedelta = timedelta(seconds=5),
+) -> None:
+    """Read a stream until cancelled.
+
+    While the log service can't be read, the loop backs off and tries again. After a
+    `Gone` it goes on at the oldest offset that is kept; it never goes back.
+
+    Args:
+        client: Client to read with.
+        stream: Name of the stream.
+        apply: Receives each page that holds records.
+        start: First offset.
+        wait: Length of one long poll.
+    """
+    backoff = client.new_backoff()
+    offset = start
+    while True:
+        outcome = await client.read(stream, offset, wait=wait)
+        match outcome:
+            case Page(records=records, next_offset=next_offset):
+                backoff.reset()
+                if records:
+                    apply(outcome)
+                offset = max(offset, next_offset)
+            case Gone(first_offset=first_offset) if first_offset > offset:
+                offset = first_offset
+            case _:
+                await client.wait(backoff.next_delay_s())
+
+
+def _is_connect_error(response: HTTPResponse) -> bool:
+    # Without a connection the request was not sent, so the append was not taken.
+    error = response.error
+    return isinstance(error, CurlError) and error.errno == CURL_COULDNT_CONNECT
+
+
+def _describe(response: HTTPResponse) -> str:
+    if isinstance(response.error, HTTPError) and response.code == NO_ANSWER_STATUS:
+        return f"no answer from the log service: {response.error.message}"
+    return f"the log service answered {response.code}"
--- /dev/null
+++ b/tests/node/test_log_client.py
@@ -0,0 +1,138 @@
+import asyncio
+import random
+import time
+from datetime import timedelta
+
+import pytest
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+
+from mimosaloom_model import LogServiceSettings, ManualClock
+from mimosaloom_node.directory import Directory, Member, announce_member
+from mimosaloom_node.log_client import (
+    Appended,
+    AppendUnknown,
+    Gone,
+    LogClient,
+    NotAppended,
+    Page,
+    Unreadable,
+    follow_stream,
+)
+from mimosaloom_standins import LogOptions, LogStore, build_log_application
+
+pytestmark = pytest.mark.sockets
+GIVE_UP_AFTER = timedelta(seconds=60)
+
+
+def run_with_log(scenario, **options):
+    """Run `scenario(store, client, delays)` against a log service on loopback."""
+
+    async def run():
+        store = LogStore(LogOptions(**options), time.monotonic())
+        server = HTTPServer(build_log_application(store))
+        sockets = bind_sockets(0, "127.0.0.1")
+        server.add_sockets(sockets)
+        clock = ManualClock()
+        delays = []
+
+        async def sleep(delay_s):
+            delays.append(delay_s)
+            clock.advance(timedelta(seconds=delay_s))
+            if len(delays) > 2:
+                store.change({"is_down": False, "appends_per_s": 1e6})
+            await asyncio.sleep(0)
+
+        url = f"http://127.0.0.1:{sockets[0].getsockname()[1]}"
+        settings = LogServiceSettings(url, timeout_s=20.0)
+        client = LogClient(settings, clock, random.Random(7), sleep=sleep)
+        try:
+            await scenario(store, client, delays)
+        finally:
+            client.close()
+            server.stop()
+            await server.close_all_connections()
+
+    asyncio.run(run())
+
+
+def test_lost_append_answer_is_repeated_with_the_same_id():
+    """Guards against a second, different record after a lost append answer."""
+
+    async def scenario(store, client, delays):
+        outcome = await client.append("s", {"a": 1}, give_up_after=GIVE_UP_AFTER)
+        assert outcome == Appended(1)
+        page = await client.read("s", 0)
+        ids = [record.value["id"] for record in page.records]
+        assert len(ids) == 2
+        assert len(set(ids)) == 1
+
+    run_with_log(scenario, lose_answers=1)
+
+
+def test_giving_up_after_a_lost_answer_is_unknown_not_refused():
+    """Guards against reporting a record as absent that is in the log."""
+
+    async def scenario(store, client, delays):
+        outcome = await client.append("s", {}, give_up_after=timedelta(0))
+        assert isinstance(outcome, AppendUnknown)
+        store.change({"is_down": True})
+        outcome = await client.append("s", {}, give_up_after=timedelta(0))
+        assert isinstance(outcome, NotAppended)
+        assert isinstance(await client.read("s", 0), Unreadable)
+
+    run_with_log(scenario, lose_answers=1)
+
+
+def test_append_backs_off_over_the_rate_and_in_an_outage():
+    """Guards against an append lost to 429 or 503, and against hammering."""
+
+    async def scenario(store, client, delays):
+        first = await client.append("s", {}, give_up_after=GIVE_UP_AFTER)
+        second = await client.append("s", {}, give_up_after=GIVE_UP_AFTER)
+        assert (first, second) == (Appended(0), Appended(1))
+        assert store.rate_refusals == len(delays) == 3
+        assert all(delay_s > 0 for delay_s in delays)
+
+    run_with_log(scenario, appends_per_s=1e-6)
+
+
+def test_follow_goes_on_after_expired_records():
+    """Guards against a reader that is stuck for good below the retained head."""
+
+    async def scenario(store, client, delays):
+        for number in range(9):
+            await client.append("s", {"n": number}, give_up_after=GIVE_UP_AFTER)
+        assert await client.read("s", 0) == Gone(5)
+        seen = []
+        done = asyncio.Event()
+
+        def apply(page: Page):
+            seen.extend(record.value["n"] for record in page.records)
+            if seen[-1] == 9:
+                done.set()
+
+        task = asyncio.create_task(follow_stream(client, "s", apply))
+        await client.append("s", {"n": 9}, give_up_after=GIVE_UP_AFTER)
+        await done.wait()
+        task.cancel()
+        assert seen[-4:] == [6, 7, 8, 9]
+
+    run_with_log(scenario, retention_records=4)
+
+
+def test_member_is_announced_once_the_outage_is_over():
+    """Guards against a target that stays unknown because it started in an outage."""
+
+    async def scenario(store, client, delays):
+        member = Member(
+            "n1", "r", "billing", "b1", "d1", "127.0.0.1", 1, 2, 3, 4, 5,
+            "0123456789abc-01234567",
+        )  # fmt: skip
+        await announce_member(client, member)
+        directory = Directory()
+        page = await client.read("members", 0)
+        assert [directory.apply(record.value) for record in page.records] == [True]
+        assert [c.name for c in directory.candidates("billing")] == ["b1"]
+
+    run_with_log(scenario, is_down=True)
