Add the load, the processes and the checks of the demo

The demo needs a mesh of separate processes, an open-loop load with client retries, and counts that do not trust the nodes: answers are judged by what the caller sent, runs by what the targets recorded.

--- a/libs/mimosaloom-bench/mimosaloom_bench/commands.py
+++ b/libs/mimosaloom-bench/mimosaloom_bench/commands.py
@@ -1,11 +1,35 @@
 """Adds the demo and the benches to the command line."""
 
+from typing import Annotated
+
 import typer
 
+from .demo import show_demo
+from .meshes import MeshName
+
 __all__ = ["register"]
 
+DEFAULT_DURATION_S = 12.0
+MIN_DURATION_S = 3.0
+
 
 def register(app: typer.Typer) -> None:
     """Add the commands of this package to the command line."""
+    app.command(name="demo")(_demo)
     bench = typer.Typer(no_args_is_help=True, help="Measure mimosaloom.")
     app.add_typer(bench, name="bench")
+
+
+def _demo(
+    mesh: Annotated[MeshName, typer.Option(help="Mesh to run.")] = MeshName.WATER,
+    seed: Annotated[int, typer.Option(help="Seed of load and service times.")] = 1,
+    duration_s: Annotated[
+        float, typer.Option(min=MIN_DURATION_S, help="Length of the load in seconds.")
+    ] = DEFAULT_DURATION_S,
+    json_output: Annotated[
+        bool, typer.Option("--json", help="Print one JSON object as the last line.")
+    ] = False,
+) -> None:
+    """Overload one mesh on loopback and print what its callers saw."""
+    code = show_demo(mesh, seed=seed, duration_s=duration_s, is_json=json_output)
+    raise typer.Exit(code)
--- /dev/null
+++ b/libs/mimosaloom-bench/mimosaloom_bench/meshes.py
@@ -0,0 +1,250 @@
+"""The two meshes as declared, at a size that fits on one machine."""
+
+from enum import StrEnum
+from typing import NamedTuple
+
+from mimosaloom_model import ResourceDocument
+
+__all__ = ["MESHES", "ClassPlan", "MeshName", "MeshPlan", "ServicePlan", "UpstreamPlan"]
+
+RETRIES_PER_REQUEST = 3
+
+
+class MeshName(StrEnum):
+    """Names of the meshes."""
+
+    WATER = "water"
+    COOPERATIVE = "cooperative"
+
+
+class ServicePlan(NamedTuple):
+    """A service and its upstreams.
+
+    Attributes:
+        name: Name of the service.
+        upstream_count: Number of upstreams.
+        slots: Calls that each upstream runs at once.
+        max_connections: Connections that each upstream accepts.
+        service_time_s: Mean time of a target's own work on a call.
+    """
+
+    name: str
+    upstream_count: int
+    slots: int
+    max_connections: int
+    service_time_s: float
+
+
+class ClassPlan(NamedTuple):
+    """A request class and its share of the requests.
+
+    Attributes:
+        name: Name of the class.
+        priority: 0 is refused last.
+        is_idempotent: Whether it may run more than once.
+        is_protected: Whether it has a reserved share of the slots.
+        path: Services in the order of calls.
+        share: Share of all requests.
+        timeout_s: Deadline of a request.
+    """
+
+    name: str
+    priority: int
+    is_idempotent: bool
+    is_protected: bool
+    path: tuple[str, ...]
+    share: float
+    timeout_s: float = 1.5
+
+
+class UpstreamPlan(NamedTuple):
+    """One upstream of a service."""
+
+    name: str
+    service: ServicePlan
+    failure_domain: str
+
+
+class MeshPlan(NamedTuple):
+    """Services and request classes of one deployment.
+
+    Attributes:
+        name: Name of the mesh.
+        region: Its region.
+        failure_domains: Failure domains over which the upstreams are spread.
+        services: Its services.
+        classes: Its request classes.
+        deep_service: The service that slows down under overload.
+        normal_per_s: Requests a second at normal load.
+    """
+
+    name: str
+    region: str
+    failure_domains: tuple[str, ...]
+    services: tuple[ServicePlan, ...]
+    classes: tuple[ClassPlan, ...]
+    deep_service: str
+    normal_per_s: float
+
+    def service(self, name: str) -> ServicePlan:
+        """Return the service of a name."""
+        return next(service for service in self.services if service.name == name)
+
+    def upstreams(self) -> list[UpstreamPlan]:
+        """Return all upstreams; those of a service are in different domains."""
+        domains = self.failure_domains
+        return [
+            UpstreamPlan(
+                f"{service.name}-{index + 1}", service, domains[index % len(domains)]
+            )
+            for service in self.services
+            for index in range(service.upstream_count)
+        ]
+
+    def capacity_per_s(self, service_name: str, slow_factor: float = 1.0) -> float:
+        """Return the calls a second that a service can run."""
+        service = self.service(service_name)
+        slots = service.upstream_count * service.slots
+        return slots / (service.service_time_s * slow_factor)
+
+    def documents(self) -> list[ResourceDocument]:
+        """Return the mesh as resources."""
+        return [
+            *(self._service_document(service) for service in self.services),
+            *(_upstream_document(upstream) for upstream in self.upstreams()),
+            *(_class_document(request_class) for request_class in self.classes),
+            _document(
+                "RetryAllowance",
+                "default",
+                retries_per_request=RETRIES_PER_REQUEST,
+                budget_ratio=0.1,
+                min_retries_per_s=1.0,
+            ),
+        ]
+
+    def _service_document(self, service: ServicePlan) -> ResourceDocument:
+        called = {
+            following
+            for request_class in self.classes
+            for caller, following in zip(
+                request_class.path, request_class.path[1:], strict=False
+            )
+            if caller == service.name
+        }
+        return _document("Service", service.name, calls=sorted(called))
+
+
+def _upstream_document(upstream: UpstreamPlan) -> ResourceDocument:
+    return _document(
+        "Upstream",
+        upstream.name,
+        service=upstream.service.name,
+        failure_domain=upstream.failure_domain,
+        slots=upstream.service.slots,
+        max_connections=upstream.service.max_connections,
+    )
+
+
+def _class_document(request_class: ClassPlan) -> ResourceDocument:
+    return _document(
+        "RequestClass",
+        request_class.name,
+        entry_service=request_class.path[0],
+        priority=request_class.priority,
+        is_idempotent=request_class.is_idempotent,
+        is_protected=request_class.is_protected,
+        timeout_s=request_class.timeout_s,
+        retry_allowance="default",
+        path=list(request_class.path),
+    )
+
+
+def _document(kind: str, name: str, **spec) -> ResourceDocument:
+    return ResourceDocument(kind=kind, name=name, spec=spec)
+
+
+# The slots are about a thirteenth of the declared ones, which leaves the deep
+# service eight slots and keeps the proportions between the services.
+_WATER = MeshPlan(
+    name=MeshName.WATER,
+    region="quetzaltenango",
+    failure_domains=("quetzaltenango-a", "quetzaltenango-b", "quetzaltenango-c"),
+    services=(
+        ServicePlan("status", 2, 13, 500, 0.002),
+        ServicePlan("intake", 2, 12, 570, 0.004),
+        ServicePlan("inspections", 2, 11, 700, 0.004),
+        ServicePlan("billing", 2, 4, 300, 0.040),
+    ),
+    classes=(
+        ClassPlan(
+            "register-application",
+            0,
+            False,
+            True,
+            ("intake", "inspections", "billing"),
+            0.15,
+        ),
+        ClassPlan(
+            "issue-fee", 1, False, False, ("intake", "inspections", "billing"), 0.20
+        ),
+        ClassPlan(
+            "assign-inspection", 2, False, False, ("intake", "inspections"), 0.20
+        ),
+        ClassPlan(
+            "status-inquiry",
+            4,
+            True,
+            False,
+            ("status", "intake", "inspections", "billing"),
+            0.45,
+        ),
+    ),
+    deep_service="billing",
+    normal_per_s=150.0,
+)
+
+_COOPERATIVE = MeshPlan(
+    name=MeshName.COOPERATIVE,
+    region="gyeongnam",
+    failure_domains=("gyeongnam-a", "gyeongnam-b", "gyeongnam-c"),
+    services=(
+        ServicePlan("catalogue", 2, 14, 450, 0.002),
+        ServicePlan("lending", 2, 13, 600, 0.004),
+        ServicePlan("regrind", 2, 13, 800, 0.004),
+        ServicePlan("returns", 2, 4, 300, 0.040),
+    ),
+    classes=(
+        ClassPlan("log-return", 0, False, True, ("lending", "returns"), 0.15),
+        ClassPlan(
+            "confirm-regrind",
+            1,
+            False,
+            False,
+            ("lending", "regrind", "returns"),
+            0.15,
+        ),
+        ClassPlan(
+            "reserve-tooling",
+            2,
+            False,
+            False,
+            ("catalogue", "lending", "regrind", "returns"),
+            0.20,
+        ),
+        ClassPlan(
+            "look-up-die",
+            4,
+            True,
+            False,
+            ("catalogue", "lending", "regrind", "returns"),
+            0.50,
+        ),
+    ),
+    deep_service="returns",
+    normal_per_s=120.0,
+)
+
+MESHES: dict[MeshName, MeshPlan] = {
+    MeshName.WATER: _WATER,
+    MeshName.COOPERATIVE: _COOPERATIVE,
+}
--- a/libs/mimosaloom-standins/mimosaloom_standins/record.py
+++ b/libs/mimosaloom-standins/mimosaloom_standins/record.py
@@ -75,6 +75,7 @@
         self._service = service
         self._upstream = upstream
         self._runs: list[Run] = []
+        self._refused: list[CallMark] = []
 
     def start(self, mark: CallMark) -> Run:
         """Record that a call starts to run."""
@@ -96,6 +97,14 @@
         run.end_s = time.monotonic()
         run.end = end
 
+    def refuse(self, mark: CallMark) -> None:
+        """Record a call of which no part ran."""
+        self._refused.append(mark)
+
+    def read_refused(self) -> list[dict]:
+        """Return the calls that were refused as plain objects."""
+        return [mark._asdict() for mark in self._refused]
+
     def read(self, start: int = 0) -> list[dict]:
         """Return the runs from a position on as plain objects, with `is_whole`."""
         return [{**asdict(run), "is_whole": run.is_whole} for run in self._runs[start:]]
--- a/libs/mimosaloom-standins/mimosaloom_standins/target.py
+++ b/libs/mimosaloom-standins/mimosaloom_standins/target.py
@@ -111,7 +111,6 @@
     def __init__(self, options: TargetOptions):
         self.options = options
         self.record = RunRecord(options.service, options.upstream)
-        self.shed = 0
         self._rng = random.Random(options.seed)
         self._started_s = time.monotonic()
         self._running = 0
@@ -146,7 +145,6 @@
             call_next: Calls the service that it is given.
         """
         if self._must_shed():
-            self.shed += 1
             return self._refusal(mark, 503, "the target sheds load")
         call = _Call(mark, asyncio.ensure_future(self._run_in_slot(mark, call_next)))
         self._calls.setdefault(mark.call_id, []).append(call)
@@ -155,8 +153,9 @@
         except asyncio.CancelledError:
             if not call.task.cancelled():
                 raise
-            ran = "yes" if call.is_running else "no"
-            return self._answer(mark, 499, ran, error="cancelled")
+            if call.is_running:
+                return self._answer(mark, 499, "yes", error="cancelled")
+            return self._refusal(mark, 499, "cancelled")
         finally:
             self._forget(call)
 
@@ -319,6 +318,7 @@
                 turn.set_result(None)
 
     def _refusal(self, mark: CallMark, status: int, error: str) -> Result:
+        self.record.refuse(mark)
         return self._answer(mark, status, "no", error=error)
 
     def _answer(self, mark: CallMark, status: int, ran: str, **more) -> Result:
--- a/libs/mimosaloom-standins/mimosaloom_standins/target_server.py
+++ b/libs/mimosaloom-standins/mimosaloom_standins/target_server.py
@@ -1,7 +1,9 @@
 """HTTP interface of the target stand-in."""
 
+import asyncio
 import json
 
+import pycurl
 import tornado.httpclient
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpclient import HTTPRequest
@@ -20,6 +22,30 @@
 MAX_SUBCALLS = 1_000
 
 
+class SubcallClient(CurlAsyncHTTPClient):
+    """The curl client, with requests that can be ended early."""
+
+    def initialize(self, **arguments):
+        """Prepare the table of requests under way."""
+        super().initialize(**arguments)
+        self._active: dict[HTTPRequest, pycurl.Curl] = {}
+
+    def abort(self, request: HTTPRequest) -> None:
+        """Close the connection of a request, as a cancelled program would."""
+        curl = self._active.get(request)
+        if curl is not None:
+            self._finish(curl, pycurl.E_ABORTED_BY_CALLBACK, "aborted")
+            self._process_queue()
+
+    def _curl_setup_request(self, curl, request, buffer, headers):
+        super()._curl_setup_request(curl, request, buffer, headers)
+        self._active[request.request] = curl
+
+    def _finish(self, curl, curl_error=None, curl_message=None):
+        self._active.pop(curl.info["request"].request, None)
+        super()._finish(curl, curl_error, curl_message)
+
+
 class _Handler(RequestHandler):
     def initialize(self, target: Target):
         self.target = target
@@ -34,7 +60,7 @@
 class CallHandler(RequestHandler):
     """Runs the calls of other programs."""
 
-    def initialize(self, target: Target, client: CurlAsyncHTTPClient):
+    def initialize(self, target: Target, client: SubcallClient):
         """Receive what the handler works on."""
         self.target = target
         self.client = client
@@ -68,6 +94,9 @@
         try:
             response = await self.client.fetch(request, raise_error=False)
             return NextAnswer(response.code, json.loads(response.body or b"null"))
+        except asyncio.CancelledError:
+            self.client.abort(request)
+            raise
         except (ValueError, OSError, tornado.httpclient.HTTPError) as error:
             return NextAnswer(NO_ANSWER_STATUS, {"error": str(error)})
 
@@ -118,7 +147,8 @@
 class _RecordHandler(_Handler):
     def get(self):
         start = int(self.get_argument("from", "0"))
-        self.answer({"runs": self.target.record.read(start), "shed": self.target.shed})
+        record = self.target.record
+        self.answer({"runs": record.read(start), "refused": record.read_refused()})
 
 
 class _HealthHandler(_Handler):
@@ -149,7 +179,7 @@
 def build_target_application(target: Target) -> Application:
     """Return the HTTP interface of a target; call it on the running event loop."""
     arguments = {"target": target}
-    client = CurlAsyncHTTPClient(force_instance=True, max_clients=MAX_SUBCALLS)
+    client = SubcallClient(force_instance=True, max_clients=MAX_SUBCALLS)
     return Application(
         [
             (r"/\.target/cancel/(.+)", _CancelHandler, arguments),
