Add the data path and the node daemon

Calls over several nodes had no code yet. The data path holds caller, ingress, egress, admission gate, run at most once, resolution and middleware; the daemon wires them for one NodeSettings.

--- a/libs/mimosaloom-mesh/mimosaloom_mesh/__init__.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/__init__.py
@@ -1,1 +1,43 @@
-"""Package under construction."""
+"""The embeddable data path of mimosaloom on tornado."""
+
+from .assembly import DataPath, Place, build_caller, build_data_path
+from .caller import Caller, LocalHop
+from .directory import Directory, FixedDirectory
+from .egress import Egress
+from .gate import AdmissionGate
+from .hop import Execution, TargetHop
+from .ingress import Ingress
+from .messages import HopAnswer, Request, Response
+from .metrics import MeshMetrics
+from .middleware import Admitted, admit
+from .scopes import CallScope
+from .server import WholeRequestServer
+from .target import TargetLink
+from .transport import Endpoint, Transport
+
+__all__ = [
+    "AdmissionGate",
+    "Admitted",
+    "CallScope",
+    "Caller",
+    "DataPath",
+    "Directory",
+    "Egress",
+    "Endpoint",
+    "Execution",
+    "FixedDirectory",
+    "HopAnswer",
+    "Ingress",
+    "LocalHop",
+    "MeshMetrics",
+    "Place",
+    "Request",
+    "Response",
+    "TargetHop",
+    "TargetLink",
+    "Transport",
+    "WholeRequestServer",
+    "admit",
+    "build_caller",
+    "build_data_path",
+]
--- /dev/null
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/caller.py
@@ -0,0 +1,360 @@
+"""The caller's side of a call: routing, levels, deadline and retries."""
+
+import random
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+from typing import NamedTuple
+
+from eliot import log_message
+
+from mimosaloom_model import (
+    MAX_DEPTH,
+    Answered,
+    CallContext,
+    Clock,
+    Failed,
+    Kind,
+    Outcome,
+    Refused,
+    RequestClass,
+    new_request_id,
+)
+from mimosaloom_policy import (
+    Candidate,
+    LevelTable,
+    RetryBudget,
+    Router,
+    rank_request,
+)
+
+from .directory import Directory
+from .messages import HopAnswer, Request, kind_of
+from .metrics import MeshMetrics
+from .remote import RemoteHop
+from .retrying import NextStep, decide_next_step
+from .scopes import CallScope, ScopeTable, current_scope
+from .transport import Transport
+
+__all__ = ["Caller", "LocalHop"]
+
+RETRY_AFTER_S = 1.0
+MAX_ATTEMPTS = 64
+
+
+class LocalHop(NamedTuple):
+    """The own target, which is reached without a connection.
+
+    Attributes:
+        upstream: Name of the own target.
+        service: Its service.
+        run: Runs a call on it.
+    """
+
+    upstream: str
+    service: str
+    run: Callable[[CallContext, Request], Awaitable[HopAnswer]]
+
+
+class _Call(NamedTuple):
+    service: str
+    request: Request
+    scope: CallScope
+    request_class: RequestClass
+    call_id: str
+
+
+class Caller:
+    """Makes calls to services.
+
+    Args:
+        name: Name of the caller, for the choice of its subset of upstreams.
+        failure_domain: Failure domain of the caller.
+        directory: Resources in force and upstreams.
+        clock: Source of time.
+        rng: Source of ids and of choices.
+        transport: Sends requests.
+        metrics: Counts outcomes and retries.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        failure_domain: str,
+        directory: Directory,
+        *,
+        clock: Clock,
+        rng: random.Random,
+        transport: Transport,
+        metrics: MeshMetrics,
+    ):
+        self.scopes = ScopeTable()
+        self.levels = LevelTable(rng)
+        self.local: LocalHop | None = None
+        self.clock = clock
+        self.directory = directory
+        self.rng = rng
+        self.metrics = metrics
+        self._name = name
+        self._failure_domain = failure_domain
+        self._remote = RemoteHop(clock, transport, metrics)
+        self._routers: dict[str, tuple[int, Router]] = {}
+        self._draining: set[str] = set()
+        self._budgets: dict[tuple[str, str], RetryBudget] = {}
+
+    def open_root(
+        self, class_name: str, timeout: timedelta | None = None
+    ) -> CallScope | Refused:
+        """Begin a request.
+
+        Args:
+            class_name: Its request class.
+            timeout: Time for the whole request; that of the class if None.
+        """
+        catalog = self.directory.catalog()
+        request_class = catalog.classes.get(class_name)
+        if request_class is None:
+            return Refused(Kind.UNKNOWN_CLASS, f"class {class_name!r} is not declared")
+        timeout_s = timeout.total_seconds() if timeout else request_class.timeout_s
+        request_id = new_request_id(self.rng)
+        deadline_s = self.clock.monotonic_s() + timeout_s
+        scope = CallScope(f"root/{request_id}", request_id, class_name, 0, deadline_s)
+        self.scopes.open(scope, catalog.allowance_of(class_name).retries_per_request)
+        return scope
+
+    async def call(
+        self,
+        service: str,
+        request: Request,
+        *,
+        class_name: str = "",
+        timeout: timedelta | None = None,
+        scope: CallScope | None = None,
+    ) -> Outcome:
+        """Call a service and return the final outcome.
+
+        Args:
+            service: The service.
+            request: What is sent to one of its targets.
+            class_name: Class of the request that begins with this call.
+            timeout: Time for that request; that of the class if None.
+            scope: The call in progress of which this is a sub-call; the one that
+                the current task runs if None. Without any, a request begins, and
+                `class_name` is needed.
+        """
+        scope = scope or current_scope.get()
+        if scope is not None:
+            return await self._call_in(service, request, scope)
+        root = self.open_root(class_name, timeout)
+        if isinstance(root, Refused):
+            self.metrics.count_refusal(root.kind)
+            return root
+        try:
+            return await self._call_in(service, request, root)
+        finally:
+            self.scopes.close(root)
+
+    async def _call_in(
+        self, service: str, request: Request, scope: CallScope
+    ) -> Outcome:
+        scope.sub_calls += 1
+        outcome = self._check(service, scope)
+        if outcome is None:
+            classes = self.directory.catalog().classes
+            call_id = new_request_id(self.rng)
+            request_class = classes[scope.class_name]
+            call = _Call(service, request, scope, request_class, call_id)
+            outcome = await self._attempt_until_final(call)
+        kind = kind_of(outcome)
+        if kind is None:
+            self.metrics.count_answer(service)
+            return outcome
+        self.metrics.count_refusal(kind)
+        scope.failed_kind = kind
+        scope.retry_after_s = outcome.retry_after_s
+        if isinstance(outcome, Failed):
+            log_message(
+                message_type="call_failed",
+                request_id=scope.request_id,
+                service=service,
+                kind=kind.value,
+                detail=outcome.detail,
+            )
+        return outcome
+
+    def _check(self, service: str, scope: CallScope) -> Refused | None:
+        catalog = self.directory.catalog()
+        request_class = catalog.classes.get(scope.class_name)
+        if request_class is None:
+            return Refused(Kind.UNKNOWN_CLASS)
+        if service not in catalog.services:
+            return Refused(Kind.UNKNOWN_SERVICE, f"{service!r} is not declared")
+        if scope.depth > MAX_DEPTH:
+            return Refused(Kind.DEPTH_EXCEEDED, f"the limit is {MAX_DEPTH} hops")
+        now_s = self.clock.monotonic_s()
+        if scope.deadline_s <= now_s:
+            return Refused(Kind.DEADLINE_TOO_SHORT, "the deadline has passed")
+        rank = rank_request(scope.request_id, request_class.priority)
+        is_admitted = self.levels.admits(service, scope.class_name, rank, now_s)
+        if not is_admitted:
+            detail = f"{service} refuses requests of this rank now"
+            return Refused(Kind.OVERLOADED, detail, RETRY_AFTER_S)
+        return None
+
+    async def _attempt_until_final(self, call: _Call) -> Outcome:
+        tried: set[str] = set()
+        last: Outcome = Refused(Kind.NO_UPSTREAM, "", RETRY_AFTER_S)
+        for attempt in range(1, MAX_ATTEMPTS + 1):
+            candidate = self._pick(call, frozenset(tried))
+            if candidate is None:
+                return last
+            if attempt > 1:
+                if not self._take_retry(call):
+                    return last
+                self.metrics.count_retry(kind_of(last).value)
+            tried.add(candidate.name)
+            last = await self._attempt(call, candidate, attempt)
+            step = decide_next_step(
+                last, is_idempotent=call.request_class.is_idempotent
+            )
+            if step is NextStep.RESOLVE:
+                last = await self._resolve(call, candidate)
+                step = decide_next_step(last, is_idempotent=False)
+            if step is not NextStep.RETRY:
+                return last
+            if call.scope.deadline_s <= self.clock.monotonic_s():
+                return last
+        return last
+
+    def _pick(self, call: _Call, tried: frozenset[str]) -> Candidate | None:
+        router = self._router(call.service)
+        now_s = self.clock.monotonic_s()
+        local = self.local
+        is_root = call.scope.depth == 0
+        if is_root and local is not None and local.service == call.service:
+            for candidate in self.directory.candidates(call.service):
+                is_own = candidate.name == local.upstream
+                if is_own and local.upstream not in tried:
+                    return candidate
+        candidate = router.pick(now_s, tried)
+        if candidate is None and tried and call.request_class.is_idempotent:
+            # All have been tried; an idempotent call may go to one of them again.
+            candidate = router.pick(now_s)
+        return candidate
+
+    def _take_retry(self, call: _Call) -> bool:
+        budget = self._budget(call.service, call.request_class.name)
+        now_s = self.clock.monotonic_s()
+        if not budget.try_spend(now_s):
+            self.metrics.count_stopped_retry("retry_budget_empty")
+            return False
+        if not self.scopes.ledger.spend(call.scope.key):
+            self.metrics.count_stopped_retry("retry_allowance_spent")
+            return False
+        return True
+
+    async def _attempt(
+        self, call: _Call, candidate: Candidate, attempt: int
+    ) -> Outcome:
+        router = self._router(call.service)
+        start_s = self.clock.monotonic_s()
+        ledger = self.scopes.ledger
+        lent = ledger.lend(call.scope.key)
+        context = CallContext(
+            request_id=call.scope.request_id,
+            call_id=call.call_id,
+            class_name=call.scope.class_name,
+            remaining_ms=max(0, int(1000 * (call.scope.deadline_s - start_s))),
+            attempt=attempt,
+            depth=call.scope.depth,
+            retries=lent,
+        )
+        router.start(candidate.name, start_s)
+        answer = HopAnswer(Failed(Kind.CANCELLED))
+        try:
+            answer = await self._send(call, candidate, context)
+        finally:
+            now_s = self.clock.monotonic_s()
+            ledger.give_back(call.scope.key, lent, answer.retries_unused)
+            router.finish(
+                candidate.name,
+                now_s,
+                elapsed_s=now_s - start_s,
+                kind=kind_of(answer.outcome),
+            )
+        self._learn(call, candidate, answer, now_s)
+        return answer.outcome
+
+    async def _send(
+        self, call: _Call, candidate: Candidate, context: CallContext
+    ) -> HopAnswer:
+        if self.local is not None and candidate.name == self.local.upstream:
+            return await self.local.run(context, call.request)
+        return await self._remote.run(
+            candidate,
+            context,
+            call.request,
+            deadline_s=call.scope.deadline_s,
+            is_idempotent=call.request_class.is_idempotent,
+        )
+
+    def _learn(
+        self, call: _Call, candidate: Candidate, answer: HopAnswer, now_s: float
+    ) -> None:
+        if answer.level is not None:
+            self.levels.observe(
+                call.service,
+                call.request_class.name,
+                candidate.name,
+                answer.level,
+                now_s,
+            )
+        if isinstance(answer.outcome, Answered):
+            budget = self._budget(call.service, call.request_class.name)
+            budget.record_success(now_s)
+        if answer.is_draining and answer.incarnation not in self._draining:
+            self._draining.add(answer.incarnation)
+            self._routers[call.service][1].set_candidates(
+                self._candidates(call.service), now_s
+            )
+
+    async def _resolve(self, call: _Call, candidate: Candidate) -> Outcome:
+        return await self._remote.resolve(
+            candidate, call.call_id, deadline_s=call.scope.deadline_s
+        )
+
+    def _router(self, service: str) -> Router:
+        version = self.directory.version
+        known = self._routers.get(service)
+        if known is not None and known[0] == version:
+            return known[1]
+        router = (
+            known[1]
+            if known
+            else Router(service, self._name, self._failure_domain, self.rng)
+        )
+        now_s = self.clock.monotonic_s()
+        router.set_candidates(self._candidates(service), now_s)
+        self._routers[service] = (version, router)
+        return router
+
+    def _candidates(self, service: str) -> list[Candidate]:
+        """Return the upstreams, marked with what their answers said of leaving."""
+        return [
+            candidate._replace(
+                is_draining=candidate.is_draining
+                or candidate.incarnation in self._draining
+            )
+            for candidate in self.directory.candidates(service)
+        ]
+
+    def _budget(self, service: str, class_name: str) -> RetryBudget:
+        budget = self._budgets.get((service, class_name))
+        if budget is None:
+            allowance = self.directory.catalog().allowance_of(class_name)
+            budget = RetryBudget(
+                allowance.budget_ratio,
+                allowance.min_retries_per_s,
+                self.clock.monotonic_s(),
+            )
+            self._budgets[service, class_name] = budget
+        return budget
--- /dev/null
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/directory.py
@@ -0,0 +1,56 @@
+"""What the data path needs to know of resources and members."""
+
+from typing import Protocol
+
+from mimosaloom_model import Catalog
+from mimosaloom_policy import Candidate
+
+__all__ = ["Directory", "FixedDirectory"]
+
+
+class Directory(Protocol):
+    """Resources in force and the upstreams that can be called."""
+
+    @property
+    def version(self) -> int:
+        """Return a number that changes with each change of the contents."""
+
+    def catalog(self) -> Catalog:
+        """Return the resources in force."""
+
+    def candidates(self, service: str) -> list[Candidate]:
+        """Return the upstreams of a service with the addresses of their nodes."""
+
+
+class FixedDirectory:
+    """A directory that is filled by hand, for embedding and tests.
+
+    Args:
+        catalog: Resources in force.
+        candidates: Upstreams for each service.
+    """
+
+    def __init__(
+        self, catalog: Catalog, candidates: dict[str, list[Candidate]] | None = None
+    ):
+        self._catalog = catalog
+        self._candidates = candidates or {}
+        self._version = 0
+
+    @property
+    def version(self) -> int:
+        """Return the number of changes so far."""
+        return self._version
+
+    def catalog(self) -> Catalog:
+        """Return the resources."""
+        return self._catalog
+
+    def candidates(self, service: str) -> list[Candidate]:
+        """Return the upstreams of a service."""
+        return self._candidates.get(service, [])
+
+    def set_candidates(self, service: str, candidates: list[Candidate]) -> None:
+        """Replace the upstreams of a service."""
+        self._candidates[service] = candidates
+        self._version += 1
--- /dev/null
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/egress.py
@@ -0,0 +1,73 @@
+"""The listener for the target's own calls."""
+
+from eliot import log_message
+
+from mimosaloom_model import (
+    CONTEXT_HEADER,
+    CallContext,
+    ContextError,
+    Kind,
+    Refused,
+    decode_context,
+)
+
+from .caller import Caller
+from .headers import build_response
+from .messages import HopAnswer, Request, Response
+
+__all__ = ["Egress"]
+
+
+class Egress:
+    """Answers calls to `/SERVICE/PATH` by calling the service.
+
+    Args:
+        caller: Makes the calls; holds the calls in progress on the target.
+        incarnation: Incarnation of this process.
+    """
+
+    def __init__(self, caller: Caller, incarnation: str):
+        self._caller = caller
+        self._incarnation = incarnation
+
+    async def handle(self, request: Request) -> Response:
+        """Make the sub-call that a request asks for."""
+        value = request.header(CONTEXT_HEADER)
+        if value is None:
+            return self._refuse(Kind.CONTEXT_MISSING)
+        try:
+            context = decode_context(value)
+        except ContextError as error:
+            return self._refuse(Kind.BAD_CONTEXT, str(error))
+        return await self._call(context, request)
+
+    async def _call(self, context: CallContext, request: Request) -> Response:
+        scope = self._caller.scopes.find(context)
+        if scope is None:
+            # The call has ended, was cancelled or passed its deadline; more work
+            # for it would be wasted.
+            detail = "the call that the context names is not in progress here"
+            return self._refuse(Kind.DEADLINE_TOO_SHORT, detail, context)
+        service, _, path = request.path.removeprefix("/").partition("/")
+        outcome = await self._caller.call(
+            service, request._replace(path=f"/{path}"), scope=scope
+        )
+        answer = HopAnswer(outcome, incarnation=self._incarnation)
+        return build_response(
+            answer, context.call_id, context.attempt, context.request_id
+        )
+
+    def _refuse(
+        self, kind: Kind, detail: str = "", context: CallContext | None = None
+    ) -> Response:
+        self._caller.metrics.count_refusal(kind)
+        request_id = context.request_id if context else ""
+        log_message(
+            message_type="sub_call_refused",
+            request_id=request_id,
+            kind=kind.value,
+            detail=detail,
+        )
+        answer = HopAnswer(Refused(kind, detail), incarnation=self._incarnation)
+        call_id = context.call_id if context else "none"
+        return build_response(answer, call_id, 1, request_id)
--- /dev/null
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/gate.py
@@ -0,0 +1,94 @@
+"""Lets calls wait for the decisions of `Admission`."""
+
+import asyncio
+
+from mimosaloom_model import Clock
+from mimosaloom_policy import Admission, Arrival, Decision, Start
+
+from .metrics import MeshMetrics
+
+__all__ = ["AdmissionGate", "Withdrawn"]
+
+TICK_INTERVAL_S = 0.05
+
+
+class Withdrawn:
+    """The call left the queue because its caller is gone."""
+
+
+class AdmissionGate:
+    """Turns the decisions on calls into results that coroutines wait for.
+
+    Args:
+        admission: Decides.
+        clock: Source of time.
+        metrics: Gets the gauges of the target.
+    """
+
+    def __init__(self, admission: Admission, clock: Clock, metrics: MeshMetrics):
+        self.admission = admission
+        self.is_draining = False
+        self._clock = clock
+        self._metrics = metrics
+        self._waiting: dict[str, asyncio.Future] = {}
+        metrics.limit.set_function(lambda: admission.limit)
+        metrics.level.set_function(lambda: admission.level)
+        metrics.in_flight.set_function(lambda: admission.in_flight)
+        metrics.queued.set_function(lambda: admission.queued)
+
+    async def enter(self, arrival: Arrival) -> Decision | Withdrawn:
+        """Wait until a call is started, refused or withdrawn.
+
+        A started call must be ended with `leave`. If the awaiting task is cancelled,
+        the call has left.
+        """
+        future = asyncio.get_running_loop().create_future()
+        key = arrival.call_key
+        self._waiting[key] = future
+        self._apply(self.admission.offer(arrival, self._clock.monotonic_s()))
+        try:
+            return await future
+        except asyncio.CancelledError:
+            if not future.cancelled() and isinstance(future.result(), Start):
+                self.leave(key, is_success=False)
+            else:
+                self.withdraw(key)
+            raise
+
+    def leave(self, key: str, *, is_success: bool) -> None:
+        """Record that a started call has ended."""
+        now_s = self._clock.monotonic_s()
+        self._apply(self.admission.finish(key, now_s, is_success=is_success))
+
+    def withdraw(self, key: str) -> None:
+        """Take a call out of the queue; nothing happens if it does not wait."""
+        future = self._waiting.pop(key, None)
+        if future is None:
+            return
+        if not future.done():
+            future.set_result(Withdrawn())
+        self._apply(self.admission.cancel(key, self._clock.monotonic_s()))
+
+    def announce_draining(self) -> None:
+        """Say on each answer that this target leaves; calls are still taken."""
+        self.is_draining = True
+
+    def start_draining(self) -> None:
+        """Refuse all new calls."""
+        self.is_draining = True
+        self.admission.start_draining()
+
+    async def run_ticks(self) -> None:
+        """Refuse calls that waited too long, until cancelled."""
+        while True:
+            await asyncio.sleep(TICK_INTERVAL_S)
+            self._apply(self.admission.tick(self._clock.monotonic_s()))
+
+    def _apply(self, decisions: list[Decision]) -> None:
+        for decision in decisions:
+            future = self._waiting.pop(decision.call_key, None)
+            if future is not None and not future.done():
+                future.set_result(decision)
+            elif isinstance(decision, Start):
+                # The caller left in this same turn of the loop.
+                self.leave(decision.call_key, is_success=False)
--- /dev/null
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/ingress.py
@@ -0,0 +1,102 @@
+"""The listener for calls from callers and from other nodes."""
+
+import msgspec
+from eliot import log_message
+
+from mimosaloom_model import (
+    CONTEXT_HEADER,
+    CallContext,
+    ContextError,
+    Failed,
+    Kind,
+    Outcome,
+    Refused,
+    decode_context,
+)
+
+from .caller import Caller
+from .headers import INCARNATION_HEADER, build_response
+from .hop import TargetHop
+from .messages import HopAnswer, Request, Response, kind_of
+from .resolution import RESOLVE_PATH, ResolveRequest
+from .roots import RootCalls
+
+__all__ = ["Ingress"]
+
+RESERVED_PREFIX = "/.mimosaloom/"
+
+
+class Ingress:
+    """Answers calls for the own target.
+
+    Args:
+        caller: Routes requests that begin here.
+        hop: Runs calls on the own target.
+        roots: Runs requests that begin here.
+    """
+
+    def __init__(self, caller: Caller, hop: TargetHop, roots: RootCalls):
+        self._caller = caller
+        self._hop = hop
+        self._roots = roots
+
+    async def handle(self, request: Request) -> Response:
+        """Answer a call, a request that begins here, or a question about a call."""
+        if request.path.startswith(RESERVED_PREFIX):
+            return self._answer_reserved(request)
+        value = request.header(CONTEXT_HEADER)
+        if value is None:
+            return await self._roots.handle(request)
+        try:
+            context = decode_context(value)
+        except ContextError as error:
+            return self._refuse(Kind.BAD_CONTEXT, str(error))
+        return await self._run(context, request)
+
+    async def _run(self, context: CallContext, request: Request) -> Response:
+        wanted = request.header(INCARNATION_HEADER)
+        if wanted and wanted != self._hop.incarnation and self._is_once(context):
+            # libcurl may have sent this copy on its own after an earlier
+            # incarnation took the first one, so "not run" can't be said.
+            detail = f"the call was sent to incarnation {wanted}"
+            outcome: Outcome = Failed(Kind.OUTCOME_UNKNOWN, detail)
+            answer = HopAnswer(outcome, incarnation=self._hop.incarnation)
+        else:
+            answer = await self._hop.run(context, request)
+        self._count(answer.outcome, context.request_id)
+        return build_response(
+            answer, context.call_id, context.attempt, context.request_id
+        )
+
+    def _is_once(self, context: CallContext) -> bool:
+        known = self._caller.directory.catalog().classes.get(context.class_name)
+        return known is not None and not known.is_idempotent
+
+    def _answer_reserved(self, request: Request) -> Response:
+        if request.path != RESOLVE_PATH or request.method != "POST":
+            return self._refuse(Kind.BAD_REQUEST, f"there is no {request.path}")
+        try:
+            question = msgspec.json.decode(request.body, type=ResolveRequest)
+        except (msgspec.MsgspecError, UnicodeError) as error:
+            return self._refuse(Kind.BAD_REQUEST, str(error))
+        body = msgspec.json.encode(self._hop.resolve(question))
+        return Response(200, (("Content-Type", "application/json"),), body)
+
+    def _refuse(self, kind: Kind, detail: str) -> Response:
+        outcome = Refused(kind, detail)
+        self._count(outcome, "")
+        answer = HopAnswer(outcome, incarnation=self._hop.incarnation)
+        return build_response(answer, "none", 1, "")
+
+    def _count(self, outcome: Outcome, request_id: str) -> None:
+        kind = kind_of(outcome)
+        if kind is None:
+            return
+        self._caller.metrics.count_refusal(kind)
+        if isinstance(outcome, Failed):
+            log_message(
+                message_type="run_failed",
+                request_id=request_id,
+                kind=kind.value,
+                detail=outcome.detail,
+            )
--- /dev/null
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/middleware.py
@@ -0,0 +1,148 @@
+"""Admission inside a tornado server of the target itself."""
+
+import asyncio
+from collections.abc import Callable
+
+from tornado.httputil import (
+    HTTPConnection,
+    HTTPHeaders,
+    HTTPServerRequest,
+)
+
+from mimosaloom_model import Answered, Failed, Kind, Outcome
+
+from .assembly import DataPath, Place, build_data_path
+from .caller import Caller
+from .headers import TIMEOUT_HEADER
+from .hop import Execution
+from .scopes import current_scope
+from .server import WholeRequestServer
+from .transport import Transport
+
+__all__ = ["Admitted", "admit"]
+
+Application = Callable[[HTTPServerRequest], object]
+FIRST_SERVER_ERROR = 500
+
+
+class Admitted:
+    """A server of a target with admission in front of its application.
+
+    Args:
+        data_path: The data path beside the application.
+        server: Listens for calls.
+    """
+
+    def __init__(self, data_path: DataPath, server: WholeRequestServer):
+        self.data_path = data_path
+        self.server = server
+
+
+def admit(
+    application: Application,
+    place: Place,
+    caller: Caller,
+    transport: Transport,
+    *,
+    max_body_bytes: int = 1_048_576,
+) -> Admitted:
+    """Put admission, deadlines and at-most-once in front of an application.
+
+    Sub-calls that the application makes through `caller` belong to the call that
+    its current task runs.
+
+    Args:
+        application: A `tornado.web.Application`, or another callable that takes a
+            request and answers on its connection.
+        place: Who runs the application.
+        caller: Makes its sub-calls.
+        transport: Sends requests.
+        max_body_bytes: Largest request body.
+    """
+
+    async def execute(execution: Execution) -> Outcome:
+        return await _run_application(application, execution)
+
+    data_path = build_data_path(place, caller, transport, execute)
+
+    def count_too_large() -> None:
+        caller.metrics.count_refusal(Kind.BODY_TOO_LARGE)
+
+    server = WholeRequestServer(
+        data_path.ingress.handle,
+        clock=caller.clock,
+        max_body_bytes=max_body_bytes,
+        on_too_large=count_too_large,
+    )
+    return Admitted(data_path, server)
+
+
+class _CapturedConnection(HTTPConnection):
+    """Takes the answer of the application in place of a socket."""
+
+    def __init__(self):
+        self.done = asyncio.get_running_loop().create_future()
+        self._status = 0
+        self._headers: tuple[tuple[str, str], ...] = ()
+        self._chunks: list[bytes] = []
+        self._on_close: Callable[[], None] | None = None
+
+    def set_close_callback(self, callback):
+        self._on_close = callback
+
+    def write_headers(self, start_line, headers, chunk=None):
+        self._status = start_line.code
+        self._headers = tuple(headers.get_all())
+        return self.write(chunk or b"")
+
+    def write(self, chunk):
+        self._chunks.append(bytes(chunk))
+        written = asyncio.get_running_loop().create_future()
+        written.set_result(None)
+        return written
+
+    def finish(self):
+        if not self.done.done():
+            body = b"".join(self._chunks)
+            self.done.set_result(Answered(self._status, self._headers, body))
+
+    def close(self):
+        if self._on_close is not None:
+            self._on_close()
+
+
+async def _run_application(application: Application, execution: Execution) -> Outcome:
+    connection = _CapturedConnection()
+    current_scope.set(execution.scope)
+    application(_build_request(execution, connection))
+    try:
+        async with asyncio.timeout(execution.left.total_seconds()):
+            answered = await connection.done
+    except TimeoutError:
+        connection.close()
+        return Failed(Kind.DEADLINE_EXCEEDED)
+    except asyncio.CancelledError:
+        connection.close()
+        raise
+    if answered.status < FIRST_SERVER_ERROR:
+        return answered
+    detail = f"the application answered with status {answered.status}"
+    return Failed(Kind.TARGET_FAILED, detail)
+
+
+def _build_request(
+    execution: Execution, connection: HTTPConnection
+) -> HTTPServerRequest:
+    headers = HTTPHeaders()
+    for name, value in execution.request.headers:
+        headers.add(name, value)
+    left_ms = int(1000 * execution.left.total_seconds())
+    headers[TIMEOUT_HEADER] = str(left_ms)
+    return HTTPServerRequest(
+        method=execution.request.method,
+        uri=execution.request.path,
+        headers=headers,
+        body=execution.request.body,
+        connection=connection,
+        host=headers.get("Host", "localhost"),
+    )
--- /dev/null
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/once.py
@@ -0,0 +1,109 @@
+"""Runs each keyed call at most once in this process."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from mimosaloom_model import Clock, Failed, Kind, Outcome, Refused
+from mimosaloom_policy import (
+    Blocked,
+    Conflict,
+    Done,
+    Join,
+    NotRun,
+    Replay,
+    Run,
+    RunTable,
+)
+
+from .resolution import ResolveState, StoredResult, store_result
+
+__all__ = ["OnceRunner"]
+
+
+class OnceRunner:
+    """Ties the run table to the tasks that run.
+
+    Args:
+        table: Decides what a key may do.
+        clock: Source of time.
+    """
+
+    def __init__(self, table: RunTable, clock: Clock):
+        self._table = table
+        self._clock = clock
+        self._tasks: dict[str, asyncio.Task] = {}
+
+    @property
+    def tasks(self) -> list[asyncio.Task]:
+        """Return the runs in progress."""
+        return list(self._tasks.values())
+
+    async def run(
+        self,
+        key: str,
+        digest: str,
+        start: Callable[[], Awaitable[Outcome | None]],
+        withdraw: Callable[[], None],
+    ) -> Outcome:
+        """Run a call, or join or repeat the result of the run with its key.
+
+        The run goes on when the awaiting task is cancelled, so that its result can
+        be asked for over another connection.
+
+        Args:
+            key: Key of the call.
+            digest: Digest of what it sends.
+            start: Runs the call; returns None if the call was withdrawn.
+            withdraw: Called when the caller is gone; takes the call back if no part
+                of it has run.
+        """
+        match self._table.begin(key, digest, self._clock.monotonic_s()):
+            case Run():
+                task = asyncio.ensure_future(self._run_to_end(key, start))
+                self._tasks[key] = task
+            case Join():
+                task = self._tasks[key]
+            case Replay(result):
+                return result
+            case Blocked():
+                # Whoever had the key forbidden here may have run it elsewhere.
+                return Failed(Kind.OUTCOME_UNKNOWN, "the call was given up before")
+            case Conflict():
+                return Refused(Kind.KEY_CONFLICT)
+        try:
+            return await asyncio.shield(task)
+        except asyncio.CancelledError:
+            withdraw()
+            raise
+
+    def resolve(self, key: str) -> tuple[str, StoredResult | None]:
+        """Return the state of a key and the result of a run that has ended."""
+        match self._table.resolve(key, self._clock.monotonic_s()):
+            case Done(result):
+                return ResolveState.DONE, store_result(result)
+            case NotRun():
+                return ResolveState.NOT_RUN, None
+            case _:
+                return ResolveState.RUNNING, None
+
+    async def _run_to_end(
+        self, key: str, start: Callable[[], Awaitable[Outcome | None]]
+    ) -> Outcome:
+        outcome: Outcome | None = Failed(Kind.INTERNAL)
+        try:
+            outcome = await start()
+        finally:
+            self._tasks.pop(key, None)
+            self._record(key, outcome)
+        return outcome or Failed(Kind.CANCELLED)
+
+    def _record(self, key: str, outcome: Outcome | None) -> None:
+        now_s = self._clock.monotonic_s()
+        if outcome is None:
+            # Nothing ran, and a late copy must not run either.
+            self._table.abandon(key)
+            self._table.resolve(key, now_s)
+        elif isinstance(outcome, Refused):
+            self._table.abandon(key)
+        else:
+            self._table.finish(key, outcome, now_s)
--- /dev/null
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/retrying.py
@@ -0,0 +1,46 @@
+"""Decision between a retry, a resolution and giving up."""
+
+from enum import StrEnum
+
+from mimosaloom_model import ANSWERS, Answered, Failed, Kind, Outcome, Refused
+
+__all__ = ["NextStep", "decide_next_step"]
+
+
+class NextStep(StrEnum):
+    """What the caller's side does after an attempt."""
+
+    RETURN = "return"
+    RETRY = "retry"
+    RESOLVE = "resolve"
+
+
+# Kinds after which the first copy may still run, or may have run, unseen.
+_UNRESOLVED = frozenset(
+    {
+        Kind.CONNECTION_LOST,
+        Kind.ANSWER_TRUNCATED,
+        Kind.ANSWER_MISMATCH,
+        Kind.ANSWER_TOO_LARGE,
+    }
+)
+
+
+def decide_next_step(outcome: Outcome, *, is_idempotent: bool) -> NextStep:
+    """Decide what follows an attempt, before allowance and budget are asked.
+
+    Args:
+        outcome: Outcome of the attempt.
+        is_idempotent: Whether the request class may run more than once.
+    """
+    match outcome:
+        case Answered():
+            return NextStep.RETURN
+        case Refused(kind=kind):
+            is_retryable = ANSWERS[kind].is_retryable
+            return NextStep.RETRY if is_retryable else NextStep.RETURN
+        case Failed(kind=kind):
+            if not is_idempotent:
+                return NextStep.RESOLVE if kind in _UNRESOLVED else NextStep.RETURN
+            is_retryable = ANSWERS[kind].is_retryable
+            return NextStep.RETRY if is_retryable else NextStep.RETURN
--- /dev/null
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/server.py
@@ -0,0 +1,185 @@
+"""HTTP server that hands whole requests to a coroutine.
+
+A bare connection delegate is used rather than `tornado.web.Application`: requests
+are forwarded as they are, and a body over the limit gets an answer of the closed
+list, which tornado's own limit does not give.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from eliot import log_message, write_traceback
+from tornado.httpserver import HTTPServer
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    HTTPServerConnectionDelegate,
+    ResponseStartLine,
+    responses,
+)
+from tornado.netutil import bind_sockets
+
+from mimosaloom_model import Address, Clock, Failed, Kind, Refused
+
+from .headers import build_response
+from .messages import HopAnswer, Request, Response
+
+__all__ = ["Handler", "WholeRequestServer", "refuse_request"]
+
+Handler = Callable[[Request], Awaitable[Response]]
+
+# A body over the limit is read and dropped up to this size, so that the answer
+# reaches a client that sends all of its request before it reads.
+MAX_DROPPED_BYTES = 16 * 1_048_576
+UNLIMITED_BYTES = 1 << 62
+
+
+def refuse_request(kind: Kind, detail: str = "") -> Response:
+    """Return the response to a request that has no call id of its own."""
+    return build_response(HopAnswer(Refused(kind, detail)), "none", 1, "")
+
+
+class WholeRequestServer:
+    """Listens on one address and answers each whole request.
+
+    Args:
+        handle: Answers a request. It is cancelled when the client is gone.
+        clock: Source of time.
+        max_body_bytes: Largest request body.
+        on_too_large: Called when a body is over the limit.
+    """
+
+    def __init__(
+        self,
+        handle: Handler,
+        *,
+        clock: Clock,
+        max_body_bytes: int,
+        on_too_large: Callable[[], None] = lambda: None,
+    ):
+        self.handle = handle
+        self.max_body_bytes = max_body_bytes
+        self.on_too_large = on_too_large
+        self.clock = clock
+        self.last_request_s = clock.monotonic_s()
+        self.is_closing = False
+        self.tasks: set[asyncio.Task] = set()
+        delegate = _ConnectionDelegate(self)
+        self._server = HTTPServer(delegate, max_body_size=UNLIMITED_BYTES)
+
+    def listen(self, address: Address) -> Address:
+        """Start to listen; return the address with the port in use."""
+        sockets = bind_sockets(address.port, address.host)
+        self._server.add_sockets(sockets)
+        return Address(address.host, sockets[0].getsockname()[1])
+
+    def stop_accepting(self) -> None:
+        """Accept no more connections; those that are open close after an answer."""
+        self.is_closing = True
+        self._server.stop()
+
+    async def stop(self) -> None:
+        """Accept no more connections, let answers end, then close them all."""
+        self.stop_accepting()
+        while self.tasks:
+            await asyncio.wait(self.tasks)
+        await self._server.close_all_connections()
+
+
+class _ConnectionDelegate(HTTPServerConnectionDelegate):
+    def __init__(self, server: WholeRequestServer):
+        self._server = server
+
+    def start_request(self, server_conn, request_conn):
+        return _MessageDelegate(self._server, request_conn)
+
+
+class _MessageDelegate(HTTPMessageDelegate):
+    """Collects one request and writes its response."""
+
+    def __init__(self, server: WholeRequestServer, connection):
+        self._server = server
+        self._connection = connection
+        self._chunks: list[bytes] = []
+        self._size = 0
+        self._is_too_large = False
+        self._task: asyncio.Task | None = None
+
+    def headers_received(self, start_line, headers):
+        self._server.last_request_s = self._server.clock.monotonic_s()
+        self._start_line = start_line
+        self._headers = headers
+        length = headers.get("Content-Length", "0")
+        size = int(length) if length.isdecimal() else 0
+        self._check_size(size)
+        if size > MAX_DROPPED_BYTES:
+            self._write(self._too_large())
+
+    def data_received(self, chunk):
+        self._size += len(chunk)
+        self._check_size(self._size)
+        if self._is_too_large:
+            self._chunks.clear()
+            if self._size > MAX_DROPPED_BYTES:
+                self._connection.connection.close()
+        else:
+            self._chunks.append(chunk)
+
+    def finish(self):
+        if self._is_too_large:
+            self._write(self._too_large())
+            return
+        request = Request(
+            self._start_line.method,
+            self._start_line.path,
+            tuple(self._headers.get_all()),
+            b"".join(self._chunks),
+        )
+        self._connection.set_close_callback(self.on_connection_close)
+        self._task = asyncio.ensure_future(self._answer(request))
+        self._server.tasks.add(self._task)
+        self._task.add_done_callback(self._server.tasks.discard)
+
+    def on_connection_close(self):
+        self._chunks.clear()
+        if self._task is not None:
+            self._task.cancel()
+
+    def _check_size(self, size: int) -> None:
+        if size > self._server.max_body_bytes and not self._is_too_large:
+            self._is_too_large = True
+            self._server.on_too_large()
+
+    def _too_large(self) -> Response:
+        limit = f"the limit is {self._server.max_body_bytes} bytes"
+        refusal = refuse_request(Kind.BODY_TOO_LARGE, limit)
+        return refusal._replace(is_last=True)
+
+    async def _answer(self, request: Request) -> None:
+        try:
+            response = await self._server.handle(request)
+        except asyncio.CancelledError:
+            return
+        except Exception:
+            write_traceback()
+            failure = HopAnswer(Failed(Kind.INTERNAL))
+            response = build_response(failure, "none", 1, "")
+        self._write(response)
+
+    def _write(self, response: Response) -> None:
+        headers = HTTPHeaders()
+        for name, value in response.headers:
+            headers.add(name, value)
+        if response.status not in (204, 304):
+            headers["Content-Length"] = str(len(response.body))
+        if response.is_last or self._server.is_closing:
+            headers["Connection"] = "close"
+        reason = responses.get(response.status, "Unknown")
+        start_line = ResponseStartLine("", response.status, reason)
+        is_bodyless = self._start_line.method == "HEAD"
+        body = b"" if is_bodyless else response.body
+        try:
+            self._connection.write_headers(start_line, headers, body)
+            self._connection.finish()
+        except OSError as error:
+            log_message(message_type="answer_not_written", detail=str(error))
--- /dev/null
+++ b/libs/mimosaloom-node/mimosaloom_node/daemon.py
@@ -0,0 +1,182 @@
+"""The node daemon: listeners, data path, membership and graceful stop."""
+
+import asyncio
+import random
+import signal
+from datetime import timedelta
+
+from eliot import log_message
+
+from mimosaloom_mesh import (
+    DataPath,
+    MeshMetrics,
+    Place,
+    TargetLink,
+    Transport,
+    WholeRequestServer,
+    build_caller,
+    build_data_path,
+)
+from mimosaloom_mesh.server import Handler
+from mimosaloom_model import Address, Catalog, Clock, Kind, NodeSettings, Upstream
+
+from .admin import Admin
+from .logs import log_listening
+from .membership import Membership, NodeDirectory, Self
+from .stopping import drain_data_path, wait_until_quiet
+
+__all__ = ["Node", "new_incarnation", "run_until_stopped"]
+
+LEAVE_TIMEOUT = timedelta(seconds=1)
+LINGER_TIMEOUT_S = 2.0
+# For a target that is not declared yet.
+UNDECLARED_SLOTS = 8
+UNDECLARED_MAX_CONNECTIONS = 64
+
+
+def new_incarnation(clock: Clock, rng: random.Random) -> str:
+    """Return the start time and a random number, so that text order is start order."""
+    started_ms = int(clock.now().timestamp() * 1000)
+    return f"{started_ms:013x}-{rng.getrandbits(32):08x}"
+
+
+class Node:
+    """One node and its listeners.
+
+    Args:
+        settings: Settings of the node.
+        catalog: Resources in force at the start.
+        membership: The members of the mesh.
+        clock: Source of time.
+        rng: Source of ids and of choices.
+    """
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        catalog: Catalog,
+        membership: Membership,
+        *,
+        clock: Clock,
+        rng: random.Random,
+    ):
+        self.settings = settings
+        self.incarnation = new_incarnation(clock, rng)
+        self.directory = NodeDirectory(catalog, membership)
+        self.metrics = MeshMetrics()
+        self.addresses: dict[str, Address] = {}
+        self.must_stop = asyncio.Event()
+        self._clock = clock
+        self._membership = membership
+        self._transport = Transport()
+        self._upstream = _declared_upstream(settings, catalog)
+        self._target = TargetLink(
+            settings.target.url, self._transport, self._upstream.max_connections
+        )
+        self.data_path = self._build_data_path(clock, rng)
+        self._ticks: asyncio.Task | None = None
+        admin = Admin(settings, self.incarnation, self.data_path, self.must_stop.set)
+        self._servers = {
+            "ingress": self._build_server(self.data_path.ingress.handle),
+            "egress": self._build_server(self.data_path.egress.handle),
+            "admin": self._build_server(admin.handle),
+        }
+
+    async def start(self) -> None:
+        """Open the listeners and join the mesh."""
+        wanted = self.settings.listen._asdict()
+        for name, server in self._servers.items():
+            self.addresses[name] = server.listen(wanted[name])
+        log_listening(self.addresses, self.incarnation)
+        self._ticks = asyncio.ensure_future(self.data_path.gate.run_ticks())
+        own = Self(
+            self.incarnation,
+            self.addresses["ingress"],
+            self.addresses["admin"],
+            self._upstream.slots,
+            self._upstream.max_connections,
+        )
+        await self._membership.join(own)
+
+    async def stop(self) -> None:
+        """Drain, let the calls in flight end, and close everything."""
+        leaving = asyncio.ensure_future(self._leave())
+        timeout_s = self.settings.limits.drain_timeout_s
+        await drain_data_path(self.data_path, self._clock, timeout_s=timeout_s)
+        ingress = self._servers["ingress"]
+        ingress.stop_accepting()
+        await wait_until_quiet(ingress, self._clock, timeout_s=LINGER_TIMEOUT_S)
+        await leaving
+        await self.close()
+        log_message(message_type="stopped")
+
+    async def close(self) -> None:
+        """Close the listeners and connections after the answers in progress."""
+        for server in self._servers.values():
+            await server.stop()
+        await self._target.stop()
+        await self._membership.close()
+        if self._ticks is not None:
+            self._ticks.cancel()
+        self._transport.close()
+
+    async def _leave(self) -> None:
+        try:
+            async with asyncio.timeout(LEAVE_TIMEOUT.total_seconds()):
+                await self._membership.leave()
+        except TimeoutError:
+            log_message(message_type="leave_not_recorded")
+
+    def _build_data_path(self, clock: Clock, rng: random.Random) -> DataPath:
+        settings = self.settings
+        caller = build_caller(
+            settings.node.name,
+            settings.node.failure_domain,
+            self.directory,
+            clock=clock,
+            rng=rng,
+            transport=self._transport,
+            metrics=self.metrics,
+        )
+        place = Place(
+            name=settings.node.name,
+            failure_domain=settings.node.failure_domain,
+            service=settings.target.service,
+            upstream=settings.target.upstream,
+            incarnation=self.incarnation,
+            slots=self._upstream.slots,
+            queue_capacity=settings.limits.queue_capacity,
+        )
+        return build_data_path(place, caller, self._transport, self._target.execute)
+
+    def _build_server(self, handle: Handler) -> WholeRequestServer:
+        return WholeRequestServer(
+            handle,
+            clock=self._clock,
+            max_body_bytes=self.settings.limits.max_body_bytes,
+            on_too_large=lambda: self.metrics.count_refusal(Kind.BODY_TOO_LARGE),
+        )
+
+
+async def run_until_stopped(node: Node) -> None:
+    """Run a node until SIGTERM, SIGINT or `POST /drain`, then stop it gracefully."""
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, node.must_stop.set)
+    await node.start()
+    await node.must_stop.wait()
+    await node.stop()
+
+
+def _declared_upstream(settings: NodeSettings, catalog: Catalog) -> Upstream:
+    target = settings.target
+    declared = catalog.upstreams.get(target.upstream)
+    if declared is not None:
+        return declared
+    return Upstream(
+        target.upstream,
+        target.service,
+        settings.node.failure_domain,
+        UNDECLARED_SLOTS,
+        UNDECLARED_MAX_CONNECTIONS,
+    )
