--- a/libs/mimosaloom-mesh/mimosaloom_mesh/assembly.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/assembly.py
@@ -3,7 +3,7 @@
 import random
 from typing import NamedTuple
 
-from mimosaloom_model import Clock
+from mimosaloom_model import MAX_CONTEXT_BYTES, Clock
 from mimosaloom_policy import Admission
 
 from .caller import Caller, LocalHop
@@ -31,6 +31,7 @@
         incarnation: Incarnation of this process.
         slots: Declared concurrency of the target.
         queue_capacity: Calls that may wait for the target.
+        max_context_bytes: Largest context header.
     """
 
     name: str
@@ -40,6 +41,7 @@
     incarnation: str
     slots: int
     queue_capacity: int = 256
+    max_context_bytes: int = MAX_CONTEXT_BYTES
 
 
 class DataPath(NamedTuple):
@@ -101,8 +103,11 @@
     )
     gate = AdmissionGate(admission, clock, metrics)
     hop = TargetHop(place.service, place.incarnation, caller, gate, execute)
-    caller.local = LocalHop(place.upstream, place.service, hop.run)
+    caller.local = LocalHop(
+        place.upstream, place.service, hop.run, lambda: gate.is_draining
+    )
     remote = RemoteHop(clock, transport, metrics)
     roots = RootCalls(place.name, caller, hop, remote)
-    ingress = Ingress(caller, hop, roots)
-    return DataPath(caller, gate, hop, ingress, Egress(caller, place.incarnation))
+    ingress = Ingress(caller, hop, roots, place.max_context_bytes)
+    egress = Egress(caller, place.incarnation, place.max_context_bytes)
+    return DataPath(caller, gate, hop, ingress, egress)
--- a/libs/mimosaloom-mesh/mimosaloom_mesh/caller.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/caller.py
@@ -48,11 +48,13 @@
         upstream: Name of the own target.
         service: Its service.
         run: Runs a call on it.
+        is_draining: Tells whether it is leaving.
     """
 
     upstream: str
     service: str
     run: Callable[[CallContext, Request], Awaitable[HopAnswer]]
+    is_draining: Callable[[], bool]
 
 
 class _Call(NamedTuple):
@@ -97,7 +99,7 @@
         self._name = name
         self._failure_domain = failure_domain
         self._remote = RemoteHop(clock, transport, metrics)
-        self._routers: dict[str, tuple[int, Router]] = {}
+        self._routers: dict[str, tuple[object, Router]] = {}
         self._draining: set[str] = set()
         self._budgets: dict[tuple[str, str], RetryBudget] = {}
 
@@ -153,11 +155,21 @@
         finally:
             self.scopes.close(root)
 
+    def mark_draining(self, service: str, incarnation: str) -> None:
+        """Send no more calls to an incarnation that leaves."""
+        if incarnation in self._draining:
+            return
+        self._draining.add(incarnation)
+        # The next call builds the candidates of the service anew.
+        known = self._routers.get(service)
+        if known is not None:
+            self._routers[service] = (None, known[1])
+
     async def _call_in(
         self, service: str, request: Request, scope: CallScope
     ) -> Outcome:
         scope.sub_calls += 1
-        outcome = self._check(service, scope)
+        outcome = self._check(service, request, scope)
         if outcome is None:
             classes = self.directory.catalog().classes
             call_id = new_request_id(self.rng)
@@ -181,7 +193,9 @@
             )
         return outcome
 
-    def _check(self, service: str, scope: CallScope) -> Refused | None:
+    def _check(
+        self, service: str, request: Request, scope: CallScope
+    ) -> Refused | None:
         catalog = self.directory.catalog()
         request_class = catalog.classes.get(scope.class_name)
         if request_class is None:
@@ -190,6 +204,15 @@
             return Refused(Kind.UNKNOWN_SERVICE, f"{service!r} is not declared")
         if scope.depth > MAX_DEPTH:
             return Refused(Kind.DEPTH_EXCEEDED, f"the limit is {MAX_DEPTH} hops")
+        limit_bytes = catalog.services[service].max_body_bytes
+        if len(request.body) > limit_bytes:
+            detail = f"the limit of {service} is {limit_bytes} bytes"
+            return Refused(Kind.BODY_TOO_LARGE, detail)
+        return self._check_level(service, scope, request_class)
+
+    def _check_level(
+        self, service: str, scope: CallScope, request_class: RequestClass
+    ) -> Refused | None:
         now_s = self.clock.monotonic_s()
         if scope.deadline_s <= now_s:
             return Refused(Kind.DEADLINE_TOO_SHORT, "the deadline has passed")
@@ -226,21 +249,24 @@
         return last
 
     def _pick(self, call: _Call, tried: frozenset[str]) -> Candidate | None:
+        own = self._own_candidate(call, tried)
+        if own is not None and call.scope.depth == 0 and not self.local.is_draining():
+            return own
         router = self._router(call.service)
         now_s = self.clock.monotonic_s()
-        local = self.local
-        is_root = call.scope.depth == 0
-        if is_root and local is not None and local.service == call.service:
-            for candidate in self.directory.candidates(call.service):
-                is_own = candidate.name == local.upstream
-                if is_own and local.upstream not in tried:
-                    return candidate
-        candidate = router.pick(now_s, tried)
+        candidate = router.pick(now_s, tried) or own
         if candidate is None and tried and call.request_class.is_idempotent:
             # All have been tried; an idempotent call may go to one of them again.
             candidate = router.pick(now_s)
         return candidate
 
+    def _own_candidate(self, call: _Call, tried: frozenset[str]) -> Candidate | None:
+        local = self.local
+        if local is None or local.service != call.service or local.upstream in tried:
+            return None
+        candidates = self.directory.candidates(call.service)
+        return next((c for c in candidates if c.name == local.upstream), None)
+
     def _take_retry(self, call: _Call) -> bool:
         budget = self._budget(call.service, call.request_class.name)
         now_s = self.clock.monotonic_s()
@@ -311,11 +337,8 @@
         if isinstance(answer.outcome, Answered):
             budget = self._budget(call.service, call.request_class.name)
             budget.record_success(now_s)
-        if answer.is_draining and answer.incarnation not in self._draining:
-            self._draining.add(answer.incarnation)
-            self._routers[call.service][1].set_candidates(
-                self._candidates(call.service), now_s
-            )
+        if answer.is_draining:
+            self.mark_draining(call.service, answer.incarnation)
 
     async def _resolve(self, call: _Call, candidate: Candidate) -> Outcome:
         return await self._remote.resolve(
@@ -340,10 +363,9 @@
     def _candidates(self, service: str) -> list[Candidate]:
         """Return the upstreams, marked with what their answers said of leaving."""
         return [
-            candidate._replace(
-                is_draining=candidate.is_draining
-                or candidate.incarnation in self._draining
-            )
+            candidate._replace(is_draining=True)
+            if candidate.incarnation in self._draining
+            else candidate
             for candidate in self.directory.candidates(service)
         ]
 
--- a/libs/mimosaloom-mesh/mimosaloom_mesh/directory.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/directory.py
@@ -1,5 +1,6 @@
 """What the data path needs to know of resources and members."""
 
+from collections.abc import Hashable
 from typing import Protocol
 
 from mimosaloom_model import Catalog
@@ -12,8 +13,8 @@
     """Resources in force and the upstreams that can be called."""
 
     @property
-    def version(self) -> int:
-        """Return a number that changes with each change of the contents."""
+    def version(self) -> Hashable:
+        """Return a value that changes with each change of the contents."""
 
     def catalog(self) -> Catalog:
         """Return the resources in force."""
--- a/libs/mimosaloom-mesh/mimosaloom_mesh/egress.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/egress.py
@@ -8,11 +8,10 @@
     ContextError,
     Kind,
     Refused,
-    decode_context,
 )
 
 from .caller import Caller
-from .headers import build_response
+from .headers import build_response, read_context
 from .messages import HopAnswer, Request, Response
 
 __all__ = ["Egress"]
@@ -24,9 +23,11 @@
     Args:
         caller: Makes the calls; holds the calls in progress on the target.
         incarnation: Incarnation of this process.
+        max_context_bytes: Largest context header.
     """
 
-    def __init__(self, caller: Caller, incarnation: str):
+    def __init__(self, caller: Caller, incarnation: str, max_context_bytes: int):
+        self._max_context_bytes = max_context_bytes
         self._caller = caller
         self._incarnation = incarnation
 
@@ -36,7 +37,7 @@
         if value is None:
             return self._refuse(Kind.CONTEXT_MISSING)
         try:
-            context = decode_context(value)
+            context = read_context(value, self._max_context_bytes)
         except ContextError as error:
             return self._refuse(Kind.BAD_CONTEXT, str(error))
         return await self._call(context, request)
--- a/libs/mimosaloom-mesh/mimosaloom_mesh/headers.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/headers.py
@@ -10,6 +10,7 @@
     CONTEXT_HEADER,
     Answered,
     AnswerNote,
+    CallContext,
     ContextError,
     Failed,
     Kind,
@@ -17,6 +18,7 @@
     Ran,
     Refused,
     decode_answer_note,
+    decode_context,
     encode_answer_note,
 )
 
@@ -31,6 +33,7 @@
     "TIMEOUT_HEADER",
     "build_response",
     "forwarded_headers",
+    "read_context",
     "read_hop_answer",
 ]
 
@@ -66,6 +69,17 @@
 )
 
 
+def read_context(value: str, max_bytes: int) -> CallContext:
+    """Read a context header within the limit of this node.
+
+    Raises:
+        ContextError: If the value is over the limit or not valid.
+    """
+    if len(value) > max_bytes:
+        raise ContextError(f"the header is over {max_bytes} bytes")
+    return decode_context(value)
+
+
 def forwarded_headers(headers: Headers) -> Headers:
     """Return the headers that travel to the next hop."""
     return tuple(item for item in headers if item[0].lower() not in _NOT_FORWARDED)
--- a/libs/mimosaloom-mesh/mimosaloom_mesh/hop.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/hop.py
@@ -1,5 +1,6 @@
 """The own target's side of a call: admission, at most once, deadline."""
 
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from typing import NamedTuple
@@ -13,15 +14,17 @@
     Outcome,
     Refused,
     RequestClass,
+    Service,
     digest_bytes,
 )
 from mimosaloom_policy import Arrival, Refuse, RunTable, rank_request
 
 from .caller import Caller
 from .gate import AdmissionGate, Withdrawn
-from .messages import HopAnswer, Request
+from .messages import HopAnswer, Request, kind_of
 from .once import OnceRunner
 from .resolution import ResolveAnswer, ResolveRequest, ResolveState
+from .retrying import UNRESOLVED
 from .scopes import CallScope, scope_key
 
 __all__ = ["Execute", "Execution", "TargetHop"]
@@ -80,7 +83,7 @@
         self._caller = caller
         self._clock = caller.clock
         self._execute = execute
-        self._active: set[str] = set()
+        self._active: Counter[str] = Counter()
 
     async def run(self, context: CallContext, request: Request) -> HopAnswer:
         """Run one attempt of a call.
@@ -88,11 +91,13 @@
         Cancelling the awaiting task takes a waiting call out of the queue and
         cancels a running one, unless its class must run at most once.
         """
-        self._active.add(context.call_id)
+        self._active[context.call_id] += 1
         try:
             ended = await self._run(context, request)
         finally:
-            self._active.discard(context.call_id)
+            self._active[context.call_id] -= 1
+            if not self._active[context.call_id]:
+                del self._active[context.call_id]
         now_s = self._clock.monotonic_s()
         deeper_level = self._caller.levels.lowest(context.class_name, now_s)
         return HopAnswer(
@@ -121,6 +126,10 @@
         if context.depth > MAX_DEPTH:
             detail = f"the limit is {MAX_DEPTH} hops"
             return _Ended(Refused(Kind.DEPTH_EXCEEDED, detail))
+        limit_bytes = self._max_body_bytes()
+        if len(request.body) > limit_bytes:
+            detail = f"the limit of {self.service} is {limit_bytes} bytes"
+            return _Ended(Refused(Kind.BODY_TOO_LARGE, detail))
         scope = CallScope(
             scope_key(context),
             context.request_id,
@@ -171,7 +180,9 @@
             deadline_s=scope.deadline_s,
         )
         if not self._caller.scopes.open(scope, context.retries):
-            return _Ended(Failed(Kind.INTERNAL, f"attempt {scope.key} came twice"))
+            # libcurl has sent the request again on its own.
+            detail = "an earlier copy of this attempt has not ended"
+            return _Ended(Failed(Kind.CONNECTION_LOST, detail))
         unused = context.retries
         outcome: Outcome = Failed(Kind.CANCELLED)
         try:
@@ -204,9 +215,25 @@
         outcome = await self._execute(
             Execution(scope, context, request, left, is_idempotent)
         )
-        if scope.sub_calls == 0 or isinstance(outcome, Answered):
-            return outcome
-        return _blame_downstream(scope, outcome)
+        if isinstance(outcome, Answered):
+            return self._check_size(outcome)
+        if scope.sub_calls:
+            outcome = _blame_downstream(scope, outcome)
+        if not is_idempotent and kind_of(outcome) in UNRESOLVED:
+            # The target keeps no record that could be asked.
+            return Failed(Kind.OUTCOME_UNKNOWN, f"{outcome.kind}: {outcome.detail}")
+        return outcome
+
+    def _check_size(self, answered: Answered) -> Outcome:
+        limit_bytes = self._max_body_bytes()
+        if len(answered.body) <= limit_bytes:
+            return answered
+        detail = f"{len(answered.body)} bytes are over the limit of {limit_bytes}"
+        return Failed(Kind.ANSWER_TOO_LARGE, detail)
+
+    def _max_body_bytes(self) -> int:
+        services = self._caller.directory.catalog().services
+        return services.get(self.service, Service(self.service)).max_body_bytes
 
 
 def _blame_downstream(scope: CallScope, outcome: Outcome) -> Outcome:
--- a/libs/mimosaloom-mesh/mimosaloom_mesh/ingress.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/ingress.py
@@ -11,11 +11,10 @@
     Kind,
     Outcome,
     Refused,
-    decode_context,
 )
 
 from .caller import Caller
-from .headers import INCARNATION_HEADER, build_response
+from .headers import INCARNATION_HEADER, build_response, read_context
 from .hop import TargetHop
 from .messages import HopAnswer, Request, Response, kind_of
 from .resolution import RESOLVE_PATH, ResolveRequest
@@ -33,9 +32,17 @@
         caller: Routes requests that begin here.
         hop: Runs calls on the own target.
         roots: Runs requests that begin here.
+        max_context_bytes: Largest context header.
     """
 
-    def __init__(self, caller: Caller, hop: TargetHop, roots: RootCalls):
+    def __init__(
+        self,
+        caller: Caller,
+        hop: TargetHop,
+        roots: RootCalls,
+        max_context_bytes: int,
+    ):
+        self._max_context_bytes = max_context_bytes
         self._caller = caller
         self._hop = hop
         self._roots = roots
@@ -48,7 +55,7 @@
         if value is None:
             return await self._roots.handle(request)
         try:
-            context = decode_context(value)
+            context = read_context(value, self._max_context_bytes)
         except ContextError as error:
             return self._refuse(Kind.BAD_CONTEXT, str(error))
         return await self._run(context, request)
--- a/libs/mimosaloom-mesh/mimosaloom_mesh/middleware.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/middleware.py
@@ -65,14 +65,11 @@
 
     data_path = build_data_path(place, caller, transport, execute)
 
-    def count_too_large() -> None:
-        caller.metrics.count_refusal(Kind.BODY_TOO_LARGE)
-
     server = WholeRequestServer(
         data_path.ingress.handle,
         clock=caller.clock,
         max_body_bytes=max_body_bytes,
-        on_too_large=count_too_large,
+        count=caller.metrics.count_refusal,
     )
     return Admitted(data_path, server)
 
--- a/libs/mimosaloom-mesh/mimosaloom_mesh/retrying.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/retrying.py
@@ -4,7 +4,7 @@
 
 from mimosaloom_model import ANSWERS, Answered, Failed, Kind, Outcome, Refused
 
-__all__ = ["NextStep", "decide_next_step"]
+__all__ = ["UNRESOLVED", "NextStep", "decide_next_step"]
 
 
 class NextStep(StrEnum):
@@ -16,12 +16,11 @@
 
 
 # Kinds after which the first copy may still run, or may have run, unseen.
-_UNRESOLVED = frozenset(
+UNRESOLVED = frozenset(
     {
         Kind.CONNECTION_LOST,
         Kind.ANSWER_TRUNCATED,
         Kind.ANSWER_MISMATCH,
-        Kind.ANSWER_TOO_LARGE,
     }
 )
 
@@ -41,6 +40,6 @@
             return NextStep.RETRY if is_retryable else NextStep.RETURN
         case Failed(kind=kind):
             if not is_idempotent:
-                return NextStep.RESOLVE if kind in _UNRESOLVED else NextStep.RETURN
+                return NextStep.RESOLVE if kind in UNRESOLVED else NextStep.RETURN
             is_retryable = ANSWERS[kind].is_retryable
             return NextStep.RETRY if is_retryable else NextStep.RETURN
--- a/libs/mimosaloom-mesh/mimosaloom_mesh/server.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/server.py
@@ -46,7 +46,7 @@
         handle: Answers a request. It is cancelled when the client is gone.
         clock: Source of time.
         max_body_bytes: Largest request body.
-        on_too_large: Called when a body is over the limit.
+        count: Counts answers that the handler has no part in.
     """
 
     def __init__(
@@ -55,11 +55,11 @@
         *,
         clock: Clock,
         max_body_bytes: int,
-        on_too_large: Callable[[], None] = lambda: None,
+        count: Callable[[Kind], None],
     ):
         self.handle = handle
         self.max_body_bytes = max_body_bytes
-        self.on_too_large = on_too_large
+        self.count = count
         self.clock = clock
         self.last_request_s = clock.monotonic_s()
         self.is_closing = False
@@ -148,7 +148,7 @@
     def _check_size(self, size: int) -> None:
         if size > self._server.max_body_bytes and not self._is_too_large:
             self._is_too_large = True
-            self._server.on_too_large()
+            self._server.count(Kind.BODY_TOO_LARGE)
 
     def _too_large(self) -> Response:
         limit = f"the limit is {self._server.max_body_bytes} bytes"
@@ -162,6 +162,7 @@
             return
         except Exception:
             write_traceback()
+            self._server.count(Kind.INTERNAL)
             failure = HopAnswer(Failed(Kind.INTERNAL))
             response = build_response(failure, "none", 1, "")
         self._write(response)
--- a/libs/mimosaloom-mesh/mimosaloom_mesh/transport.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/transport.py
@@ -151,9 +151,13 @@
         except asyncio.CancelledError:
             self._client.abort(curl_request)
             raise
+        except CurlError as error:
+            return _read_error(curl_request, error)
+        except (KeyError, ValueError) as error:
+            return Broken(Kind.BAD_REQUEST, f"the request can't be sent: {error}")
         finally:
             self._in_flight[endpoint.name] -= 1
-        return _read_response(request.method, curl_request, response)
+        return _read_response(request.method, response)
 
 
 def _build_curl_request(
@@ -176,11 +180,7 @@
     )
 
 
-def _read_response(
-    method: str, request: _CurlRequest, response: HTTPResponse
-) -> Response | Broken:
-    if response.error is not None and response.code == 599:
-        return _read_error(request, response.error)
+def _read_response(method: str, response: HTTPResponse) -> Response | Broken:
     headers = tuple(response.headers.get_all())
     body = response.body
     has_end = (
@@ -195,9 +195,7 @@
     return Response(response.code, headers, body)
 
 
-def _read_error(request: _CurlRequest, error: BaseException) -> Broken:
-    if not isinstance(error, CurlError):
-        return Broken(Kind.BAD_REQUEST, f"the request can't be sent: {error}")
+def _read_error(request: _CurlRequest, error: CurlError) -> Broken:
     detail = error.message or str(error)
     if error.errno in _NOT_SENT_ERRORS and request.sent_bytes == 0:
         return Broken(Kind.CONNECT_FAILED, detail)
--- a/libs/mimosaloom-node/mimosaloom_node/daemon.py
+++ b/libs/mimosaloom-node/mimosaloom_node/daemon.py
@@ -18,7 +18,7 @@
     build_data_path,
 )
 from mimosaloom_mesh.server import Handler
-from mimosaloom_model import Address, Catalog, Clock, Kind, NodeSettings, Upstream
+from mimosaloom_model import Address, Catalog, Clock, NodeSettings, Upstream
 
 from .admin import Admin
 from .logs import log_listening
@@ -146,6 +146,7 @@
             incarnation=self.incarnation,
             slots=self._upstream.slots,
             queue_capacity=settings.limits.queue_capacity,
+            max_context_bytes=settings.limits.max_context_bytes,
         )
         return build_data_path(place, caller, self._transport, self._target.execute)
 
@@ -154,7 +155,7 @@
             handle,
             clock=self._clock,
             max_body_bytes=self.settings.limits.max_body_bytes,
-            on_too_large=lambda: self.metrics.count_refusal(Kind.BODY_TOO_LARGE),
+            count=self.metrics.count_refusal,
         )
 
 
--- a/tests/mesh/fakes.py
+++ b/tests/mesh/fakes.py
@@ -74,9 +74,13 @@
         self.release.set()
         self.on_cancel = asyncio.Event()
         self.reply = None
+        self.errors = []
         self.transport = Transport(max_clients=64)
         self.server = WholeRequestServer(
-            self.handle, clock=SystemClock(), max_body_bytes=1 << 24
+            self.handle,
+            clock=SystemClock(),
+            max_body_bytes=1 << 24,
+            count=self.errors.append,
         )
         self.address = self.server.listen(ANY_PORT)
         self.url = f"http://127.0.0.1:{self.address.port}"
@@ -135,7 +139,10 @@
 class Chain:
     """A chain of services with a fake target and a node for each upstream."""
 
-    def __init__(self, services, *, upstreams_each=1, retries=3, **limits):
+    def __init__(
+        self, services, *, upstreams_each=1, retries=3, target_urls=None, **limits
+    ):
+        self._target_urls = target_urls or {}
         self.services = services
         self.catalog = build_chain_catalog(
             services, retries=retries, upstreams_each=upstreams_each
@@ -152,7 +159,7 @@
             node = build_node(
                 upstream.service,
                 upstream.name,
-                target.url,
+                self._target_urls.get(upstream.name, target.url),
                 self.catalog,
                 self.membership,
                 **self._limits,
--- /dev/null
+++ b/tests/mesh/test_broken_answers.py
@@ -0,0 +1,109 @@
+"""Guards against answers that are cut, swapped or lost between two nodes."""
+
+import asyncio
+
+import pytest
+from mesh.fakes import FEE, LOOKUP, Chain, run
+from mesh.relay import Fault, Relay
+
+from mimosaloom_mesh import Response
+from mimosaloom_model import ANSWER_HEADER
+
+pytestmark = pytest.mark.sockets
+
+
+class _RelayedChain(Chain):
+    """A chain whose calls to the first upstream of service b take a relay."""
+
+    async def __aenter__(self):
+        await super().__aenter__()
+        candidates = self.membership.candidates("b")
+        self.relay = Relay(candidates[0].port)
+        port = await self.relay.start()
+        first = candidates[0]._replace(port=port)
+        self.membership.set_candidates("b", [first])
+        self.others = candidates[1:]
+        return self
+
+    async def __aexit__(self, *exception):
+        await self.relay.stop()
+        await super().__aexit__(*exception)
+
+
+@pytest.mark.parametrize("class_name", [LOOKUP, FEE])
+@pytest.mark.parametrize(
+    "fault", [Fault.CUT_ANSWER, Fault.CLOSE_BEFORE_ANSWER, Fault.DROP_ANSWER]
+)
+def test_lost_answer_is_recovered_and_a_fee_runs_once(class_name, fault):
+    """An answer that was cut or lost must be fetched, without a second fee."""
+
+    async def body():
+        async with _RelayedChain(["a", "b"]) as chain:
+            warm = await chain.ask("a-0", class_name, b"warm")
+            assert warm.status == 200
+            chain.relay.faults.append(fault)
+            response = await chain.ask("a-0", class_name, b"1")
+            assert response.status == 200, response.body
+            assert response.body == b"a-0>b-0:1"
+            if class_name == FEE:
+                assert chain.targets["b-0"].runs[b"1"] == 1
+                assert chain.targets["a-0"].runs[b"1"] == 1
+
+    run(body)
+
+
+@pytest.mark.parametrize("class_name", [LOOKUP, FEE])
+def test_silent_connection_loses_no_call(class_name):
+    """A connection that swallows a request must not hold the call to its deadline."""
+
+    async def body():
+        async with _RelayedChain(["a", "b"], upstreams_each=2) as chain:
+            warm = await chain.ask("a-0", class_name, b"warm")
+            assert warm.status == 200
+            chain.relay.faults.append(Fault.DROP_REQUEST)
+            asked = asyncio.ensure_future(chain.ask("a-0", class_name, b"1"))
+            while chain.relay.faults:
+                await asyncio.sleep(0.01)
+            relayed = chain.membership.candidates("b")
+            chain.membership.set_candidates("b", relayed + chain.others)
+            response = await asked
+            assert response.status == 200, response.body
+            runs = [chain.targets[f"b-{n}"].runs[b"1"] for n in range(2)]
+            assert sum(runs) == 1
+
+    run(body)
+
+
+def test_connection_closed_by_a_dead_node_is_not_a_refusal():
+    """Libcurl's own second try hides that the first copy was sent to the node."""
+
+    async def body():
+        async with _RelayedChain(["a", "b"], retries=0) as chain:
+            assert (await chain.ask("a-0", FEE, b"warm")).status == 200
+            chain.targets["b-0"].release.clear()
+            asked = asyncio.ensure_future(chain.ask("a-0", FEE, b"1"))
+            while not chain.targets["b-0"].runs[b"1"]:
+                await asyncio.sleep(0.01)
+            await chain.relay.stop()
+            response = await asked
+            assert response.status == 502
+            assert b'"kind":"outcome_unknown"' in response.body
+            assert b'"ran":"maybe"' in response.body
+
+    run(body)
+
+
+def test_swapped_answers_reach_no_caller():
+    """A target that mixes up two calls must not hand one caller the other's data."""
+
+    async def body():
+        async with Chain(["a"], retries=0) as chain:
+            target = chain.targets["a-0"]
+            first = await chain.ask("a-0", LOOKUP, b"1")
+            note = dict(first.headers)[ANSWER_HEADER]
+            target.reply = Response(200, ((ANSWER_HEADER, note),), first.body)
+            second = await chain.ask("a-0", LOOKUP, b"2")
+            assert second.status == 502
+            assert b'"kind":"answer_mismatch"' in second.body
+
+    run(body)
--- /dev/null
+++ b/tests/mesh/test_requests.py
@@ -0,0 +1,178 @@
+"""Guards the boundary: what is refused, and what a client's retry may cause."""
+
+import asyncio
+import json
+
+import pytest
+from mesh.fakes import FEE, LOOKUP, Chain, run
+
+from mimosaloom_mesh import Endpoint, Request
+from mimosaloom_model import CONTEXT_HEADER, CallContext, Kind, encode_context
+
+pytestmark = pytest.mark.sockets
+
+CONTEXT = CallContext("0" * 32, "call-1", LOOKUP, 5000)
+TOO_DEEP = CallContext("0" * 32, "call-1", LOOKUP, 5000, depth=30)
+
+
+def _count(node, kind):
+    name = "mimosaloom_refusals_total"
+    return node.metrics.registry.get_sample_value(name, {"kind": kind})
+
+
+async def _send(chain, listener, request):
+    address = chain.nodes["a-0"].addresses[listener]
+    endpoint = Endpoint(listener, f"http://127.0.0.1:{address.port}", 8)
+    return await chain.client.send(endpoint, request, timeout_s=5.0)
+
+
+@pytest.mark.parametrize(
+    ("listener", "path", "headers", "size", "kind"),
+    [
+        ("egress", "/a/x", (), 0, Kind.CONTEXT_MISSING),
+        ("egress", "/a/x", ((CONTEXT_HEADER, "{"),), 0, Kind.BAD_CONTEXT),
+        (
+            "egress",
+            "/a/x",
+            ((CONTEXT_HEADER, encode_context(CONTEXT)),),
+            0,
+            Kind.DEADLINE_TOO_SHORT,
+        ),
+        ("ingress", "/x", ((CONTEXT_HEADER, "x" * 2000),), 0, Kind.BAD_CONTEXT),
+        ("ingress", "/x", (), 0, Kind.UNKNOWN_CLASS),
+        ("ingress", "/x", (("Mimosaloom-Class", "nobody"),), 0, Kind.UNKNOWN_CLASS),
+        ("ingress", "/x", (("Mimosaloom-Class", LOOKUP),), 2000, Kind.BODY_TOO_LARGE),
+        (
+            "ingress",
+            "/x",
+            (("Mimosaloom-Class", LOOKUP), ("Mimosaloom-Timeout-Ms", "-1")),
+            0,
+            Kind.BAD_REQUEST,
+        ),
+        (
+            "ingress",
+            "/x",
+            ((CONTEXT_HEADER, encode_context(TOO_DEEP)),),
+            0,
+            Kind.DEPTH_EXCEEDED,
+        ),
+        ("ingress", "/.mimosaloom/resolve", (), 0, Kind.BAD_REQUEST),
+    ],
+)
+def test_invalid_request_gets_one_answer(listener, path, headers, size, kind):
+    """An invalid request must get its kind, be counted, and not reach the target."""
+
+    async def body():
+        async with Chain(["a"], max_body_bytes=1000) as chain:
+            request = Request("POST", path, headers, b"x" * size)
+            response = await _send(chain, listener, request)
+            refusal = json.loads(response.body)
+            assert (refusal["kind"], refusal["ran"]) == (kind.value, "no")
+            assert _count(chain.nodes["a-0"], kind.value) == 1
+            assert not chain.targets["a-0"].runs
+
+    run(body)
+
+
+def test_cut_request_is_not_forwarded():
+    """A request whose sender dies half-way must not reach the target in part."""
+
+    async def body():
+        async with Chain(["a"]) as chain:
+            port = chain.nodes["a-0"].addresses["ingress"].port
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            head = f"POST /x HTTP/1.1\r\nHost: a\r\nMimosaloom-Class: {LOOKUP}\r\n"
+            writer.write(head.encode() + b"Content-Length: 10\r\n\r\nhalf")
+            writer.write_eof()
+            assert await reader.read() == b""
+            writer.close()
+            assert (await chain.ask("a-0", LOOKUP, b"next")).status == 200
+            assert list(chain.targets["a-0"].runs) == [b"next"]
+
+    run(body)
+
+
+def test_retry_with_the_same_key_joins_the_run():
+    """A client that gives up and asks again must not cause a second fee."""
+
+    async def body():
+        async with Chain(["a"], upstreams_each=2) as chain:
+            target = chain.targets["a-0"]
+            target.release.clear()
+            key = (("Idempotency-Key", "order-7"),)
+            first = asyncio.ensure_future(chain.ask("a-0", FEE, b"1", key))
+            await target.started.wait()
+            first.cancel()
+            again = asyncio.ensure_future(chain.ask("a-0", FEE, b"1", key))
+            await asyncio.sleep(0)
+            target.release.set()
+            response = await again
+            assert response.status == 200
+            headers = dict(response.headers)
+            assert headers["Idempotency-Key"] == "order-7"
+            owner = (("Mimosaloom-Owner", headers["Mimosaloom-Owner"]),)
+            elsewhere = await chain.ask("a-1", FEE, b"1", key + owner)
+            assert elsewhere.body == response.body
+            conflict = await chain.ask("a-0", FEE, b"2", key)
+            assert json.loads(conflict.body)["kind"] == "key_conflict"
+            gone = (("Mimosaloom-Owner", "node-a-0/0000000000000-00000000"),)
+            unknown = await chain.ask("a-1", FEE, b"1", key + gone)
+            assert json.loads(unknown.body)["kind"] == "outcome_unknown"
+            assert target.runs == {b"1": 1}
+            assert not chain.targets["a-1"].runs
+
+    run(body)
+
+
+@pytest.mark.parametrize("cause", ["caller_gone", "deadline"])
+def test_unwanted_work_is_cancelled_at_the_target(cause):
+    """Work for a caller that has left, or whose time is over, wastes the target."""
+
+    async def body():
+        async with Chain(["a", "b"]) as chain:
+            deep = chain.targets["b-0"]
+            deep.release.clear()
+            timeout = "300" if cause == "deadline" else "5000"
+            headers = (("Mimosaloom-Timeout-Ms", timeout),)
+            asked = asyncio.ensure_future(chain.ask("a-0", LOOKUP, b"1", headers))
+            await deep.started.wait()
+            if cause == "caller_gone":
+                asked.cancel()
+            else:
+                response = await asked
+                assert json.loads(response.body)["kind"] == "deadline_exceeded"
+            await deep.on_cancel.wait()
+            assert deep.cancelled == [deep.contexts[0].call_id]
+            assert deep.contexts[0].remaining_ms <= int(timeout)
+
+    run(body)
+
+
+@pytest.mark.parametrize("class_name", [FEE, LOOKUP])
+def test_target_killed_during_a_call(class_name):
+    """A fee whose target died may have been issued, and must not run again."""
+
+    async def body():
+        received = []
+
+        async def die(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            received.append(await reader.readexactly(1))
+            writer.transport.abort()
+
+        dying = await asyncio.start_server(die, "127.0.0.1", 0)
+        port = dying.sockets[0].getsockname()[1]
+        urls = {f"b-{number}": f"http://127.0.0.1:{port}" for number in range(2)}
+        async with Chain(["a", "b"], upstreams_each=2, target_urls=urls) as chain:
+            response = await chain.ask("a-0", class_name, b"1")
+            refusal = json.loads(response.body)
+            if class_name == FEE:
+                assert refusal["kind"] == "outcome_unknown"
+                assert refusal["ran"] == "maybe"
+                assert received == [b"1"]
+            else:
+                assert refusal["kind"] == "failed_downstream"
+                assert len(received) > 1
+        dying.close()
+
+    run(body)
