--- a/libs/mimosaloom-mesh/mimosaloom_mesh/server.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/server.py
@@ -32,6 +32,7 @@
 # reaches a client that sends all of its request before it reads.
 MAX_DROPPED_BYTES = 16 * 1_048_576
 UNLIMITED_BYTES = 1 << 62
+STOP_TIMEOUT_S = 30.0
 
 
 def refuse_request(kind: Kind, detail: str = "") -> Response:
@@ -78,11 +79,15 @@
         self.is_closing = True
         self._server.stop()
 
-    async def stop(self) -> None:
-        """Accept no more connections, let answers end, then close them all."""
+    async def stop(self, *, timeout_s: float = STOP_TIMEOUT_S) -> None:
+        """Accept no more connections, let answers end, then close them all.
+
+        Args:
+            timeout_s: Longest wait for answers, as a client may not read its own.
+        """
         self.stop_accepting()
-        while self.tasks:
-            await asyncio.wait(self.tasks)
+        if self.tasks:
+            await asyncio.wait(self.tasks, timeout=timeout_s)
         await self._server.close_all_connections()
 
 
@@ -165,9 +170,14 @@
             self._server.count(Kind.INTERNAL)
             failure = HopAnswer(Failed(Kind.INTERNAL))
             response = build_response(failure, "none", 1, "")
-        self._write(response)
+        try:
+            # The task lasts until the answer is handed to the system, so that a stop
+            # which waits for the tasks cuts no answer.
+            await self._write(response)
+        except OSError as error:
+            log_message(message_type="answer_not_written", detail=str(error))
 
-    def _write(self, response: Response) -> None:
+    def _write(self, response: Response) -> Awaitable[None]:
         headers = HTTPHeaders()
         for name, value in response.headers:
             headers.add(name, value)
@@ -179,8 +189,6 @@
         start_line = ResponseStartLine("", response.status, reason)
         is_bodyless = self._start_line.method == "HEAD"
         body = b"" if is_bodyless else response.body
-        try:
-            self._connection.write_headers(start_line, headers, body)
-            self._connection.finish()
-        except OSError as error:
-            log_message(message_type="answer_not_written", detail=str(error))
+        written = self._connection.write_headers(start_line, headers, body)
+        self._connection.finish()
+        return written
--- a/tests/mesh/test_requests.py
+++ b/tests/mesh/test_requests.py
@@ -6,7 +6,7 @@
 import pytest
 from mesh.fakes import FEE, LOOKUP, Chain, run
 
-from mimosaloom_mesh import Endpoint, Request
+from mimosaloom_mesh import Endpoint, Request, Response
 from mimosaloom_model import CONTEXT_HEADER, CallContext, Kind, encode_context
 
 pytestmark = pytest.mark.sockets
@@ -176,3 +176,72 @@
         dying.close()
 
     run(body)
+
+
+@pytest.mark.parametrize(
+    ("refusing", "headers", "kind", "ran"),
+    [
+        ("a-0", (("Mimosaloom-Ran", "no"),), "overloaded", "no"),
+        ("a-0", (), "target_failed", "yes"),
+        ("b-0", (("Mimosaloom-Ran", "no"),), "failed_downstream", "yes"),
+        ("b-0", (), "failed_downstream", "yes"),
+    ],
+)
+def test_not_run_means_that_nothing_ran(refusing, headers, kind, ran):
+    """A deeper refusal must not read as "not run" once a target has started."""
+
+    async def body():
+        async with Chain(["a", "b"], retries=0) as chain:
+            chain.targets[refusing].reply = Response(503, headers)
+            response = await chain.ask("a-0", FEE, b"1")
+            refusal = json.loads(response.body)
+            assert (refusal["kind"], refusal["ran"]) == (kind, ran)
+
+    run(body)
+
+
+def test_target_that_calls_on_can_not_claim_that_nothing_ran():
+    """A target that refuses after a sub-call has run in part, whatever it says."""
+
+    async def body():
+        async with Chain(["a", "b"], retries=0) as chain:
+            target = chain.targets["a-0"]
+            call_on = target.server.handle
+
+            async def call_then_refuse(request):
+                await call_on(request)
+                return Response(503, (("Mimosaloom-Ran", "no"),))
+
+            target.server.handle = call_then_refuse
+            response = await chain.ask("a-0", FEE, b"1")
+            assert chain.targets["b-0"].runs == {b"1": 1}
+            assert json.loads(response.body)["kind"] == "failed_downstream"
+
+    run(body)
+
+
+def test_retries_over_all_hops_stay_within_the_allowance():
+    """Retries at several hops must not multiply."""
+
+    async def body():
+        async with Chain(["a", "b", "c"], upstreams_each=4, retries=3) as chain:
+            for number in range(4):
+                chain.targets[f"c-{number}"].reply = Response(500)
+            response = await chain.ask("a-0", LOOKUP, b"1")
+            assert response.status == 502
+            runs = [
+                sum(chain.targets[f"{service}-{n}"].runs[b"1"] for n in range(4))
+                for service in "abc"
+            ]
+            retries = sum(
+                node.metrics.registry.get_sample_value(
+                    "mimosaloom_retries_total", {"reason": reason}
+                )
+                or 0
+                for node in chain.nodes.values()
+                for reason in ("target_failed", "failed_downstream")
+            )
+            assert 0 < retries <= 3
+            assert runs[2] <= 1 + 3
+
+    run(body)
