Add the overload bench

Drives Admission, LevelTable, Router, Ledger, RetryBudget and RunTable on a virtual clock beside a naive mesh, on the same arrivals, for both meshes and six scenarios. Measures come from a record that fakes and clients keep.

--- /dev/null
+++ b/libs/mimosaloom-bench/mimosaloom_bench/overload/controlled.py
@@ -0,0 +1,402 @@
+"""The mesh with mimosaloom: one node beside each target, real decision code."""
+
+import random
+from collections import defaultdict
+from collections.abc import Callable
+
+from mimosaloom_model import ANSWERS, Answered, Failed, Kind, Ran
+from mimosaloom_policy import (
+    Admission,
+    Arrival,
+    Candidate,
+    Done,
+    LevelTable,
+    NotRun,
+    RetryBudget,
+    Router,
+    Run,
+    Start,
+    rank_request,
+)
+
+from .client import Result
+from .fakes import Links, Target, caller_pairs, latency_s
+from .loop import Loop
+from .meshes import MeshSpec
+from .record import Record
+from .scenarios import Request
+from .state import Attempt, Call, Node
+
+__all__ = ["RETRIES_PER_REQUEST", "SHEDDING", "ControlledMesh"]
+
+RETRIES_PER_REQUEST = 3
+BUDGET_RATIO = 0.1
+MIN_RETRIES_PER_S = 1.0
+TICK_S = 0.05
+LOAD_POLL_S = 1.0
+PING_INTERVAL_S = 0.25
+PING_TIMEOUT_S = 0.1
+RESOLVE_AGAIN_S = 0.05
+CONFIG_SPREAD_S = 0.2
+
+SHEDDING = ("rank", "random", "priority")
+
+
+class ControlledMesh:
+    """Calls as the nodes of mimosaloom make and admit them.
+
+    Args:
+        loop: The virtual clock.
+        mesh: Sizes and latencies.
+        targets: Targets by service.
+        links: Connections that have gone silent.
+        record: Where runs and retries are written down.
+        seed: Seed of the nodes' random generators.
+        shedding: One of `SHEDDING`.
+    """
+
+    def __init__(
+        self,
+        loop: Loop,
+        mesh: MeshSpec,
+        targets: dict[str, list[Target]],
+        links: Links,
+        record: Record,
+        seed: int,
+        shedding: str = "rank",
+    ):
+        self._loop = loop
+        self._mesh = mesh
+        self._links = links
+        self._record = record
+        self._seed = seed
+        self._shedding = shedding
+        self._services = {name: list(own) for name, own in targets.items()}
+        self._nodes: dict[str, Node] = {}
+        self._in_flight: dict[tuple[str, str], dict[str, Attempt]] = defaultdict(dict)
+        for target in (t for own in targets.values() for t in own):
+            self._add_node(target)
+        for node in list(self._nodes.values()):
+            self._add_routers(node)
+        loop.call_later(TICK_S, self._tick)
+        loop.call_later(LOAD_POLL_S, self._poll_load)
+
+    def _add_node(self, target: Target) -> Node:
+        rng = random.Random(f"{self._seed}/{target.name}")
+        node = Node(
+            target,
+            Admission(target.slots, self._loop.now_s),
+            LevelTable(rng),
+            rng,
+        )
+        self._nodes[target.name] = node
+        return node
+
+    def _add_routers(self, node: Node) -> None:
+        target = node.target
+        for service in self._services:
+            router = Router(service, target.name, target.domain, node.rng)
+            router.set_candidates(self._candidates(service), self._loop.now_s)
+            node.routers[service] = router
+
+    def _candidates(self, service: str) -> list[Candidate]:
+        return [
+            Candidate(
+                target.name,
+                "127.0.0.1",
+                1,
+                target.domain,
+                target.slots,
+                target.service.connections,
+                "1",
+                self._nodes[target.name].is_draining,
+            )
+            for target in self._services[service]
+        ]
+
+    def _tick(self) -> None:
+        for node in list(self._nodes.values()):
+            self._apply(node, node.admission.tick(self._loop.now_s))
+        self._loop.call_later(TICK_S, self._tick)
+
+    def _poll_load(self) -> None:
+        for node in self._nodes.values():
+            suggest = getattr(node.routers.get(node.target.service.name), "suggest", 0)
+            for service, targets in self._services.items() if suggest else ():
+                for target in targets:
+                    load_ratio = target.reported_load()
+                    node.routers[service].suggest(
+                        target.name, load_ratio, self._loop.now_s
+                    )
+        self._loop.call_later(LOAD_POLL_S, self._poll_load)
+
+    # Events of the scenario.
+
+    def pairs(self) -> list[tuple[str, str]]:
+        """Return the pairs of caller and target that hold connections."""
+        return caller_pairs(self._services)
+
+    def silence(self, pairs: list[tuple[str, str]]) -> None:
+        """Make open connections silent; the ping of each finds out after a while."""
+        self._links.silence(pairs)
+        rng = random.Random(f"{self._seed}/pings")
+        for pair in pairs:
+            found_s = rng.uniform(0.0, PING_INTERVAL_S) + PING_TIMEOUT_S
+            self._loop.call_later(found_s, self._close_silent, pair)
+
+    def _close_silent(self, pair: tuple[str, str]) -> None:
+        self._links.close_all(pair)
+        for attempt in list(self._in_flight[pair].values()):
+            self._loop.call_later(2 * attempt.delay_s, self._resolve, attempt)
+
+    def _resolve(self, attempt: Attempt) -> None:
+        node = self._nodes[attempt.upstream]
+        state = node.runs.resolve(attempt.key, self._loop.now_s)
+        if isinstance(state, Done):
+            kind = None if isinstance(state.result, Answered) else state.result.kind
+            self._receive_answer(attempt, kind, 0, 1.0)
+        elif isinstance(state, NotRun):
+            self._receive_answer(attempt, Kind.CONNECT_FAILED, attempt.lent, 1.0)
+        else:
+            self._loop.call_later(RESOLVE_AGAIN_S, self._resolve, attempt)
+
+    def replace_targets(self, service: str, new: list[Target]) -> None:
+        """Drain the first targets of a service and start new ones in their place."""
+        old = self._services[service][: len(new)]
+        for target in old:
+            self._nodes[target.name].is_draining = True
+            self._nodes[target.name].admission.start_draining()
+        self._services[service] = new + self._services[service][len(new) :]
+        for node in [self._add_node(target) for target in new]:
+            self._add_routers(node)
+        rng = random.Random(f"{self._seed}/config")
+        for node in list(self._nodes.values()):
+            delay_s = rng.uniform(0.0, CONFIG_SPREAD_S)
+            self._loop.call_later(delay_s, self._learn_candidates, node, service)
+
+    def _learn_candidates(self, node: Node, service: str) -> None:
+        node.routers[service].set_candidates(
+            self._candidates(service), self._loop.now_s
+        )
+
+    # The caller's side.
+
+    def receive_root(
+        self, request: Request, root: int, done: Callable[[Result], None]
+    ) -> None:
+        """Take in an attempt of a client at an entry node."""
+        spec = self._mesh.classes[request.class_name]
+        entry = self._services[spec.path[0]]
+        node = self._nodes[entry[(request.entry + root) % len(entry)].name]
+        key = f"{request.request_id}.{root}"
+        node.ledger.open(key, RETRIES_PER_REQUEST)
+        deadline_s = self._loop.now_s + self._mesh.timeout_s - 2 * self._mesh.client_s
+
+        def end(kind: Kind | None) -> None:
+            node.ledger.close(key)
+            done(self._result(kind, spec.is_idempotent))
+
+        self._start_call(
+            Call(node, key, key, request, root, 0, spec.path[0], deadline_s, end)
+        )
+
+    def timed_out(self, request: Request) -> Result:
+        """Forbid a retry of what may have run, unless it may run twice."""
+        is_idempotent = self._mesh.classes[request.class_name].is_idempotent
+        return Result("timeout", may_retry=is_idempotent)
+
+    def _result(self, kind: Kind | None, is_idempotent: bool) -> Result:
+        if kind is None:
+            return Result()
+        answer = ANSWERS[kind]
+        is_not_run = answer.ran is Ran.NO
+        may_retry = answer.is_retryable and (is_not_run or is_idempotent)
+        return Result(str(kind), is_not_run, may_retry)
+
+    def _rank(self, call: Call) -> float:
+        priority = self._mesh.classes[call.request.class_name].priority
+        if self._shedding == "random":
+            return (priority + call.node.rng.random()) / 8
+        if self._shedding == "priority":
+            return (priority + 0.5) / 8
+        return rank_request(call.request.request_id, priority)
+
+    def _start_call(self, call: Call) -> None:
+        now_s = self._loop.now_s
+        node = call.node
+        class_name = call.request.class_name
+        if call.deadline_s <= now_s:
+            self._end_call(call, Kind.DEADLINE_TOO_SHORT)
+            return
+        if not node.levels.admits(call.service, class_name, self._rank(call), now_s):
+            self._end_call(call, Kind.OVERLOADED)
+            return
+        candidate = node.routers[call.service].pick(now_s, call.tried)
+        if candidate is None:
+            self._end_call(call, Kind.NO_UPSTREAM)
+            return
+        self._send(call, candidate.name)
+
+    def _send(self, call: Call, upstream: str) -> None:
+        node = call.node
+        now_s = self._loop.now_s
+        pair = (node.target.name, upstream)
+        remote = self._nodes[upstream]
+        delay_s = latency_s(self._mesh, node.target.domain, remote.target.domain)
+        call.attempt += 1
+        lent = node.ledger.lend(call.parent_key)
+        key = f"{call.key}.{call.attempt}"
+        attempt = Attempt(call, key, upstream, lent, now_s, delay_s)
+        node.routers[call.service].start(upstream, now_s)
+        self._in_flight[pair][key] = attempt
+        if not self._links.is_silent(pair):
+            self._loop.call_later(delay_s, self._arrive, remote, attempt)
+
+    def _receive_answer(
+        self, attempt: Attempt, kind: Kind | None, unused: int, level: float
+    ) -> None:
+        if attempt.is_over:
+            return
+        attempt.is_over = True
+        call = attempt.call
+        node = call.node
+        now_s = self._loop.now_s
+        class_name = call.request.class_name
+        del self._in_flight[(node.target.name, attempt.upstream)][attempt.key]
+        node.ledger.give_back(call.parent_key, attempt.lent, unused)
+        node.routers[call.service].finish(
+            attempt.upstream, now_s, elapsed_s=now_s - attempt.sent_s, kind=kind
+        )
+        node.levels.observe(call.service, class_name, attempt.upstream, level, now_s)
+        if kind is None:
+            self._budget(node, call).record_success(now_s)
+        elif self._may_retry(call, kind):
+            if ANSWERS[kind].ran is not Ran.NO:
+                call.ran_kind = kind
+            call.tried |= {attempt.upstream}
+            self._record.retry(call.request, call.root)
+            self._start_call(call)
+            return
+        self._end_call(call, kind)
+
+    def _end_call(self, call: Call, kind: Kind | None) -> None:
+        """End a call; a refusal must not hide an earlier attempt that may have run."""
+        if kind is not None and ANSWERS[kind].ran is Ran.NO and call.ran_kind:
+            kind = call.ran_kind
+        call.done(kind)
+
+    def _may_retry(self, call: Call, kind: Kind) -> bool:
+        is_idempotent = self._mesh.classes[call.request.class_name].is_idempotent
+        if not self._result(kind, is_idempotent).may_retry:
+            return False
+        if not self._budget(call.node, call).try_spend(self._loop.now_s):
+            return False
+        return call.node.ledger.spend(call.parent_key)
+
+    def _budget(self, node: Node, call: Call) -> RetryBudget:
+        key = (call.service, call.request.class_name)
+        budget = node.budgets.get(key)
+        if budget is None:
+            budget = RetryBudget(BUDGET_RATIO, MIN_RETRIES_PER_S, self._loop.now_s)
+            node.budgets[key] = budget
+        return budget
+
+    # The node beside the target.
+
+    def _arrive(self, node: Node, attempt: Attempt) -> None:
+        call = attempt.call
+        now_s = self._loop.now_s
+        if not isinstance(node.runs.begin(attempt.key, "", now_s), Run):
+            return
+        node.ledger.open(attempt.key, attempt.lent)
+        node.waiting[attempt.key] = attempt
+        spec = self._mesh.classes[call.request.class_name]
+        arrival = Arrival(
+            attempt.key,
+            spec.name,
+            spec.priority,
+            spec.is_protected,
+            self._rank(call),
+            call.deadline_s - attempt.delay_s,
+        )
+        self._apply(node, node.admission.offer(arrival, now_s))
+
+    def _apply(self, node: Node, decisions: list) -> None:
+        for decision in decisions:
+            attempt = node.waiting.pop(decision.call_key)
+            if isinstance(decision, Start):
+                self._run(node, attempt)
+            else:
+                node.runs.abandon(attempt.key)
+                self._answer(node, attempt, decision.kind)
+
+    def _run(self, node: Node, attempt: Attempt) -> None:
+        call = attempt.call
+        target = node.target
+        target.running += 1
+        attempt.start_s = self._loop.now_s
+        attempt.is_repeated = self._record.start_run(
+            call.request, call.root, call.service
+        )
+        work_s = target.mean_work_s(attempt.start_s) * call.request.work[call.hop]
+        if call.hop + 1 == len(call.request.work):
+            self._work(node, attempt, work_s, self._finish, None)
+        else:
+            self._work(node, attempt, work_s / 2, self._call_deeper, work_s / 2)
+
+    def _work(self, node, attempt, work_s, then, argument) -> None:
+        """Do some work; the target stops at the deadline."""
+        deadline_s = attempt.call.deadline_s
+        if self._loop.now_s + work_s > deadline_s:
+            kind = Kind.DEADLINE_EXCEEDED
+            self._loop.call_at(deadline_s, self._finish, node, attempt, kind)
+        else:
+            self._loop.call_later(work_s, then, node, attempt, argument)
+
+    def _call_deeper(self, node: Node, attempt: Attempt, rest_s: float) -> None:
+        call = attempt.call
+
+        def resume(kind: Kind | None) -> None:
+            if kind is None:
+                self._work(node, attempt, rest_s, self._finish, None)
+            else:
+                self._finish(node, attempt, Kind.FAILED_DOWNSTREAM)
+
+        hop = call.hop + 1
+        path = self._mesh.classes[call.request.class_name].path
+        deeper = Call(
+            node,
+            attempt.key,
+            f"{attempt.key}/{hop}",
+            call.request,
+            call.root,
+            hop,
+            path[hop],
+            call.deadline_s - attempt.delay_s,
+            resume,
+        )
+        self._start_call(deeper)
+
+    def _finish(self, node: Node, attempt: Attempt, kind: Kind | None) -> None:
+        now_s = self._loop.now_s
+        node.target.running -= 1
+        held_s = now_s - attempt.start_s
+        self._record.end_run(attempt.call.request, held_s, attempt.is_repeated)
+        result = Answered(200) if kind is None else Failed(kind)
+        node.runs.finish(attempt.key, result, now_s)
+        decisions = node.admission.finish(attempt.key, now_s, is_success=kind is None)
+        self._answer(node, attempt, kind)
+        self._apply(node, decisions)
+
+    def _answer(self, node: Node, attempt: Attempt, kind: Kind | None) -> None:
+        call = attempt.call
+        unused = node.ledger.close(attempt.key)
+        level = 1.0
+        if self._shedding != "random":
+            lowest = node.levels.lowest(call.request.class_name, self._loop.now_s)
+            level = min(node.admission.level, lowest)
+        pair = (call.node.target.name, attempt.upstream)
+        if not self._links.is_silent(pair):
+            self._loop.call_later(
+                attempt.delay_s, self._receive_answer, attempt, kind, unused, level
+            )
