--- a/libs/mimosaloom-bench/mimosaloom_bench/overload/best.py
+++ b/libs/mimosaloom-bench/mimosaloom_bench/overload/best.py
@@ -1,7 +1,7 @@
 """The best goodput that the capacity allows, as an upper bound."""
 
 from .fakes import SAME_DOMAIN_S, Target
-from .meshes import MeshSpec
+from .meshes import MeshSpec, class_rates
 from .scenarios import Request, Scenario
 
 __all__ = ["WINDOW_S", "bottleneck_capacity", "count_best", "live_targets"]
@@ -39,14 +39,14 @@
     target downstream. The least of these sums over the services holds, because every
     service must have its slots for every call that passes it. Capacity and offered
     load are taken in windows of 1 s; what doesn't fit into one window may be served
-    in the next one. Work in progress at the start adds answers, and work in progress
-    at the end takes slots away; the two are left out on both sides.
+    in the next one. Calls in progress at the start of the overload may all end in
+    it, so their mean number is added to the bound of each service.
     """
     bounds = []
     for service in mesh.services:
         own = targets[service]
         is_bottleneck = service == mesh.bottleneck
-        total = 0.0
+        total = _in_progress(mesh, service)
         leftover: dict[str, float] = {}
         window_s = scenario.start_s
         while window_s < scenario.end_s:
@@ -65,6 +65,12 @@
     return min(bounds)
 
 
+def _in_progress(mesh: MeshSpec, service: str) -> float:
+    """Return the mean number of calls that hold a slot of a service at normal load."""
+    rates = class_rates(mesh)
+    return sum(rate * _cost_s(mesh, service, name) for name, rate in rates.items())
+
+
 def _count_offered(requests: list[Request], window_s: float) -> dict[str, float]:
     offered: dict[str, float] = {}
     for request in requests:
