Order the admission queue by priority, newest first when late

Cause: a FIFO queue served calls that were about to expire, and started calls that could no longer finish.

--- a/libs/mimosaloom-policy/mimosaloom_policy/admission.py
+++ b/libs/mimosaloom-policy/mimosaloom_policy/admission.py
@@ -1,13 +1,15 @@
 """Admission of calls to one target: concurrency limit, queue and level."""
 
-from collections import deque
 from typing import NamedTuple
 
 from mimosaloom_model import Kind
 
+from .queue import WaitingQueue
+
 __all__ = ["Admission", "Arrival", "Decision", "Refuse", "Start"]
 
 RETRY_AFTER_S = 1.0
+SERVICE_TIME_SMOOTHING = 0.1
 
 
 class Arrival(NamedTuple):
@@ -47,6 +49,11 @@
 Decision = Start | Refuse
 
 
+class _Running(NamedTuple):
+    arrival: Arrival
+    start_s: float
+
+
 class Admission:
     """Decides which calls run on one target, and when.
 
@@ -59,9 +66,9 @@
 
     def __init__(self, slots: int, now_s: float, *, queue_capacity: int = 256):
         self._slots = slots
-        self._queue_capacity = queue_capacity
-        self._queue: deque[Arrival] = deque()
-        self._running: dict[str, Arrival] = {}
+        self._queue = WaitingQueue(queue_capacity)
+        self._running: dict[str, _Running] = {}
+        self._service_s: dict[str, float] = {}
         self._is_draining = False
 
     @property
@@ -93,28 +100,35 @@
         """
         if self._is_draining:
             return [Refuse(arrival.call_key, Kind.DRAINING, 0.0)]
-        if arrival.deadline_s <= now_s:
+        if self._is_hopeless(arrival, now_s):
             return [Refuse(arrival.call_key, Kind.DEADLINE_TOO_SHORT, 0.0)]
-        if len(self._queue) >= self._queue_capacity:
-            return [Refuse(arrival.call_key, Kind.OVERLOADED, RETRY_AFTER_S)]
-        self._queue.append(arrival)
-        return self._start_waiting(now_s)
+        displaced = self._queue.push(arrival, now_s)
+        return [
+            *(Refuse(a.call_key, Kind.OVERLOADED, RETRY_AFTER_S) for a in displaced),
+            *self._start_waiting(now_s),
+        ]
 
     def finish(
         self, call_key: str, now_s: float, *, is_success: bool
     ) -> list[Decision]:
         """Record that a running call has ended; return decisions on waiting ones."""
-        self._running.pop(call_key, None)
+        running = self._running.pop(call_key, None)
+        if running is not None and is_success:
+            self._learn_service_time(running, now_s)
         return self._start_waiting(now_s)
 
     def cancel(self, call_key: str, now_s: float) -> list[Decision]:
         """Forget a waiting call whose caller is gone; running ones need `finish`."""
-        self._queue = deque(a for a in self._queue if a.call_key != call_key)
+        self._queue.remove(call_key)
         return self._start_waiting(now_s)
 
     def tick(self, now_s: float) -> list[Decision]:
         """Refuse calls that waited too long; call this about every 50 ms."""
-        return self._start_waiting(now_s)
+        expired = self._queue.expire(now_s, lambda a: self._is_hopeless(a, now_s))
+        return [
+            *(Refuse(a.call_key, Kind.QUEUE_TIMEOUT, RETRY_AFTER_S) for a in expired),
+            *self._start_waiting(now_s),
+        ]
 
     def start_draining(self) -> None:
         """Refuse all new calls; those that wait or run still finish."""
@@ -122,11 +136,25 @@
 
     def _start_waiting(self, now_s: float) -> list[Decision]:
         decisions: list[Decision] = []
-        while self._queue and len(self._running) < self.limit:
-            arrival = self._queue.popleft()
-            if arrival.deadline_s <= now_s:
-                decisions.append(Refuse(arrival.call_key, Kind.QUEUE_TIMEOUT, 0.0))
+        while len(self._running) < self.limit:
+            arrival = self._queue.pop(now_s)
+            if arrival is None:
+                break
+            if self._is_hopeless(arrival, now_s):
+                refusal = Refuse(arrival.call_key, Kind.QUEUE_TIMEOUT, RETRY_AFTER_S)
+                decisions.append(refusal)
                 continue
-            self._running[arrival.call_key] = arrival
+            self._running[arrival.call_key] = _Running(arrival, now_s)
             decisions.append(Start(arrival.call_key))
         return decisions
+
+    def _is_hopeless(self, arrival: Arrival, now_s: float) -> bool:
+        """Tell whether a call that starts now would end after its deadline."""
+        service_s = self._service_s.get(arrival.class_name, 0.0)
+        return now_s + service_s >= arrival.deadline_s
+
+    def _learn_service_time(self, running: _Running, now_s: float) -> None:
+        name = running.arrival.class_name
+        elapsed_s = now_s - running.start_s
+        known_s = self._service_s.get(name, elapsed_s)
+        self._service_s[name] = known_s + SERVICE_TIME_SMOOTHING * (elapsed_s - known_s)
--- /dev/null
+++ b/tests/policy/test_admission_queue.py
@@ -0,0 +1,141 @@
+"""The waiting queue against a plain list of calls."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from mimosaloom_model import Kind
+from mimosaloom_policy import Admission, Arrival, Start
+from mimosaloom_policy import queue as queue_module
+from mimosaloom_policy.queue import MAX_WAIT_S, NEWEST_FIRST_WAIT_S, WaitingQueue
+
+CAPACITY = 5
+
+STEPS = st.lists(
+    st.one_of(
+        st.tuples(st.just("push"), st.integers(0, 3), st.booleans()),
+        st.tuples(st.just("pop"), st.booleans(), st.just(0)),
+        st.tuples(st.just("remove"), st.integers(0, 30), st.just(0)),
+        st.tuples(st.just("wait"), st.sampled_from([0.01, 0.06, 0.3]), st.just(0)),
+        st.tuples(st.just("expire"), st.just(0), st.just(0)),
+    ),
+    max_size=40,
+)
+
+
+def make_arrival(key, priority=0, is_protected=False, rank=0.1, deadline_s=9.0):
+    """Return a call for admission."""
+    return Arrival(key, "any", priority, is_protected, rank, deadline_s)
+
+
+class PlainQueue:
+    """The same discipline by searching a list; each entry is (arrival, since)."""
+
+    def __init__(self):
+        self.entries = []
+
+    def lanes(self):
+        """Return the occupied lanes, the most important first."""
+        return sorted({(a.priority, not a.is_protected) for a, _ in self.entries})
+
+    def lane(self, key):
+        """Return the entries of a lane, the oldest first."""
+        return [
+            e for e in self.entries if (e[0].priority, not e[0].is_protected) == key
+        ]
+
+    def push(self, arrival, now_s):
+        """Add a call and return the one that leaves a full queue."""
+        self.entries.append((arrival, now_s))
+        if len(self.entries) <= CAPACITY:
+            return []
+        return [self.take(self.lane(self.lanes()[-1])[0])]
+
+    def pop(self, now_s, only_protected):
+        """Take out the next call."""
+        for key in self.lanes():
+            if key[1] and only_protected:
+                continue
+            lane = self.lane(key)
+            is_late = now_s - lane[0][1] > NEWEST_FIRST_WAIT_S
+            return self.take(lane[-1 if is_late else 0])
+        return None
+
+    def take(self, entry):
+        """Remove an entry and return its call."""
+        self.entries.remove(entry)
+        return entry[0]
+
+    def expire(self, now_s):
+        """Take out the unprotected calls that waited too long."""
+        late = [
+            e
+            for e in self.entries
+            if not e[0].is_protected and now_s - e[1] > MAX_WAIT_S
+        ]
+        return [self.take(entry) for entry in late]
+
+
+def compare(steps):
+    """Run the same steps on both queues and compare every result."""
+    queue, plain, now_s = WaitingQueue(CAPACITY), PlainQueue(), 0.0
+    for number, (name, first, second) in enumerate(steps):
+        if name == "push":
+            arrival = make_arrival(str(number), first, second)
+            assert queue.push(arrival, now_s) == plain.push(arrival, now_s)
+        elif name == "pop":
+            popped = queue.pop(now_s, only_protected=first)
+            assert popped == plain.pop(now_s, first)
+        elif name == "remove":
+            entry = [e for e in plain.entries if e[0].call_key == str(first)]
+            assert queue.remove(str(first)) == bool(entry)
+            plain.entries = [e for e in plain.entries if e not in entry]
+        elif name == "expire":
+            assert queue.expire(now_s, lambda a: False) == plain.expire(now_s)
+        else:
+            now_s += first
+        assert len(queue) == len(plain.entries)
+
+
+@given(STEPS)
+def test_queue_matches_plain_list(steps):
+    """Guards against lost, repeated or reordered calls after removals in a lane."""
+    compare(steps)
+
+
+BROKEN_STEPS = [
+    ("push", 1, False),
+    ("push", 1, False),
+    ("push", 1, False),
+    ("remove", 0, 0),
+    ("remove", 2, 0),
+    ("pop", False, 0),
+]
+
+
+def test_comparison_finds_a_queue_that_forgets_removals(monkeypatch):
+    """Shows that the comparison fails when removed calls stay at the ends."""
+    compare(BROKEN_STEPS)
+    monkeypatch.setattr(queue_module, "_trim", lambda lane: None)
+    with pytest.raises((AssertionError, KeyError)):
+        compare(BROKEN_STEPS)
+
+
+def test_call_that_cannot_finish_is_refused_before_it_starts():
+    """Guards against slots spent on answers that come after the deadline."""
+    admission = Admission(1, 0.0)
+    assert admission.offer(make_arrival("a"), 0.0) == [Start("a")]
+    admission.finish("a", 0.5, is_success=True)
+    refused = admission.offer(make_arrival("b", deadline_s=0.9), 0.5)
+    assert [r.kind for r in refused] == [Kind.DEADLINE_TOO_SHORT]
+    assert admission.offer(make_arrival("c", deadline_s=1.2), 0.5) == [Start("c")]
+
+
+def test_waiting_call_that_became_hopeless_is_refused():
+    """Guards against a queue that starts expired work after an overload."""
+    admission = Admission(1, 0.0)
+    admission.offer(make_arrival("a"), 0.0)
+    assert admission.offer(make_arrival("b", deadline_s=0.2), 0.0) == []
+    decisions = admission.finish("a", 0.3, is_success=True)
+    assert [(d.call_key, d.kind) for d in decisions] == [("b", Kind.QUEUE_TIMEOUT)]
+    assert (admission.in_flight, admission.queued) == (0, 0)
