--- a/libs/mimosaloom-bench/mimosaloom_bench/commands.py
+++ b/libs/mimosaloom-bench/mimosaloom_bench/commands.py
@@ -6,6 +6,7 @@
 
 from .demo import show_demo
 from .meshes import MeshName
+from .overload import overload
 
 __all__ = ["register"]
 
@@ -17,6 +18,7 @@
     """Add the commands of this package to the command line."""
     app.command(name="demo")(_demo)
     bench = typer.Typer(no_args_is_help=True, help="Measure mimosaloom.")
+    bench.command("overload")(overload)
     app.add_typer(bench, name="bench")
 
 
