Check resource files together with the resources in force

A change of some resources has to be checked against those already in force: it may use them and must not break them. Resources may also carry the revision that their author saw, so that a change of an outdated copy is a conflict.

--- a/libs/mimosaloom-model/mimosaloom_model/__init__.py
+++ b/libs/mimosaloom-model/mimosaloom_model/__init__.py
@@ -14,7 +14,7 @@
     encode_answer_note,
     encode_context,
 )
-from .faults import Fault, Invalid
+from .faults import Fault, Invalid, suggest_name
 from .ids import digest_bytes, hash_unit, new_request_id
 from .kinds import ANSWERS, Answer, Kind, Ran
 from .outcomes import Answered, Failed, Outcome, Refused
@@ -91,4 +91,5 @@
     "new_request_id",
     "read_resources",
     "read_settings",
+    "suggest_name",
 ]
--- a/libs/mimosaloom-model/mimosaloom_model/checks.py
+++ b/libs/mimosaloom-model/mimosaloom_model/checks.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from .faults import Fault, describe_value, format_path, suggest_name
+from .resources import ResourceDocument
 
 __all__ = ["PlacedResource", "Placement", "find_reference_faults", "place_resources"]
 
@@ -21,22 +22,25 @@
 
     Attributes:
         file: File as it was named by the caller.
-        index: Position in the file's list of resources.
+        index: Position in the file's list of resources; None for a resource that is
+            in force and in no file.
         kind: Kind of the resource.
         name: Name of the resource.
         spec: Fields as written; None if the spec is no object.
+        revision: Revision as written, if any.
     """
 
     file: str
-    index: int
+    index: int | None
     kind: str
     name: str
     spec: dict | None
+    revision: int | None = None
 
     def fault(self, message: str, *keys: str | int) -> Fault:
         """Return a fault of this resource at the given keys below it."""
-        path = format_path(("resources", self.index, *keys))
-        return Fault(self.file, path, message)
+        above = () if self.index is None else ("resources", self.index)
+        return Fault(self.file, format_path((*above, *keys)), message)
 
     def get(self, field: str) -> object:
         """Return a field of the spec as written, or None."""
@@ -77,11 +81,15 @@
     unsure_kinds: set[str]
 
 
-def place_resources(files: Iterable[tuple[str, object]]) -> Placement:
+def place_resources(
+    files: Iterable[tuple[str, object]], in_force: Iterable[ResourceDocument] = ()
+) -> Placement:
     """Sort the resources of all files by kind and name.
 
     Args:
         files: File names and decoded files; they may be faulty.
+        in_force: Resources that hold beside those of the files, unless a file
+            declares one of the same kind and name.
     """
     placement = Placement([], set())
     for file, value in files:
@@ -91,6 +99,13 @@
             continue
         for index, item in enumerate(resources):
             _place(item, file, index, placement)
+    replaced = {(resource.kind, resource.name) for resource in placement.resources}
+    for document in in_force:
+        kind, name = document["kind"], document["name"]
+        if kind in KINDS and (kind, name) not in replaced:
+            source = f"{kind}/{name} in force"
+            resource = PlacedResource(source, None, kind, name, document["spec"])
+            placement.resources.append(resource)
     return placement
 
 
@@ -103,7 +118,8 @@
         placement.unsure_kinds.add(kind)
     else:
         spec = spec if isinstance(spec, dict) else None
-        resource = PlacedResource(file, index, kind, name, spec)
+        revision = fields.get("revision")
+        resource = PlacedResource(file, index, kind, name, spec, revision)
         placement.resources.append(resource)
 
 
--- a/libs/mimosaloom-model/mimosaloom_model/reading.py
+++ b/libs/mimosaloom-model/mimosaloom_model/reading.py
@@ -1,12 +1,12 @@
 """Reads settings and resource files into typed values, or returns all faults."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from enum import StrEnum
 from ipaddress import ip_address
 from pathlib import Path
 from urllib.parse import urlsplit
 
-from .checks import find_reference_faults, place_resources
+from .checks import PlacedResource, find_reference_faults, place_resources
 from .faults import Fault, Invalid
 from .json_files import JsonFile, read_json_file
 from .resources import ResourceDocument
@@ -85,49 +85,71 @@
     return _build_settings(read.value, path)
 
 
-def read_resources(paths: Iterable[str | Path]) -> list[ResourceDocument] | Invalid:
+def read_resources(
+    paths: Iterable[str | Path], *, in_force: Sequence[ResourceDocument] = ()
+) -> list[ResourceDocument] | Invalid:
     """Read resource files that together form one configuration.
 
     Args:
         paths: The files; references may cross from one to another.
+        in_force: Resources that stay in force beside those of the files, which
+            replace the ones of the same kind and name.
 
     Returns:
         The resources in the order of files and positions, or all faults of all
-        files.
+        files and those that the files would cause in resources in force.
     """
-    return _check_files([read_json_file(path) for path in paths])
+    return _check_files([read_json_file(path) for path in paths], in_force)
 
 
-def check_documents(documents: list[ResourceDocument], file: str) -> Invalid | None:
-    """Check resources that don't come from a file, such as replayed records.
+def check_documents(
+    documents: Sequence[ResourceDocument], source: str
+) -> Invalid | None:
+    """Check a whole configuration that doesn't come from files.
 
     Args:
-        documents: The whole configuration.
-        file: Source named in the faults.
+        documents: The resources.
+        source: Source named in the faults.
 
     Returns:
         All faults, or None.
     """
-    checked = _check_files([JsonFile(file, {"resources": documents}, True, ())])
+    value = {"resources": list(documents)}
+    checked = _check_files([JsonFile(source, value, True, ())], ())
     return checked if isinstance(checked, Invalid) else None
 
 
-def _check_files(files: list[JsonFile]) -> list[ResourceDocument] | Invalid:
+def _check_files(
+    files: list[JsonFile], in_force: Sequence[ResourceDocument]
+) -> list[ResourceDocument] | Invalid:
     faults: list[Fault] = []
     for read in files:
         faults += read.faults
         if read.is_readable:
             faults += find_schema_faults("resources", read.value, read.file)
-    placement = place_resources((read.file, read.value) for read in files)
-    faults += find_reference_faults(placement)
+    values = [(read.file, read.value) for read in files]
+    placement = place_resources(values, in_force)
+    # A fault that is in force already must not keep operators from correcting it.
+    known = set(find_reference_faults(place_resources([], in_force)))
+    faults += [f for f in find_reference_faults(placement) if f not in known]
     if faults:
         return Invalid(tuple(dict.fromkeys(faults)))
     return [
-        ResourceDocument(kind=resource.kind, name=resource.name, spec=resource.spec)
+        _build_document(resource)
         for resource in placement.resources
+        if resource.index is not None
     ]
 
 
+def _build_document(resource: PlacedResource) -> ResourceDocument:
+    document = ResourceDocument(
+        kind=resource.kind, name=resource.name, spec=resource.spec
+    )
+    if resource.revision is not None:
+        document["revision"] = resource.revision
+    return document
+
+
 def _build_settings(value: dict, path: str | Path) -> NodeSettings:
     listen = {
         name: Address(**address) for name, address in value.get("listen", {}).items()
--- a/libs/mimosaloom-model/mimosaloom_model/resources.py
+++ b/libs/mimosaloom-model/mimosaloom_model/resources.py
@@ -1,6 +1,6 @@
 """Resources that operators declare, as typed values."""
 
-from typing import NamedTuple, TypedDict
+from typing import NamedTuple, NotRequired, TypedDict
 
 __all__ = [
     "Catalog",
@@ -16,11 +16,20 @@
 
 
 class ResourceDocument(TypedDict):
-    """One resource as written in a file: kind, name and spec."""
+    """One resource as written in a file.
+
+    Attributes:
+        kind: Kind of the resource.
+        name: Name, unique within the kind.
+        spec: Fields of the kind.
+        revision: Revision that the author saw, 0 for a resource that must be new;
+            the system sets it in what it returns.
+    """
 
     kind: str
     name: str
     spec: dict
+    revision: NotRequired[int]
 
 
 class Service(NamedTuple):
--- a/tests/model/test_reading.py
+++ b/tests/model/test_reading.py
@@ -252,6 +252,20 @@
     ]
 
 
+def test_files_are_checked_with_the_resources_in_force(tmp_path):
+    """A file may use what is in force, and must not break it."""
+    in_force = change(RESOURCES, (0, "spec", "calls"), ["billing", "gone"])
+    added = change(RESOURCES[2], ("name",), "billing-2") | {"revision": 0, "status": {}}
+    changed = change(RESOURCES[0], ("spec", "calls"), [])
+    path = write(tmp_path, {"resources": [added]})
+    (document,) = read_resources([path], in_force=in_force)
+    assert document == change(RESOURCES[2], ("name",), "billing-2") | {"revision": 0}
+    path = write(tmp_path, {"resources": [added, changed]})
+    (fault,) = read_resources([path], in_force=in_force).faults
+    assert fault.file == "RequestClass/issue-fee in force"
+    assert fault.path == "$.spec.path[1]"
+
+
 json_values = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
     lambda below: (
