--- a/libs/mimosaloom-node/mimosaloom_node/directory.py
+++ b/libs/mimosaloom-node/mimosaloom_node/directory.py
@@ -54,7 +54,7 @@
         host: IP address of its listeners.
         ingress_port: Port for calls.
         admin_port: Port for operators.
-        control_port: Port for other nodes.
+        control_port: Port for other nodes; 0 if the node has no such listener.
         slots: Calls that the target runs at once.
         max_connections: Connections that the target accepts.
         incarnation: Start number of the node, see `new_incarnation`.
@@ -68,7 +68,7 @@
     host: _Text
     ingress_port: _Port
     admin_port: _Port
-    control_port: _Port
+    control_port: Annotated[int, msgspec.Meta(ge=0, le=65535)]
     slots: Annotated[int, msgspec.Meta(ge=1)]
     max_connections: Annotated[int, msgspec.Meta(ge=1)]
     incarnation: _Incarnation
