Keep the outcome of an attempt that may have run over the refusal of its retry

Cause: for an idempotent class, an attempt that passed its deadline on the target was retried, the retry was refused with deadline_too_short, and this refusal was returned. It says that no part ran although the first attempt had run. Change: a refusal replaces only refusals; see combine_attempts.

--- a/libs/mimosaloom-mesh/mimosaloom_mesh/caller.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/caller.py
@@ -31,7 +31,7 @@
 from .messages import HopAnswer, Request, kind_of
 from .metrics import MeshMetrics
 from .remote import RemoteHop
-from .retrying import NextStep, decide_next_step
+from .retrying import NextStep, combine_attempts, decide_next_step
 from .scopes import CallScope, ScopeTable, current_scope
 from .transport import Transport
 
@@ -235,13 +235,14 @@
                     return last
                 self.metrics.count_retry(kind_of(last).value)
             tried.add(candidate.name)
-            last = await self._attempt(call, candidate, attempt)
+            outcome = await self._attempt(call, candidate, attempt)
             step = decide_next_step(
-                last, is_idempotent=call.request_class.is_idempotent
+                outcome, is_idempotent=call.request_class.is_idempotent
             )
             if step is NextStep.RESOLVE:
-                last = await self._resolve(call, candidate)
-                step = decide_next_step(last, is_idempotent=False)
+                outcome = await self._resolve(call, candidate)
+                step = decide_next_step(outcome, is_idempotent=False)
+            last = combine_attempts(last, outcome)
             if step is not NextStep.RETRY:
                 return last
             if call.scope.deadline_s <= self.clock.monotonic_s():
--- a/libs/mimosaloom-mesh/mimosaloom_mesh/retrying.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/retrying.py
@@ -4,7 +4,7 @@
 
 from mimosaloom_model import ANSWERS, Answered, Failed, Kind, Outcome, Refused
 
-__all__ = ["UNRESOLVED", "NextStep", "decide_next_step"]
+__all__ = ["UNRESOLVED", "NextStep", "combine_attempts", "decide_next_step"]
 
 
 class NextStep(StrEnum):
@@ -43,3 +43,14 @@
                 return NextStep.RESOLVE if kind in UNRESOLVED else NextStep.RETURN
             is_retryable = ANSWERS[kind].is_retryable
             return NextStep.RETRY if is_retryable else NextStep.RETURN
+
+
+def combine_attempts(earlier: Outcome, later: Outcome) -> Outcome:
+    """Return the outcome of a call from that of its attempts so far and of one more.
+
+    A refusal says that no part of the call ran, which holds only if no earlier attempt
+    may have run.
+    """
+    if isinstance(later, Refused) and isinstance(earlier, Failed):
+        return earlier
+    return later
--- /dev/null
+++ b/tests/mesh/test_combined_attempts.py
@@ -0,0 +1,16 @@
+from mimosaloom_mesh.retrying import combine_attempts
+from mimosaloom_model import Answered, Failed, Kind, Refused
+
+
+def test_refused_retry_does_not_hide_an_attempt_that_may_have_run():
+    """Guards against "not run" for a request whose first attempt ran.
+
+    In the demo under overload, a status inquiry whose first attempt passed its
+    deadline on the target was answered with the refusal of its retry.
+    """
+    ran = Failed(Kind.DEADLINE_EXCEEDED)
+    refused = Refused(Kind.DEADLINE_TOO_SHORT)
+    assert combine_attempts(ran, refused) is ran
+    assert combine_attempts(Refused(Kind.NO_UPSTREAM), refused) is refused
+    assert combine_attempts(refused, ran) is ran
+    assert combine_attempts(ran, Answered(200)) == Answered(200)
