Add the latency bench and membership by the log

LogMembership announces a node in the members stream, follows the others, keeps what it has while the log is down and records the leave within a bounded time. The latency bench measures the same stand-ins directly, through a node and through the embedded path, in alternating turns.

--- a/libs/mimosaloom-bench/mimosaloom_bench/commands.py
+++ b/libs/mimosaloom-bench/mimosaloom_bench/commands.py
@@ -5,6 +5,7 @@
 import typer
 
 from .demo import show_demo
+from .latency import LoadPlan, show_latency
 from .meshes import MeshName
 from .overload import overload
 
@@ -19,6 +20,7 @@
     app.command(name="demo")(_demo)
     bench = typer.Typer(no_args_is_help=True, help="Measure mimosaloom.")
     bench.command("overload")(overload)
+    bench.command(name="latency")(_latency)
     app.add_typer(bench, name="bench")
 
 
@@ -35,3 +37,23 @@
     """Overload one mesh on loopback and print what its callers saw."""
     code = show_demo(mesh, seed=seed, duration_s=duration_s, is_json=json_output)
     raise typer.Exit(code)
+
+
+def _latency(
+    rate_per_s: Annotated[
+        float, typer.Option(min=1, help="Calls a second on each path.")
+    ] = 250.0,
+    rounds: Annotated[
+        int, typer.Option(min=1, help="Turns of each path, which alternate.")
+    ] = 8,
+    round_s: Annotated[
+        float, typer.Option(min=0.5, help="Length of a turn in seconds.")
+    ] = 2.0,
+    seed: Annotated[int, typer.Option(help="Seed of the distances of calls.")] = 1,
+    json_output: Annotated[
+        bool, typer.Option("--json", help="Print one JSON object as the last line.")
+    ] = False,
+) -> None:
+    """Measure the time that mimosaloom adds to a call."""
+    load = LoadPlan(rate_per_s, rounds, round_s, seed)
+    raise typer.Exit(show_latency(load, is_json=json_output))
--- a/libs/mimosaloom-bench/mimosaloom_bench/deployment.py
+++ b/libs/mimosaloom-bench/mimosaloom_bench/deployment.py
@@ -8,7 +8,14 @@
 from .meshes import MeshPlan, UpstreamPlan
 from .processes import ChildProcess, ProcessGroup
 
-__all__ = ["Deployment", "get_json", "post_json", "start_deployment", "start_standin"]
+__all__ = [
+    "Deployment",
+    "get_json",
+    "post_json",
+    "start_deployment",
+    "start_standin",
+    "wait_for_url",
+]
 
 CONTROL_TIMEOUT_S = 10.0
 LOG_POLL_INTERVAL_S = 0.2
@@ -69,8 +76,8 @@
         )
         for number, upstream in enumerate(upstreams)
     }
-    log_url = _wait_for_url(log)
-    target_urls = {name: _wait_for_url(child) for name, child in targets.items()}
+    log_url = wait_for_url(log)
+    target_urls = {name: wait_for_url(child) for name, child in targets.items()}
     resources_file = directory / "resources.json"
     resources_file.write_text(json.dumps({"resources": plan.documents()}))
     nodes = {}
@@ -100,7 +107,8 @@
     return group.start(name, "mimosaloom_standins", kind, json.dumps(options))
 
 
-def _wait_for_url(child: ChildProcess) -> str:
+def wait_for_url(child: ChildProcess) -> str:
+    """Return the base URL that a stand-in prints when it listens."""
     found = child.wait_for_line(lambda line: "port" in line and "pid" in line)
     return f"http://{found['host']}:{found['port']}"
 
--- a/libs/mimosaloom-node/mimosaloom_node/directory.py
+++ b/libs/mimosaloom-node/mimosaloom_node/directory.py
@@ -1,5 +1,6 @@
 """Members of the mesh: their records, and the table that is built from them."""
 
+import asyncio
 import random
 from collections.abc import Callable
 from datetime import timedelta
@@ -8,14 +9,16 @@
 
 import msgspec
 
-from mimosaloom_model import Clock
+from mimosaloom_model import Clock, NodeSettings
 from mimosaloom_policy import Candidate
 
 from .log_client import Appended, AppendOutcome, LogClient, Page, follow_stream
+from .membership import Self
 
 __all__ = [
     "MEMBERS_STREAM",
     "Directory",
+    "LogMembership",
     "Member",
     "MemberRecord",
     "RecordType",
@@ -28,6 +31,7 @@
 MEMBERS_STREAM = "members"
 INCARNATION_TIME_HEX_DIGITS = 13
 INCARNATION_RANDOM_BITS = 32
+LEAVE_TIMEOUT = timedelta(seconds=1)
 ANNOUNCE_ROUND = timedelta(seconds=30)
 
 _Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
@@ -54,7 +58,7 @@
         host: IP address of its listeners.
         ingress_port: Port for calls.
         admin_port: Port for operators.
-        control_port: Port for other nodes.
+        control_port: Port for other nodes; 0 if there is no such listener.
         slots: Calls that the target runs at once.
         max_connections: Connections that the target accepts.
         incarnation: Start number of the node, see `new_incarnation`.
@@ -68,7 +72,7 @@
     host: _Text
     ingress_port: _Port
     admin_port: _Port
-    control_port: _Port
+    control_port: Annotated[int, msgspec.Meta(ge=0, le=65535)]
     slots: Annotated[int, msgspec.Meta(ge=1)]
     max_connections: Annotated[int, msgspec.Meta(ge=1)]
     incarnation: _Incarnation
@@ -224,6 +228,79 @@
     await follow_stream(client, MEMBERS_STREAM, apply, wait=wait)
 
 
+class LogMembership:
+    """Membership by the `members` stream of the log service.
+
+    Args:
+        settings: Settings of this node.
+        clock: Source of time.
+        rng: Source of record ids and of jitter.
+    """
+
+    def __init__(self, settings: NodeSettings, clock: Clock, rng: random.Random):
+        self.directory = Directory()
+        self._settings = settings
+        self._clock = clock
+        self._rng = rng
+        self._client: LogClient | None = None
+        self._member: Member | None = None
+        self._tasks: list[asyncio.Task] = []
+
+    @property
+    def version(self) -> int:
+        """Return a number that changes with each change of the members."""
+        return self.directory.version
+
+    def candidates(self, service: str) -> list[Candidate]:
+        """Return the upstreams of a service."""
+        return self.directory.candidates(service)
+
+    async def join(self, own: Self) -> None:
+        """Begin to announce this node and to follow the others; returns at once."""
+        settings = self._settings.log_service
+        self._client = LogClient(settings, self._clock, self._rng)
+        self._member = self._build_member(own)
+        self._tasks = [
+            asyncio.create_task(announce_member(self._client, self._member)),
+            asyncio.create_task(
+                follow_members(self._client, self.directory, lambda: None)
+            ),
+        ]
+
+    async def leave(self) -> None:
+        """Record that this node leaves; gives up after `LEAVE_TIMEOUT`."""
+        if self._client is None or self._member is None:
+            return
+        announcing = self._tasks[0]
+        announcing.cancel()
+        await record_leave(self._client, self._member, give_up_after=LEAVE_TIMEOUT)
+
+    async def close(self) -> None:
+        """End all work in the background."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self._client is not None:
+            self._client.close()
+
+    def _build_member(self, own: Self) -> Member:
+        settings = self._settings
+        return Member(
+            name=settings.node.name,
+            region=settings.node.region,
+            service=settings.target.service,
+            upstream=settings.target.upstream,
+            failure_domain=settings.node.failure_domain,
+            host=own.ingress.host,
+            ingress_port=own.ingress.port,
+            admin_port=own.admin.port,
+            control_port=0,
+            slots=own.slots,
+            max_connections=own.max_connections,
+            incarnation=own.incarnation,
+        )
+
+
 def _member_record(client: LogClient, record_type: RecordType, member: Member) -> dict:
     record = MemberRecord(client.new_record_id(), record_type, member)
     return msgspec.to_builtins(record)
