Keep the doubt of an earlier attempt when a retry is refused

Cause: a refusal of the second attempt replaced the failure of the first one, so a call that had run was answered as not run (seen when the admission began to refuse calls with too little time left). Change: a call that may have run ends as a failure; the body's digest is sent and checked with the note.

--- a/libs/mimosaloom-mesh/mimosaloom_mesh/caller.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/caller.py
@@ -226,27 +226,38 @@
     async def _attempt_until_final(self, call: _Call) -> Outcome:
         tried: set[str] = set()
         last: Outcome = Refused(Kind.NO_UPSTREAM, "", RETRY_AFTER_S)
+        doubt: Failed | None = None
         for attempt in range(1, MAX_ATTEMPTS + 1):
             candidate = self._pick(call, frozenset(tried))
             if candidate is None:
-                return last
+                break
             if attempt > 1:
                 if not self._take_retry(call):
-                    return last
+                    break
                 self.metrics.count_retry(kind_of(last).value)
             tried.add(candidate.name)
-            last = await self._attempt(call, candidate, attempt)
-            step = decide_next_step(
-                last, is_idempotent=call.request_class.is_idempotent
-            )
-            if step is NextStep.RESOLVE:
-                last = await self._resolve(call, candidate)
-                step = decide_next_step(last, is_idempotent=False)
+            last, step = await self._attempt_and_resolve(call, candidate, attempt)
+            if isinstance(last, Failed):
+                doubt = last
             if step is not NextStep.RETRY:
-                return last
+                break
             if call.scope.deadline_s <= self.clock.monotonic_s():
-                return last
-        return last
+                break
+        # The refusal of a later attempt says nothing about one that may have run.
+        return doubt if doubt is not None and isinstance(last, Refused) else last
+
+    async def _attempt_and_resolve(
+        self, call: _Call, candidate: Candidate, attempt: int
+    ) -> tuple[Outcome, NextStep]:
+        is_idempotent = call.request_class.is_idempotent
+        outcome = await self._attempt(call, candidate, attempt)
+        step = decide_next_step(outcome, is_idempotent=is_idempotent)
+        if step is not NextStep.RESOLVE:
+            return outcome, step
+        resolved = await self._remote.resolve(
+            candidate, call.call_id, deadline_s=call.scope.deadline_s
+        )
+        return resolved, decide_next_step(resolved, is_idempotent=False)
 
     def _pick(self, call: _Call, tried: frozenset[str]) -> Candidate | None:
         own = self._own_candidate(call, tried)
@@ -340,11 +351,6 @@
         if answer.is_draining:
             self.mark_draining(call.service, answer.incarnation)
 
-    async def _resolve(self, call: _Call, candidate: Candidate) -> Outcome:
-        return await self._remote.resolve(
-            candidate, call.call_id, deadline_s=call.scope.deadline_s
-        )
-
     def _router(self, service: str) -> Router:
         version = self.directory.version
         known = self._routers.get(service)
--- a/libs/mimosaloom-mesh/mimosaloom_mesh/headers.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/headers.py
@@ -19,6 +19,7 @@
     Refused,
     decode_answer_note,
     decode_context,
+    digest_bytes,
     encode_answer_note,
 )
 
@@ -108,12 +109,13 @@
         call_id=call_id,
         attempt=attempt,
         kind=kind,
-        ran=ran.value,
+        ran=ran,
         length=len(body),
         retries_unused=answer.retries_unused,
         level=1.0 if answer.level is None else min(1.0, max(0.0, answer.level)),
         incarnation=answer.incarnation,
         is_draining=answer.is_draining,
+        digest=digest_bytes(body),
     )
     return Response(status, (*headers, (ANSWER_HEADER, encode_answer_note(note))), body)
 
@@ -141,6 +143,8 @@
     if has_body and note.length != len(response.body):
         detail = f"{len(response.body)} of {note.length} bytes arrived"
         return HopAnswer(Failed(Kind.ANSWER_TRUNCATED, detail))
+    if has_body and note.digest and note.digest != digest_bytes(response.body):
+        return _mismatch("the body is not the one that the note describes")
     return HopAnswer(
         _read_outcome(note, response),
         note.retries_unused,
--- a/tests/mesh/test_requests.py
+++ b/tests/mesh/test_requests.py
@@ -245,3 +245,18 @@
             assert runs[2] <= 1 + 3
 
     run(body)
+
+
+def test_refused_retry_does_not_hide_an_attempt_that_ran():
+    """A retry that is refused must not turn a failure into "not run"."""
+
+    async def body():
+        async with Chain(["a"], upstreams_each=2) as chain:
+            chain.targets["a-0"].reply = Response(500)
+            chain.targets["a-1"].reply = Response(503, (("Mimosaloom-Ran", "no"),))
+            response = await chain.ask("a-0", LOOKUP, b"1")
+            refusal = json.loads(response.body)
+            assert (refusal["kind"], refusal["ran"]) == ("target_failed", "yes")
+            assert chain.targets["a-1"].runs[b"1"] >= 1
+
+    run(body)
