Set the level from measured capacity and the ranks that arrive

Cause: nothing but a full queue refused calls, deep in the chain and after work above. Change: each node follows its measured capacity (calls done over share of the limit in use) with a histogram of ranks in windows of 0.1 s; the caller's table uses the highest level of the upstreams, names those that would refuse, and lets deeper calls of admitted requests pass; probes are bounded per class.

--- a/libs/mimosaloom-bench/mimosaloom_bench/overload/controlled.py
+++ b/libs/mimosaloom-bench/mimosaloom_bench/overload/controlled.py
@@ -86,7 +86,7 @@
         node = Node(
             target,
             Admission(target.slots, self._loop.now_s),
-            LevelTable(rng),
+            LevelTable(rng, target.service.name),
             rng,
         )
         self._nodes[target.name] = node
@@ -221,6 +221,10 @@
             return (priority + 0.5) / 8
         return rank_request(call.request.request_id, priority)
 
+    def _depth(self, call: Call) -> int:
+        # Without levels on answers each hop has to refuse on its own.
+        return 0 if self._shedding == "random" else call.hop
+
     def _start_call(self, call: Call) -> None:
         now_s = self._loop.now_s
         node = call.node
@@ -228,10 +232,17 @@
         if call.deadline_s <= now_s:
             self._end_call(call, Kind.DEADLINE_TOO_SHORT)
             return
-        if not node.levels.admits(call.service, class_name, self._rank(call), now_s):
+        rank = self._rank(call)
+        if not node.levels.admits(
+            call.service, class_name, rank, now_s, depth=self._depth(call)
+        ):
             self._end_call(call, Kind.OVERLOADED)
             return
-        candidate = node.routers[call.service].pick(now_s, call.tried)
+        refusing = node.levels.refusing(call.service, class_name, rank, now_s)
+        router = node.routers[call.service]
+        candidate = router.pick(now_s, call.tried | refusing)
+        if candidate is None:
+            candidate = router.pick(now_s, call.tried)
         if candidate is None:
             self._end_call(call, Kind.NO_UPSTREAM)
             return
@@ -318,6 +329,7 @@
             spec.is_protected,
             self._rank(call),
             call.deadline_s - attempt.delay_s,
+            self._depth(call),
         )
         self._apply(node, node.admission.offer(arrival, now_s))
 
--- a/libs/mimosaloom-policy/mimosaloom_policy/admission.py
+++ b/libs/mimosaloom-policy/mimosaloom_policy/admission.py
@@ -5,11 +5,14 @@
 from mimosaloom_model import Kind
 
 from .queue import WaitingQueue
+from .rank import PRIORITY_COUNT
+from .shedding import WINDOW_S, LevelControl, Window
 
 __all__ = ["Admission", "Arrival", "Decision", "Refuse", "Start"]
 
 RETRY_AFTER_S = 1.0
 SERVICE_TIME_SMOOTHING = 0.1
+PROTECTED_FIT_RATIO = 0.9
 
 
 class Arrival(NamedTuple):
@@ -22,6 +25,8 @@
         is_protected: Whether the class has a reserved share of the slots.
         rank: Rank of the request, see `rank_request`.
         deadline_s: Latest useful end, on the monotonic clock.
+        depth: Hops from the root. The level refuses roots only; deeper calls belong
+            to requests that were admitted, and only a full queue refuses them.
     """
 
     call_key: str
@@ -30,6 +35,7 @@
     is_protected: bool
     rank: float
     deadline_s: float
+    depth: int = 0
 
 
 class Start(NamedTuple):
@@ -54,6 +60,34 @@
     start_s: float
 
 
+class _Meter:
+    """Measures the calls in flight and the calls done in a window."""
+
+    def __init__(self, now_s: float):
+        self.start_s = now_s
+        self._at_s = now_s
+        self._busy_s = 0.0
+        self._done = 0
+
+    def advance(self, in_flight: int, now_s: float) -> None:
+        """Add the time since the last change of the calls in flight."""
+        self._busy_s += in_flight * (now_s - self._at_s)
+        self._at_s = now_s
+
+    def count_done(self, in_flight: int, now_s: float) -> None:
+        """Record that one of the calls in flight ends."""
+        self.advance(in_flight, now_s)
+        self._done += 1
+
+    def take(self, limit: int, queued: int, now_s: float) -> Window:
+        """End the window and start the next."""
+        elapsed_s = now_s - self.start_s
+        busy_ratio = self._busy_s / (limit * elapsed_s)
+        window = Window(elapsed_s, self._done, busy_ratio, queued)
+        self.start_s, self._busy_s, self._done = now_s, 0.0, 0
+        return window
+
+
 class Admission:
     """Decides which calls run on one target, and when.
 
@@ -70,6 +104,10 @@
         self._running: dict[str, _Running] = {}
         self._service_s: dict[str, float] = {}
         self._is_draining = False
+        self._control = LevelControl()
+        self._meter = _Meter(now_s)
+        self._highest_protected = -1
+        self._lowest_other = PRIORITY_COUNT
 
     @property
     def limit(self) -> int:
@@ -89,7 +127,7 @@
     @property
     def level(self) -> float:
         """Calls whose rank is below this number are admitted; 1 admits all."""
-        return 1.0
+        return self._control.level
 
     def offer(self, arrival: Arrival, now_s: float) -> list[Decision]:
         """Take in a call.
@@ -98,8 +136,12 @@
             Decisions on this call and on others that it displaces. A call for which
             there is no decision waits in the queue.
         """
+        self._end_window(now_s)
         if self._is_draining:
             return [Refuse(arrival.call_key, Kind.DRAINING, 0.0)]
+        self._note_arrival(arrival)
+        if arrival.depth == 0 and arrival.rank >= self.level:
+            return [Refuse(arrival.call_key, Kind.OVERLOADED, RETRY_AFTER_S)]
         if self._is_hopeless(arrival, now_s):
             return [Refuse(arrival.call_key, Kind.DEADLINE_TOO_SHORT, 0.0)]
         displaced = self._queue.push(arrival, now_s)
@@ -112,9 +154,14 @@
         self, call_key: str, now_s: float, *, is_success: bool
     ) -> list[Decision]:
         """Record that a running call has ended; return decisions on waiting ones."""
-        running = self._running.pop(call_key, None)
-        if running is not None and is_success:
+        running = self._running.get(call_key)
+        if running is None:
+            return []
+        self._meter.count_done(len(self._running), now_s)
+        del self._running[call_key]
+        if is_success:
             self._learn_service_time(running, now_s)
+        self._end_window(now_s)
         return self._start_waiting(now_s)
 
     def cancel(self, call_key: str, now_s: float) -> list[Decision]:
@@ -124,6 +171,7 @@
 
     def tick(self, now_s: float) -> list[Decision]:
         """Refuse calls that waited too long; call this about every 50 ms."""
+        self._end_window(now_s)
         expired = self._queue.expire(now_s, lambda a: self._is_hopeless(a, now_s))
         return [
             *(Refuse(a.call_key, Kind.QUEUE_TIMEOUT, RETRY_AFTER_S) for a in expired),
@@ -144,10 +192,32 @@
                 refusal = Refuse(arrival.call_key, Kind.QUEUE_TIMEOUT, RETRY_AFTER_S)
                 decisions.append(refusal)
                 continue
+            self._meter.advance(len(self._running), now_s)
             self._running[arrival.call_key] = _Running(arrival, now_s)
             decisions.append(Start(arrival.call_key))
         return decisions
 
+    def _note_arrival(self, arrival: Arrival) -> None:
+        self._control.record_arrival(arrival.rank)
+        if arrival.is_protected:
+            self._highest_protected = max(self._highest_protected, arrival.priority)
+        else:
+            self._lowest_other = min(self._lowest_other, arrival.priority)
+
+    def _end_window(self, now_s: float) -> None:
+        if now_s - self._meter.start_s < WINDOW_S:
+            return
+        self._meter.advance(len(self._running), now_s)
+        window = self._meter.take(self.limit, len(self._queue), now_s)
+        self._control.end_window(window, self._protected_floor())
+
+    def _protected_floor(self) -> float:
+        """Return the level under which only protected classes lie, if they fit."""
+        protected = sum(1 for r in self._running.values() if r.arrival.is_protected)
+        if protected >= PROTECTED_FIT_RATIO * self.limit:
+            return 0.0
+        return min(self._highest_protected + 1, self._lowest_other) / PRIORITY_COUNT
+
     def _is_hopeless(self, arrival: Arrival, now_s: float) -> bool:
         """Tell whether a call that starts now would end after its deadline."""
         service_s = self._service_s.get(arrival.class_name, 0.0)
--- a/libs/mimosaloom-policy/mimosaloom_policy/levels.py
+++ b/libs/mimosaloom-policy/mimosaloom_policy/levels.py
@@ -6,6 +6,8 @@
 
 LEVEL_MAX_AGE_S = 2.0
 PROBE_RATIO = 0.01
+# Bounds the probes of one class when the offered load is many times the capacity.
+PROBE_INTERVAL_S = 0.5
 
 
 class LevelTable:
@@ -13,11 +15,16 @@
 
     Args:
         rng: Chooses the calls above the level that are let through as probes.
+        own_service: Service of the node itself. Its level is left out of `lowest`:
+            nodes of one service that pass each other's levels on in their answers
+            would hold each other's level down for good.
     """
 
-    def __init__(self, rng: random.Random):
+    def __init__(self, rng: random.Random, own_service: str = ""):
         self._rng = rng
+        self._own_service = own_service
         self._levels: dict[tuple[str, str], dict[str, tuple[float, float]]] = {}
+        self._probe_s: dict[tuple[str, str], float] = {}
 
     def observe(
         self, service: str, class_name: str, upstream: str, level: float, now_s: float
@@ -27,20 +34,69 @@
         levels[upstream] = (level, now_s)
 
     def level(self, service: str, class_name: str, now_s: float) -> float:
-        """Return the mean level over the upstreams heard from lately; 1 if none."""
+        """Return the highest level of the upstreams heard from lately; 1 if none.
+
+        A request fits as long as one upstream takes it; `refusing` names those that
+        don't.
+        """
         levels = self._levels.get((service, class_name), {})
         fresh = [
             level for level, at_s in levels.values() if now_s - at_s <= LEVEL_MAX_AGE_S
         ]
-        return sum(fresh) / len(fresh) if fresh else 1.0
+        return max(fresh, default=1.0)
+
+    def refusing(
+        self, service: str, class_name: str, rank: float, now_s: float
+    ) -> frozenset[str]:
+        """Return the upstreams that would refuse a rank; none if all would.
+
+        Give the names to `Router.pick` as `exclude`, so that upstreams with room
+        take the calls that others can't.
+        """
+        levels = self._levels.get((service, class_name), {})
+        names = frozenset(
+            name
+            for name, (level, at_s) in levels.items()
+            if level <= rank and now_s - at_s <= LEVEL_MAX_AGE_S
+        )
+        return names if len(names) < len(levels) else frozenset()
 
     def lowest(self, class_name: str, now_s: float) -> float:
-        """Return the lowest level of a class over all services; 1 if none."""
-        services = [service for service, name in self._levels if name == class_name]
+        """Return the lowest level of a class over the deeper services; 1 if none."""
+        services = [
+            service
+            for service, name in self._levels
+            if name == class_name and service != self._own_service
+        ]
         return min((self.level(s, class_name, now_s) for s in services), default=1.0)
 
-    def admits(self, service: str, class_name: str, rank: float, now_s: float) -> bool:
-        """Tell whether a call may be sent; a small share passes as a probe."""
-        if rank < self.level(service, class_name, now_s):
+    def admits(
+        self,
+        service: str,
+        class_name: str,
+        rank: float,
+        now_s: float,
+        *,
+        depth: int = 0,
+    ) -> bool:
+        """Tell whether a call may be sent; a small share passes as a probe.
+
+        Args:
+            service: The service that is called.
+            class_name: Request class.
+            rank: Rank of the request.
+            now_s: Current time on the monotonic clock.
+            depth: Hops from the root. A call below the root belongs to a request
+                that was admitted, and work was done for it; it is not refused here.
+        """
+        if depth > 0 or rank < self.level(service, class_name, now_s):
             return True
-        return self._rng.random() < PROBE_RATIO
+        return self._may_probe((service, class_name), now_s)
+
+    def _may_probe(self, key: tuple[str, str], now_s: float) -> bool:
+        if self._rng.random() >= PROBE_RATIO:
+            return False
+        if now_s - self._probe_s.get(key, -PROBE_INTERVAL_S) < PROBE_INTERVAL_S:
+            return False
+        self._probe_s[key] = now_s
+        return True
--- a/libs/mimosaloom-policy/mimosaloom_policy/queue.py
+++ b/libs/mimosaloom-policy/mimosaloom_policy/queue.py
@@ -12,7 +12,7 @@
 # about to expire; over this wait the newest call of a lane is served first.
 NEWEST_FIRST_WAIT_S = 0.1
 # A call that waited this long holds a slot at its caller for too little hope.
-MAX_WAIT_S = 0.5
+MAX_WAIT_S = 0.25
 
 
 class Waiting(Protocol):
--- /dev/null
+++ b/libs/mimosaloom-policy/mimosaloom_policy/shedding.py
@@ -0,0 +1,84 @@
+"""Level of one target: which ranks its measured capacity can serve."""
+
+from typing import NamedTuple
+
+from .histogram import RankHistogram
+
+__all__ = ["LevelControl", "Window"]
+
+WINDOW_S = 0.1
+SMOOTHING = 0.15
+SATURATED_RATIO = 0.95
+# A short queue keeps the slots busy; a longer one only adds delay.
+WAIT_TARGET_S = 0.03
+DRAIN_S = 0.5
+MIN_ADMITTED_RATIO = 0.3
+# Slightly over the capacity, so that a level that is too low rises.
+ADMITTED_RATIO = 1.02
+
+
+class Window(NamedTuple):
+    """What a target did in one window.
+
+    Attributes:
+        elapsed_s: Length of the window.
+        done: Calls that ended.
+        busy_ratio: Mean calls in flight as a share of the limit.
+        queued: Calls that wait at the end.
+    """
+
+    elapsed_s: float
+    done: int
+    busy_ratio: float
+    queued: int
+
+
+class LevelControl:
+    """Keeps the arrivals below the level at what the target can serve."""
+
+    def __init__(self):
+        self.level = 1.0
+        self._histogram = RankHistogram()
+        self._done_per_s = 0.0
+        self._busy_ratio = 0.0
+
+    @property
+    def capacity_per_s(self) -> float:
+        """Calls per second with all slots in use, as measured; 0 if not known.
+
+        By Little's law the calls that end per second, over the share of the limit
+        in use, are what the whole limit could end, also when it is not in use.
+        """
+        return self._done_per_s / self._busy_ratio if self._busy_ratio else 0.0
+
+    def record_arrival(self, rank: float) -> None:
+        """Count a call that asks to be run, whether it is admitted or not."""
+        self._histogram.add(rank)
+
+    def end_window(self, window: Window, floor: float) -> None:
+        """Set the level for the next window.
+
+        Args:
+            window: What was measured.
+            floor: Level that is kept in any case.
+        """
+        self._histogram.roll(window.elapsed_s, self.level)
+        done_per_s = window.done / window.elapsed_s
+        self._done_per_s += SMOOTHING * (done_per_s - self._done_per_s)
+        self._busy_ratio += SMOOTHING * (window.busy_ratio - self._busy_ratio)
+        if self._done_per_s > 0:
+            self._follow_capacity(window)
+        self.level = max(self.level, floor)
+
+    def _follow_capacity(self, window: Window) -> None:
+        capacity_per_s = self.capacity_per_s
+        wait_s = window.queued / capacity_per_s
+        is_saturated = window.busy_ratio >= SATURATED_RATIO
+        if is_saturated and wait_s > WAIT_TARGET_S:
+            excess = (wait_s - WAIT_TARGET_S) / DRAIN_S
+            ratio = max(MIN_ADMITTED_RATIO, 1 - excess)
+            level = self._histogram.level_for(capacity_per_s * ratio)
+            self.level = min(self.level, level)
+        elif self.level < 1:
+            level = self._histogram.level_for(capacity_per_s * ADMITTED_RATIO)
+            self.level = max(self.level, level)
--- /dev/null
+++ b/tests/policy/test_levels.py
@@ -0,0 +1,141 @@
+"""Levels: the histogram, the control loop and the caller's table."""
+
+import heapq
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from mimosaloom_policy import Admission, Arrival, LevelTable, Start, shedding
+from mimosaloom_policy.histogram import RankHistogram
+
+RANKS = st.lists(st.floats(0.0, 1.0, exclude_max=True), min_size=1, max_size=200)
+
+
+@given(RANKS, st.floats(0.05, 1.0))
+def test_level_for_a_rate_admits_that_rate(ranks, share):
+    """Guards against a level that admits more or less than the capacity."""
+    histogram = RankHistogram()
+    for rank in ranks:
+        histogram.add(rank)
+    histogram.roll(0.1, 1.0)
+    total = histogram.rate_below(1.0)
+    level = histogram.level_for(share * total)
+    assert histogram.rate_below(level) == pytest.approx(share * total)
+    assert histogram.level_for(1.01 * total) == 1.0
+
+
+def test_histogram_keeps_ranks_that_callers_refuse():
+    """Guards against a jump to full load because shed ranks stopped to arrive."""
+    histogram = RankHistogram()
+    for _ in range(50):
+        for number in range(100):
+            histogram.add(number / 100)
+        histogram.roll(0.1, 1.0)
+    for _ in range(50):
+        for number in range(40):
+            histogram.add(number / 100)
+        histogram.roll(0.1, 0.4)
+    assert histogram.level_for(700.0) == pytest.approx(0.7, abs=0.02)
+
+
+OBSERVATIONS = st.lists(
+    st.tuples(
+        st.sampled_from(["billing", "intake"]),
+        st.sampled_from(["a", "b", "c"]),
+        st.floats(0.0, 1.0),
+        st.floats(0.0, 1.5),
+    ),
+    max_size=20,
+)
+
+
+@given(OBSERVATIONS, st.floats(0.0, 1.0))
+def test_table_matches_search_over_all_observations(observations, rank):
+    """Guards against stale levels and against refusing what one upstream takes."""
+    table = LevelTable(random.Random(1), "intake")
+    latest, now_s = {}, 0.0
+    for service, upstream, level, step_s in observations:
+        now_s += step_s
+        table.observe(service, "any", upstream, level, now_s)
+        latest[(service, upstream)] = (level, now_s)
+    fresh = {key: level for key, (level, at_s) in latest.items() if now_s - at_s <= 2}
+    billing = {name: lv for (service, name), lv in fresh.items() if service != "intake"}
+    expected = max(billing.values(), default=1.0)
+    assert table.level("billing", "any", now_s) == expected
+    assert table.lowest("any", now_s) == expected
+    refusing = {name for name, level in billing.items() if level <= rank}
+    if rank < expected:
+        assert table.refusing("billing", "any", rank, now_s) == refusing
+
+
+def test_probes_are_bounded_and_deeper_calls_pass():
+    """Guards against probes that overload a service at ten times its capacity."""
+    table = LevelTable(random.Random(1))
+    table.observe("billing", "any", "a", 0.2, 0.0)
+    admitted = sum(
+        table.admits("billing", "any", 0.5, number / 10_000) for number in range(10_000)
+    )
+    assert 1 <= admitted <= 3
+    assert table.admits("billing", "any", 0.1, 1.0)
+    assert table.admits("billing", "any", 0.5, 1.0, depth=1)
+
+
+def run_overloaded(calls_per_s, run_s=6.0, slots=10, work_s=0.1):
+    """Offer evenly ranked calls, one in ten protected; return shares started."""
+    admission = Admission(slots, 0.0)
+    rng = random.Random(3)
+    ends = []
+    offered, started = {0: 0, 4: 0}, {0: 0, 4: 0}
+
+    def apply(decisions, now_s):
+        for decision in decisions:
+            if isinstance(decision, Start):
+                started[int(decision.call_key.split("/")[0])] += now_s > run_s / 2
+                heapq.heappush(ends, (now_s + work_s, decision.call_key))
+
+    for number in range(int(calls_per_s * run_s)):
+        now_s = number / calls_per_s
+        while ends and ends[0][0] <= now_s:
+            end_s, key = heapq.heappop(ends)
+            apply(admission.finish(key, end_s, is_success=True), end_s)
+        priority = 0 if number % 10 == 0 else 4
+        offered[priority] += now_s > run_s / 2
+        rank = (priority + rng.random()) / 8
+        key = f"{priority}/{number}"
+        arrival = Arrival(key, "any", priority, priority == 0, rank, now_s + 2)
+        apply(admission.offer(arrival, now_s), now_s)
+        apply(admission.tick(now_s), now_s)
+    return {name: started[name] / offered[name] for name in offered}, admission
+
+
+def check_settled(ratios, admission):
+    """Check that protected calls all start, and that the rest fills the slots."""
+    assert ratios[0] >= 0.99
+    capacity_ratio = (100 / 500 - 0.1) / 0.9
+    assert 0.9 * capacity_ratio <= ratios[4] <= 1.05 * capacity_ratio
+    assert admission.queued <= 10
+
+
+def test_level_settles_at_the_capacity():
+    """Guards against a level that starves the slots or fills the queue."""
+    check_settled(*run_overloaded(500))
+
+
+def test_settling_check_finds_a_level_that_only_falls(monkeypatch):
+    """Shows that the check fails when the level never rises again."""
+
+    def lower_only(self, window, floor):
+        self.level = min(self.level, 0.51 if window.queued else self.level)
+
+    monkeypatch.setattr(shedding.LevelControl, "end_window", lower_only)
+    with pytest.raises(AssertionError):
+        check_settled(*run_overloaded(500))
+
+
+def test_level_stays_open_at_normal_load():
+    """Guards against starvation of unimportant classes without an overload."""
+    ratios, admission = run_overloaded(70)
+    assert ratios == {0: 1.0, 4: 1.0}
+    assert admission.level == 1.0
