Forget the levels of upstreams that left

Cause: in cold-start the last answers of the replaced targets carried an open level, which hid the low level of the cold ones for 2 s. Change: a draining target answers level 0, and LevelTable.keep_upstreams drops those that are gone.

--- a/libs/mimosaloom-bench/mimosaloom_bench/overload/controlled.py
+++ b/libs/mimosaloom-bench/mimosaloom_bench/overload/controlled.py
@@ -175,9 +175,10 @@
             self._loop.call_later(delay_s, self._learn_candidates, node, service)
 
     def _learn_candidates(self, node: Node, service: str) -> None:
-        node.routers[service].set_candidates(
-            self._candidates(service), self._loop.now_s
-        )
+        candidates = self._candidates(service)
+        node.routers[service].set_candidates(candidates, self._loop.now_s)
+        names = frozenset(candidate.name for candidate in candidates)
+        node.levels.keep_upstreams(service, names)
 
     # The caller's side.
 
--- a/libs/mimosaloom-policy/mimosaloom_policy/admission.py
+++ b/libs/mimosaloom-policy/mimosaloom_policy/admission.py
@@ -126,8 +126,11 @@
 
     @property
     def level(self) -> float:
-        """Calls whose rank is below this number are admitted; 1 admits all."""
-        return self._control.level
+        """Calls whose rank is below this number are admitted; 1 admits all.
+
+        A draining target admits none.
+        """
+        return 0.0 if self._is_draining else self._control.level
 
     def offer(self, arrival: Arrival, now_s: float) -> list[Decision]:
         """Take in a call.
--- a/libs/mimosaloom-policy/mimosaloom_policy/levels.py
+++ b/libs/mimosaloom-policy/mimosaloom_policy/levels.py
@@ -33,6 +33,17 @@
         levels = self._levels.setdefault((service, class_name), {})
         levels[upstream] = (level, now_s)
 
+    def keep_upstreams(self, service: str, names: frozenset[str]) -> None:
+        """Forget the upstreams of a service that are gone or draining.
+
+        Call this with each change of the candidates: the open level of a target
+        that takes no more calls would hide the levels of the others.
+        """
+        for (known, _), levels in self._levels.items():
+            if known == service:
+                for name in levels.keys() - names:
+                    del levels[name]
+
     def level(self, service: str, class_name: str, now_s: float) -> float:
         """Return the highest level of the upstreams heard from lately; 1 if none.
 
--- a/tests/policy/test_levels.py
+++ b/tests/policy/test_levels.py
@@ -82,6 +82,19 @@
     assert table.admits("billing", "any", 0.5, 1.0, depth=1)
 
 
+def test_draining_target_hides_no_level():
+    """Guards against callers that trust the open level of a target that left."""
+    admission = Admission(1, 0.0)
+    assert admission.level == 1.0
+    admission.start_draining()
+    assert admission.level == 0.0
+    table = LevelTable(random.Random(1))
+    table.observe("billing", "any", "old", 1.0, 0.0)
+    table.observe("billing", "any", "new", 0.3, 0.0)
+    table.keep_upstreams("billing", frozenset({"new"}))
+    assert table.level("billing", "any", 0.1) == 0.3
+
+
 def run_overloaded(calls_per_s, run_s=6.0, slots=10, work_s=0.1):
     """Offer evenly ranked calls, one in ten protected; return shares started."""
     admission = Admission(slots, 0.0)
