Raise the level by the capacity that is seen unused

Cause: rates of shed ranks are remembered with the retries of the overload, so the level stood too low while slots were idle. Change: raise by a quarter of the unused capacity in each window if that is more.

--- a/libs/mimosaloom-policy/mimosaloom_policy/shedding.py
+++ b/libs/mimosaloom-policy/mimosaloom_policy/shedding.py
@@ -15,6 +15,9 @@
 MIN_ADMITTED_RATIO = 0.3
 # Slightly over the capacity, so that a level that is too low rises.
 ADMITTED_RATIO = 1.02
+# Share of the unused capacity by which the level rises in a window. Answers take a
+# few windows to bring more calls, so the whole of it would be added several times.
+RAISE_RATIO = 0.25
 
 
 class Window(NamedTuple):
@@ -80,5 +83,12 @@
             level = self._histogram.level_for(capacity_per_s * ratio)
             self.level = min(self.level, level)
         elif self.level < 1:
-            level = self._histogram.level_for(capacity_per_s * ADMITTED_RATIO)
-            self.level = max(self.level, level)
+            self._raise(capacity_per_s, 1 - window.busy_ratio)
+
+    def _raise(self, capacity_per_s: float, unused_ratio: float) -> None:
+        # Rates remembered from the overload may be too high; then the rate below
+        # the level is more than really arrives, and unused slots show it.
+        known = self._histogram.rate_below(self.level)
+        extra = RAISE_RATIO * unused_ratio * capacity_per_s
+        wanted = max(capacity_per_s * ADMITTED_RATIO, known + extra)
+        self.level = max(self.level, self._histogram.level_for(wanted))
