--- a/libs/mimosaloom-policy/mimosaloom_policy/budget.py
+++ b/libs/mimosaloom-policy/mimosaloom_policy/budget.py
@@ -8,6 +8,10 @@
 class RetryBudget:
     """A token bucket that successes fill and retries empty.
 
+    Over any time, the retries allowed are at most the capacity (`BURST_S` times
+    `min_retries_per_s`, at least 1) plus `ratio` times the successes plus
+    `min_retries_per_s` times the elapsed time.
+
     Args:
         ratio: Retries per success.
         min_retries_per_s: Retries that are always allowed.
@@ -35,7 +39,8 @@
         return True
 
     def _fill(self, now_s: float) -> None:
+        # A time before the last one must not be credited a second time.
         elapsed_s = max(0.0, now_s - self._filled_s)
-        self._filled_s = now_s
+        self._filled_s = max(self._filled_s, now_s)
         added = elapsed_s * self._min_retries_per_s
         self._tokens = min(self._capacity, self._tokens + added)
