Bound the run table by epochs and add retries, keys and claims

Cause: the run table grew for ever, forgot refused attempts whose copies could still arrive, and there was no decision on retries or on brought keys. Change: calls carry a stamp (incarnation and epoch); entries are dropped only when no acceptable copy is left, see the docstring of runs. Decisions are dataclasses, since empty named tuples of different types compare equal.

--- /dev/null
+++ b/libs/mimosaloom-policy/mimosaloom_policy/retries.py
@@ -0,0 +1,229 @@
+"""Decision after a failed attempt: retry, resolve first, or give up."""
+
+import random
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import NamedTuple
+
+from mimosaloom_model import ANSWERS, Kind, Ran
+
+from .allowance import Ledger
+from .budget import RetryBudget
+
+__all__ = [
+    "Attempt",
+    "GiveUp",
+    "ResolveFirst",
+    "ResolveState",
+    "Retry",
+    "RetryDecision",
+    "RetryReason",
+    "StopReason",
+    "UseStored",
+    "decide_retry",
+]
+
+MAX_ATTEMPTS = 64
+BASE_DELAY_S = 0.025
+MAX_DELAY_S = 1.0
+MIN_RETRY_AFTER_S = 1.0
+RESOLVE_S = 0.02
+
+
+class RetryReason(StrEnum):
+    """Why a call is sent again; a label of the retry counter."""
+
+    REFUSED = "refused"
+    UNREACHABLE = "unreachable"
+    RESOLVED_NOT_RUN = "resolved_not_run"
+    IDEMPOTENT = "idempotent"
+
+
+class StopReason(StrEnum):
+    """Why a call is not sent again; a label of the counter of final failures."""
+
+    NOT_RETRYABLE = "not_retryable"
+    MAY_HAVE_RUN = "may_have_run"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    DEADLINE_TOO_SHORT = "deadline_too_short"
+    ATTEMPTS_SPENT = "attempts_spent"
+    ALLOWANCE_SPENT = "allowance_spent"
+    BUDGET_EMPTY = "budget_empty"
+
+
+class ResolveState(StrEnum):
+    """What is known about an attempt that may have run."""
+
+    NOT_ASKED = "not_asked"
+    DONE = "done"
+    RUNNING = "running"
+    NOT_RUN = "not_run"
+    OTHER_INCARNATION = "other_incarnation"
+    NO_ANSWER = "no_answer"
+
+
+class Attempt(NamedTuple):
+    """A failed attempt and what the caller's side knows about its call.
+
+    Attributes:
+        call_key: Account of the parent call in the ledger.
+        kind: Error kind of the attempt.
+        attempt: Number of the attempt, from 1.
+        is_idempotent: Whether the request class is idempotent.
+        time_left_s: Time until the deadline of the call.
+        needed_s: Shortest time in which another attempt can succeed.
+        retry_after_s: Hint that came with a refusal; 0 without one.
+        resolved: Result of asking the node that got the attempt.
+    """
+
+    call_key: str
+    kind: Kind
+    attempt: int
+    is_idempotent: bool
+    time_left_s: float
+    needed_s: float
+    retry_after_s: float = 0.0
+    resolved: ResolveState = ResolveState.NOT_ASKED
+
+
+@dataclass(frozen=True, slots=True)
+class Retry:
+    """Send the call again after the delay; the retry has been paid for."""
+
+    reason: RetryReason
+    delay_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class ResolveFirst:
+    """Ask the same incarnation, after the delay, whether the attempt ran."""
+
+    delay_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class UseStored:
+    """The resolution brought the stored answer; it is the outcome."""
+
+
+@dataclass(frozen=True, slots=True)
+class GiveUp:
+    """The outcome is final and is answered at once.
+
+    Attributes:
+        reason: Why the call is not sent again.
+        kind: Error kind of the final outcome.
+        retry_after_s: When the caller may come back; 0 if a retry is useless.
+    """
+
+    reason: StopReason
+    kind: Kind
+    retry_after_s: float
+
+
+RetryDecision = Retry | ResolveFirst | UseStored | GiveUp
+
+_UNREACHABLE = frozenset({Kind.NO_UPSTREAM, Kind.CONNECT_FAILED, Kind.CONNECTION_LIMIT})
+
+
+def decide_retry(
+    attempt: Attempt,
+    ledger: Ledger,
+    budget: RetryBudget,
+    rng: random.Random,
+    now_s: float,
+) -> RetryDecision:
+    """Decide what follows a failed attempt.
+
+    Takes one retry from both the ledger and the budget if the call is sent again,
+    and nothing from either otherwise. An attempt that may have run leads to a retry
+    only if the class is idempotent or the attempt was resolved to not run.
+
+    Args:
+        attempt: The failed attempt.
+        ledger: Holds the account `attempt.call_key`.
+        budget: Budget of the called service and the class.
+        rng: Source of the jitter.
+        now_s: Current time on the monotonic clock.
+    """
+    if attempt.resolved is ResolveState.DONE:
+        return UseStored()
+    reason = _find_reason(attempt)
+    if reason is None:
+        return _follow_unsafe(attempt, rng)
+    stop = _find_obstacle(attempt, ledger, budget, now_s)
+    if stop is not None:
+        return GiveUp(stop, _final_kind(attempt), _retry_after_s(attempt, rng))
+    ledger.spend(attempt.call_key)
+    slack_s = attempt.time_left_s - attempt.needed_s
+    return Retry(reason, min(_draw_delay_s(attempt.attempt, rng), slack_s))
+
+
+def _find_reason(attempt: Attempt) -> RetryReason | None:
+    """Return why another attempt is safe and useful, or None if it is not."""
+    answer = ANSWERS[attempt.kind]
+    if not answer.is_retryable:
+        return None
+    if answer.ran is Ran.NO:
+        is_unreachable = attempt.kind in _UNREACHABLE
+        return RetryReason.UNREACHABLE if is_unreachable else RetryReason.REFUSED
+    if answer.ran is Ran.MAYBE and attempt.resolved is ResolveState.NOT_RUN:
+        return RetryReason.RESOLVED_NOT_RUN
+    return RetryReason.IDEMPOTENT if attempt.is_idempotent else None
+
+
+def _follow_unsafe(attempt: Attempt, rng: random.Random) -> RetryDecision:
+    """Resolve an attempt that may have run, or give up."""
+    answer = ANSWERS[attempt.kind]
+    if not answer.is_retryable:
+        kind = attempt.kind
+        is_unknown = kind is Kind.OUTCOME_UNKNOWN
+        stop = StopReason.OUTCOME_UNKNOWN if is_unknown else StopReason.NOT_RETRYABLE
+        return GiveUp(stop, kind, 0.0)
+    if answer.ran is Ran.YES:
+        return GiveUp(StopReason.MAY_HAVE_RUN, attempt.kind, 0.0)
+    if attempt.resolved in (ResolveState.NO_ANSWER, ResolveState.OTHER_INCARNATION):
+        return GiveUp(StopReason.OUTCOME_UNKNOWN, Kind.OUTCOME_UNKNOWN, 0.0)
+    if attempt.time_left_s < RESOLVE_S:
+        return GiveUp(StopReason.MAY_HAVE_RUN, attempt.kind, 0.0)
+    is_running = attempt.resolved is ResolveState.RUNNING
+    delay_s = _draw_delay_s(attempt.attempt, rng) if is_running else 0.0
+    return ResolveFirst(min(delay_s, attempt.time_left_s - RESOLVE_S))
+
+
+def _find_obstacle(
+    attempt: Attempt, ledger: Ledger, budget: RetryBudget, now_s: float
+) -> StopReason | None:
+    """Return what forbids a safe retry; the budget is taken from if nothing does."""
+    if attempt.time_left_s <= attempt.needed_s:
+        return StopReason.DEADLINE_TOO_SHORT
+    if attempt.attempt >= MAX_ATTEMPTS:
+        return StopReason.ATTEMPTS_SPENT
+    if ledger.balance(attempt.call_key) < 1:
+        return StopReason.ALLOWANCE_SPENT
+    if not budget.try_spend(now_s):
+        return StopReason.BUDGET_EMPTY
+    return None
+
+
+def _final_kind(attempt: Attempt) -> Kind:
+    # An attempt resolved to not run must not be reported as possibly run.
+    is_resolved = attempt.resolved is ResolveState.NOT_RUN
+    if is_resolved and ANSWERS[attempt.kind].ran is Ran.MAYBE:
+        return Kind.NO_UPSTREAM
+    return attempt.kind
+
+
+def _retry_after_s(attempt: Attempt, rng: random.Random) -> float:
+    """Return a hint spread over a factor of two, so that callers come back apart."""
+    return max(MIN_RETRY_AFTER_S, attempt.retry_after_s) * (1.0 + rng.random())
+
+
+def _draw_delay_s(attempt: int, rng: random.Random) -> float:
+    """Return an exponential back-off with full jitter.
+
+    The `Retry-After` of a refusal is not waited for: the next attempt goes to
+    another upstream.
+    """
+    ceiling_s = min(MAX_DELAY_S, BASE_DELAY_S * 2.0 ** min(attempt - 1, 10))
+    return rng.random() * ceiling_s
--- a/libs/mimosaloom-policy/mimosaloom_policy/runs.py
+++ b/libs/mimosaloom-policy/mimosaloom_policy/runs.py
@@ -1,13 +1,58 @@
-"""Run table of a node: which keyed calls run, ran, or may never run."""
-
+"""Run table of a node: which keyed calls run, ran, or may never run.
+
+A run starts only on the transition from no entry to running, so a key can run twice
+only if its entry was dropped in between. `EpochRule` bounds the memory without that:
+
+- The node counts epochs of `period_s` from its start. A call carries a stamp (see
+  `stamps`) of an epoch that its sender learned before it sent the call.
+- An unseen key is accepted only if its stamp is of this incarnation and less than
+  `retained` epochs old. Without a stamp it is never accepted (`Blocked`: no copy of
+  it can run anywhere). With an old stamp, or one of another incarnation, an entry
+  may have been lost: `Unknown`, which is answered with `outcome_unknown`.
+- Each change of an entry, and each refusal because of it, sets its epoch to the
+  current one, c. It is dropped when the current epoch reaches c + retained, and never
+  while it runs.
+
+Rules of the sender: a key is sent to one incarnation again only after that one
+answered the last attempt with a refusal as not run, and then with a higher attempt
+number; after an attempt that may have run, it is only resolved. The key is sent to
+another upstream only after a refusal as not run or a `NotRun` resolution.
+
+Why a key runs at most once in an incarnation: assume two runs, from copies of
+attempts a1 at epoch c1 and a2 at epoch c2. Between them the entry was dropped or
+abandoned.
+
+- Dropped: then c2 >= c1 + retained, and the stamp s2 of the second copy is over
+  c2 - retained >= c1. So the attempt a2 was sent after a1 had begun to run, and
+  is not a1. By the rules of the sender a refusal of a1 as not run came before it.
+  But a refusal forbids all attempts up to its own (`abandon`), for as long as
+  copies of them are accepted: their stamps are at most the epoch of its arrival. So
+  a1 did not run after its refusal, and a refusal is not sent after a run has begun.
+- Abandoned: nothing of the first one ran.
+
+Across upstreams: a `NotRun` resolution or a refusal as not run leaves a tombstone
+that outlives every acceptable copy by the same argument; only then is the key sent
+elsewhere. `resolve` with an old stamp says `Unknown`, since the entry of a run may be
+gone. A new incarnation accepts no stamp of an earlier one.
+
+When `max_entries` is reached, unseen keys with stamps up to the current epoch are
+refused for good (the floor). This is a true refusal without an entry, and calls are
+accepted again as soon as their senders have learned the next epoch.
+"""
+
+from collections import OrderedDict
+from dataclasses import dataclass
 from typing import NamedTuple
 
-from mimosaloom_model import Answered, Failed
+from mimosaloom_model import Answered, Failed, Kind
+
+from .stamps import Stamp
 
 __all__ = [
     "Blocked",
     "Conflict",
     "Done",
+    "EpochRule",
     "Join",
     "NotRun",
     "Replay",
@@ -16,97 +61,305 @@
     "RunDecision",
     "RunTable",
     "Running",
+    "Unknown",
 ]
 
+EVERY_ATTEMPT = 1 << 30
+MAX_RESULT_BYTES = 16 << 20
+
+# The decisions are dataclasses because empty named tuples of different types are equal.
+
 
-class Run(NamedTuple):
+@dataclass(frozen=True, slots=True)
+class Run:
     """The call is the first with its key; run it."""
 
 
-class Join(NamedTuple):
+@dataclass(frozen=True, slots=True)
+class Join:
     """The call with this key runs now; wait for its end."""
 
 
-class Replay(NamedTuple):
+@dataclass(frozen=True, slots=True)
+class Replay:
     """The call with this key has ended with this result."""
 
     result: Answered | Failed
 
 
-class Blocked(NamedTuple):
-    """A tombstone forbids the key; the call must not run here."""
+@dataclass(frozen=True, slots=True)
+class Blocked:
+    """The call must not run here and never will; it may be refused as not run."""
 
 
-class Conflict(NamedTuple):
+@dataclass(frozen=True, slots=True)
+class Conflict:
     """The key was used with another body."""
 
 
-RunDecision = Run | Join | Replay | Blocked | Conflict
+@dataclass(frozen=True, slots=True)
+class Unknown:
+    """Whether the call ran can't be told: answer with `outcome_unknown`."""
 
 
-class Done(NamedTuple):
+RunDecision = Run | Join | Replay | Blocked | Conflict | Unknown
+
+
+@dataclass(frozen=True, slots=True)
+class Done:
     """The call ended with this result."""
 
     result: Answered | Failed
 
 
-class Running(NamedTuple):
+@dataclass(frozen=True, slots=True)
+class Running:
     """The call still runs."""
 
 
-class NotRun(NamedTuple):
+@dataclass(frozen=True, slots=True)
+class NotRun:
     """The call never ran here and never will: a tombstone is recorded."""
 
 
-Resolution = Done | Running | NotRun
+Resolution = Done | Running | NotRun | Unknown
+
+
+class EpochRule(NamedTuple):
+    """When entries may be dropped.
+
+    Attributes:
+        incarnation: Incarnation of the node.
+        start_s: Start of epoch 0 on the monotonic clock.
+        period_s: Length of an epoch.
+        retained: Epochs for which a stamp is accepted; the window in which a call
+            may arrive is between `(retained - 1) * period_s` and `retained` times it.
+        max_entries: Entries at most.
+    """
+
+    incarnation: str
+    start_s: float
+    period_s: float = 15.0
+    retained: int = 8
+    max_entries: int = 100_000
 
 
 class _Entry(NamedTuple):
     digest: str
     state: str
     result: Answered | Failed | None
-    at_s: float
+    epoch: int
+    attempt: int
 
 
 class RunTable:
-    """Keeps each key from running more than once in this incarnation."""
-
-    def __init__(self):
+    """Keeps each key from running more than once in this incarnation.
+
+    Args:
+        rule: When entries may be dropped. Without it, none is ever dropped and
+            stamps are ignored; this is for tests and short-lived tables.
+        max_result_bytes: Bytes of answers kept for `Replay`; beyond this the oldest
+            answers give way to `outcome_unknown`, but their keys stay.
+    """
+
+    def __init__(
+        self,
+        rule: EpochRule | None = None,
+        *,
+        max_result_bytes: int = MAX_RESULT_BYTES,
+    ):
+        self._rule = rule
         self._entries: dict[str, _Entry] = {}
-
-    def begin(self, key: str, digest: str, now_s: float) -> RunDecision:
+        self._touched: dict[int, list[str]] = {}
+        self._swept = 0
+        self._floor = -1
+        self._results: OrderedDict[str, int] = OrderedDict()
+        self._result_bytes = 0
+        self._max_result_bytes = max_result_bytes
+
+    def __len__(self):
+        return len(self._entries)
+
+    @property
+    def result_bytes(self) -> int:
+        """Bytes of the answers kept."""
+        return self._result_bytes
+
+    def stamp(self, now_s: float) -> Stamp | None:
+        """Return the stamp to publish; None without a rule."""
+        if self._rule is None:
+            return None
+        return Stamp(self._rule.incarnation, self._epoch(now_s))
+
+    def begin(
+        self,
+        key: str,
+        digest: str,
+        now_s: float,
+        stamp: Stamp | None = None,
+        attempt: int = EVERY_ATTEMPT,
+    ) -> RunDecision:
         """Decide what to do with a call.
 
         Args:
             key: Key of the call, the same on each attempt.
             digest: Digest of the body.
             now_s: Current time on the monotonic clock.
+            stamp: Stamp that the call carries.
+            attempt: Number of the attempt.
         """
+        epoch = self._sweep(now_s)
         entry = self._entries.get(key)
         if entry is None:
-            self._entries[key] = _Entry(digest, "running", None, now_s)
-            return Run()
+            return self._begin_unseen(key, digest, epoch, stamp, attempt)
         if entry.state == "tombstone":
-            return Blocked()
+            if attempt <= entry.attempt:
+                self._extend(key, entry, epoch)
+                return Blocked()
+            return self._begin_unseen(key, digest, epoch, stamp, attempt)
         if entry.digest != digest:
+            self._extend(key, entry, epoch)
             return Conflict()
-        return Join() if entry.result is None else Replay(entry.result)
+        if entry.result is not None:
+            return Replay(entry.result)
+        # A refusal of the run is an answer to this attempt too.
+        self._entries[key] = entry._replace(attempt=max(entry.attempt, attempt))
+        return Join()
 
     def finish(self, key: str, result: Answered | Failed, now_s: float) -> None:
-        """Store the result of the run."""
+        """Store the result of the run; a second result of a run is ignored.
+
+        Raises:
+            KeyError: If the key does not run here.
+        """
+        epoch = self._sweep(now_s)
         entry = self._entries[key]
-        self._entries[key] = entry._replace(state="done", result=result, at_s=now_s)
+        if entry.state == "running":
+            self._put(key, entry._replace(state="done", result=result, epoch=epoch))
+            self._keep_result(key, result)
 
     def abandon(self, key: str) -> None:
-        """Forget a key whose call was refused before any part of it ran."""
-        self._entries.pop(key, None)
+        """Withdraw a run that was refused before any part of it ran.
 
-    def resolve(self, key: str, now_s: float) -> Resolution:
-        """Tell a caller what became of a call; an unseen key is forbidden for good."""
+        The attempt, and all before it, stay forbidden, so that a copy of them can't
+        run after the refusal was sent. Without an attempt number in `begin` and
+        without a rule the key is forgotten.
+        """
         entry = self._entries.get(key)
-        if entry is None:
-            self._entries[key] = _Entry("", "tombstone", None, now_s)
-            return NotRun()
-        if entry.state == "tombstone":
-            return NotRun()
+        if entry is None or entry.state != "running":
+            return
+        if entry.attempt == EVERY_ATTEMPT and self._rule is None:
+            del self._entries[key]
+            return
+        self._put(key, entry._replace(state="tombstone", epoch=self._swept))
+
+    def resolve(self, key: str, now_s: float, stamp: Stamp | None = None) -> Resolution:
+        """Tell a caller what became of a call; an unseen key is forbidden for good.
+
+        Args:
+            key: Key of the call.
+            now_s: Current time on the monotonic clock.
+            stamp: Stamp that the attempt in question carried.
+        """
+        epoch = self._sweep(now_s)
+        entry = self._entries.get(key)
+        if entry is None or entry.state == "tombstone":
+            return self._forbid(key, epoch, stamp, entry)
         return Running() if entry.result is None else Done(entry.result)
+
+    def _begin_unseen(
+        self, key: str, digest: str, epoch: int, stamp: Stamp | None, attempt: int
+    ) -> RunDecision:
+        refusal = self._check_stamp(epoch, stamp)
+        if refusal is not None:
+            return refusal
+        if not self._has_room(key, epoch):
+            return Blocked()
+        self._put(key, _Entry(digest, "running", None, epoch, attempt))
+        return Run()
+
+    def _extend(self, key: str, entry: _Entry, epoch: int) -> None:
+        """Keep an entry as long as copies of the attempt refused now may arrive."""
+        if entry.state != "running":
+            self._put(key, entry._replace(epoch=epoch))
+
+    def _check_stamp(self, epoch: int, stamp: Stamp | None) -> Blocked | Unknown | None:
+        """Return why an unseen key must not run, or None."""
+        rule = self._rule
+        if rule is None:
+            return None
+        if stamp is None:
+            return Blocked()
+        is_known = stamp.incarnation == rule.incarnation and stamp.epoch <= epoch
+        if not is_known or epoch - stamp.epoch >= rule.retained:
+            return Unknown()
+        return Blocked() if stamp.epoch <= self._floor else None
+
+    def _forbid(
+        self, key: str, epoch: int, stamp: Stamp | None, entry: _Entry | None
+    ) -> Resolution:
+        """Forbid all attempts of a key that has not run."""
+        refusal = self._check_stamp(epoch, stamp)
+        if isinstance(refusal, Unknown) or (self._rule and stamp is None):
+            return Unknown()
+        if refusal is None and self._has_room(key, epoch):
+            digest = entry.digest if entry else ""
+            self._put(key, _Entry(digest, "tombstone", None, epoch, EVERY_ATTEMPT))
+        return NotRun()
+
+    def _has_room(self, key: str, epoch: int) -> bool:
+        """Whether an entry may be added; raises the floor if not."""
+        rule = self._rule
+        if rule is None or key in self._entries:
+            return True
+        if len(self._entries) < rule.max_entries:
+            return True
+        self._floor = epoch
+        return False
+
+    def _put(self, key: str, entry: _Entry) -> None:
+        known = self._entries.get(key)
+        self._entries[key] = entry
+        is_listed = known is not None and known.epoch == entry.epoch
+        if self._rule is not None and not is_listed:
+            self._touched.setdefault(entry.epoch, []).append(key)
+
+    def _keep_result(self, key: str, result: Answered | Failed) -> None:
+        size = len(result.body) if isinstance(result, Answered) else 0
+        self._results[key] = size
+        self._result_bytes += size
+        while self._result_bytes > self._max_result_bytes:
+            oldest = next(iter(self._results))
+            self._drop_result(oldest)
+            lost = Failed(Kind.OUTCOME_UNKNOWN, "The stored answer was dropped.")
+            self._entries[oldest] = self._entries[oldest]._replace(result=lost)
+
+    def _drop_result(self, key: str) -> None:
+        self._result_bytes -= self._results.pop(key, 0)
+
+    def _epoch(self, now_s: float) -> int:
+        rule = self._rule
+        if rule is None:
+            return 0
+        return max(self._swept, int((now_s - rule.start_s) // rule.period_s))
+
+    def _sweep(self, now_s: float) -> int:
+        """Drop the entries that no acceptable copy needs; return the epoch."""
+        epoch = self._epoch(now_s)
+        rule = self._rule
+        if rule is None or epoch == self._swept:
+            return epoch
+        self._swept = epoch
+        for touched in [e for e in self._touched if e + rule.retained <= epoch]:
+            for key in self._touched.pop(touched):
+                self._drop_untouched(key, touched)
+        return epoch
+
+    def _drop_untouched(self, key: str, epoch: int) -> None:
+        """Drop an entry that has not changed since an epoch, unless it runs."""
+        entry = self._entries.get(key)
+        if entry is None or entry.epoch != epoch:
+            return
+        if entry.state != "running":
+            del self._entries[key]
+            self._drop_result(key)
--- /dev/null
+++ b/tests/policy/test_claims.py
@@ -0,0 +1,228 @@
+"""Guards that a brought key runs at most once over all nodes, by claims in a log."""
+
+# ruff: noqa: D102 - the class says what its methods do
+
+import random
+from collections import Counter
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from mimosaloom_policy import (
+    AppendFate,
+    ClaimBook,
+    Claimed,
+    ClaimLimits,
+    ClaimReplay,
+    MintedKey,
+    Unclaimed,
+    Undecided,
+    Withdrawal,
+    format_brought_key,
+    mint_key,
+    parse_key,
+)
+
+LIMITS = ClaimLimits(window_s=20.0, ahead_s=2.0, skew_s=1.0, max_keys=2)
+STEPS = 200
+
+
+class LastClaimWins(ClaimReplay):
+    """Lets a later claim replace the first."""
+
+    def _apply_claim(self, claim):
+        super()._apply_claim(claim)
+        if claim.key in self._winners:
+            self._winners[claim.key] = claim.claimant
+
+
+class ForgottenWinners(ClaimReplay):
+    """Accepts claims for keys that it has dropped from memory."""
+
+    def _is_void(self, issued_s):
+        return issued_s + self._limits.window_s < self._time_s
+
+
+class IgnoredGap(ClaimReplay):
+    """Concludes on keys that may have been claimed in skipped records."""
+
+    def skip_to(self, offset, wall_s):
+        self._next_offset = offset
+
+
+class StartsWithoutReading(ClaimBook):
+    """Takes a stored append for a won claim."""
+
+    def settle_append(self, record_id, fate):
+        record = self._records.get(record_id)
+        super().settle_append(record_id, fate)
+        if record and fate is AppendFate.TAKEN:
+            find = self._find
+            won = {c.key: Claimed(self._claimant) for c in record.claims}
+            self._find = lambda key, wall_s: won.get(key) or find(key, wall_s)
+
+
+class StartsWithdrawn(ClaimBook):
+    """Starts a key that was refused as not run because its claim has won."""
+
+    def withdraw(self, key, wall_s):
+        wish = self._wishes.get(key)
+        result = super().withdraw(key, wall_s)
+        if wish:
+            self._wishes[key] = wish
+        return result
+
+
+class Node:
+    """A claimant with its own reader and a clock that is wrong by `skew_s`."""
+
+    def __init__(self, claimant, skew_s, replay_type, book_type):
+        self.claimant, self.skew_s = claimant, skew_s
+        self.replay = replay_type(LIMITS)
+        self.book = book_type(claimant, self.replay.find, LIMITS)
+        self.records, self.refused = [], set()
+
+
+class World:
+    """Nodes, the log and the keys of callers that repeat their requests."""
+
+    def __init__(self, rng, replay_type, book_type):
+        self.rng, self.types = rng, (replay_type, book_type)
+        self.now_s, self.head, self.log = 1_000_000_000.0, 0, []
+        self.keys, self.runs, self.false_refusals, self.starts = [], [], [], 0
+        self.nodes = [self.make_node() for _ in range(3)]
+
+    def make_node(self):
+        self.starts += 1
+        skew_s = self.rng.uniform(-LIMITS.skew_s, LIMITS.skew_s)
+        return Node(f"n{self.starts}", skew_s, *self.types)
+
+    def step(self):
+        node = self.rng.choice(self.nodes)
+        wall_s = self.now_s + node.skew_s
+        actions = [self.request, self.append, self.read, self.start] * 4
+        actions += [self.withdraw, self.wait, self.truncate, self.crash]
+        self.rng.choice(actions)(node, wall_s)
+
+    def request(self, node, wall_s):
+        if not self.keys or self.rng.random() < 0.2:
+            issued_s = self.now_s + self.rng.uniform(-1, 1)
+            self.keys.append(format_brought_key(issued_s, f"key-{len(self.keys):05}"))
+        key = self.rng.choice(self.keys[-6:])
+        node.refused.discard(key)
+        node.book.request(key, wall_s)
+
+    def append(self, node, wall_s):
+        """Append a record; it may be lost, or its answer, or be appended later."""
+        self.starts += 1
+        record = node.book.take_record(str(self.starts), wall_s, max_claims=2)
+        if record:
+            node.records.append(record)
+        if not node.records:
+            return
+        chosen = self.rng.choice(node.records)
+        fate = self.rng.choice([*AppendFate, AppendFate.TAKEN])
+        is_stored = self.rng.random() < 0.5
+        if fate is AppendFate.TAKEN or (fate is AppendFate.UNKNOWN and is_stored):
+            self.log.append(chosen)
+        if fate is not AppendFate.NOT_TAKEN:
+            node.book.settle_append(chosen.record_id, fate)
+
+    def read(self, node, wall_s):
+        if node.replay.next_offset < self.head:
+            node.replay.skip_to(self.head, wall_s)
+        end = min(len(self.log), node.replay.next_offset + self.rng.randrange(4))
+        for offset in range(max(self.head, end - 3), end):
+            node.replay.apply(offset, self.log[offset], wall_s)
+
+    def start(self, node, wall_s):
+        for key in self.keys:
+            if node.book.start(key, wall_s):
+                self.runs.append(key)
+                if key in node.refused:
+                    self.false_refusals.append(key)
+
+    def withdraw(self, node, wall_s):
+        key = self.rng.choice(self.keys) if self.keys else ""
+        if node.book.withdraw(key, wall_s) is Withdrawal.NOT_RUN:
+            node.refused.add(key)
+
+    def wait(self, node, wall_s):
+        self.now_s += self.rng.choice([0.2, 0.5, 1.0, 4.0, 12.0])
+
+    def truncate(self, node, wall_s):
+        if self.rng.random() < 0.3:
+            self.head = max(self.head, len(self.log) - self.rng.randrange(4))
+
+    def crash(self, node, wall_s):
+        if self.rng.random() < 0.3:
+            self.nodes[self.nodes.index(node)] = self.make_node()
+
+
+def find_violations(seed, replay_type=ClaimReplay, book_type=ClaimBook):
+    """Run the model; return keys run twice or after a refusal as not run."""
+    world = World(random.Random(seed), replay_type, book_type)
+    for _ in range(STEPS):
+        world.step()
+    assert all(len(n.replay) <= LIMITS.max_keys for n in world.nodes)
+    counts = Counter(world.runs)
+    return [k for k in world.keys if counts[k] > 1] + world.false_refusals
+
+
+@given(st.integers(0, 2**32))
+def test_a_brought_key_runs_at_most_once(seed):
+    """A member's return sent again through another node must not run again."""
+    assert find_violations(seed) == []
+
+
+@pytest.mark.parametrize(
+    "broken",
+    [
+        (LastClaimWins, ClaimBook),
+        (ForgottenWinners, ClaimBook),
+        (IgnoredGap, ClaimBook),
+        (ClaimReplay, StartsWithoutReading),
+        (ClaimReplay, StartsWithdrawn),
+    ],
+)
+def test_the_check_rejects_broken_claims(broken):
+    """A check that accepts one of these can't vouch for the real claims."""
+    assert any(find_violations(seed, *broken) for seed in range(1500))
+
+
+def test_a_claim_is_won_after_a_lost_answer_and_a_second_append():
+    """A lost append answer must not keep the only claimant from running."""
+    replay = ClaimReplay(LIMITS)
+    book = ClaimBook("n1", replay.find, LIMITS)
+    key = format_brought_key(100, "key-00001")
+    assert book.request(key, 100.0) == Unclaimed()
+    record = book.take_record("r1", 100.0)
+    book.settle_append("r1", AppendFate.UNKNOWN)
+    again = book.take_record("r2", 100.5)
+    replay.apply(0, record, 101.0)
+    replay.apply(1, again, 101.0)
+    assert book.start(key, 101.0)
+    assert not book.start(key, 101.0)
+    assert book.request(key, 130.0) == Undecided()
+    assert replay.find(key, 130.0) == Undecided()
+    assert (len(replay), len(book)) == (0, 0)
+
+
+@given(st.integers(0, 2**52 - 1), st.floats(0, 1e9), st.randoms())
+def test_minted_keys_tell_their_owner(start_ms, age_s, rng):
+    """A key that loses its incarnation could run again in a later one."""
+    incarnation = f"{start_ms:013x}-0123abcd"
+    key = mint_key("a" * 34, incarnation, age_s, rng)
+    assert len(key) <= 64
+    parsed = parse_key(key)
+    assert isinstance(parsed, MintedKey)
+    assert parsed[:3] == ("a" * 34, incarnation, int(age_s))
+
+
+@pytest.mark.fuzz
+@given(st.text(max_size=80) | st.from_regex(r"m[A-Za-z0-9_-]{28}\.[a-z]{1,34}"))
+def test_any_text_is_a_key_or_none(text):
+    """A malformed key must be refused, not end in an internal error."""
+    parsed = parse_key(text)
+    assert parsed is None or len(text) <= 64
--- /dev/null
+++ b/tests/policy/test_runs.py
@@ -0,0 +1,268 @@
+"""Guards that a non-idempotent call runs at most once and refusals are true.
+
+A small model of callers, upstreams and a network that loses, delays and copies
+messages drives the run table; all that ran stands in a plain list.
+"""
+
+# ruff: noqa: D102 - the class says what its methods do
+
+import random
+from collections import Counter
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from mimosaloom_model import Answered, Failed, Kind
+from mimosaloom_policy import (
+    Blocked,
+    Done,
+    EpochRule,
+    Join,
+    NotRun,
+    Replay,
+    Run,
+    Running,
+    RunTable,
+    Stamp,
+    StampBook,
+    Unknown,
+)
+
+UPSTREAMS = ("a", "b")
+KEYS = ("k1", "k2", "k3")
+STEPS = 150
+ANSWER = Answered(200, (), b"done")
+
+
+class NoTombstone(RunTable):
+    """Says not run without keeping a late copy from running."""
+
+    def _forbid(self, key, epoch, stamp, entry):
+        return NotRun()
+
+
+class ForgetfulRefusal(RunTable):
+    """Forgets a refused attempt, so that a copy of it may run."""
+
+    def abandon(self, key):
+        self._entries.pop(key, None)
+
+
+class EarlyDrop(RunTable):
+    """Drops entries one epoch after their last change."""
+
+    def _sweep(self, now_s):
+        rule = self._rule
+        self._rule = rule._replace(retained=1)
+        epoch = super()._sweep(now_s)
+        self._rule = rule
+        return epoch
+
+
+class AnyIncarnation(RunTable):
+    """Accepts stamps of an incarnation whose table is lost."""
+
+    def _check_stamp(self, epoch, stamp):
+        own = stamp and stamp._replace(incarnation=self._rule.incarnation)
+        return super()._check_stamp(epoch, own)
+
+
+class PartialRefused(RunTable):
+    """Reports a run that failed half-way as refused."""
+
+    def finish(self, key, result, now_s):
+        if isinstance(result, Failed):
+            return self.abandon(key)
+        return super().finish(key, result, now_s)
+
+
+class Upstream:
+    """A node with its run table and the jobs on its target."""
+
+    def __init__(self, name, number, now_s, table_type):
+        rule = EpochRule(f"{name}{number:04}", now_s, period_s=1.0, retained=4)
+        self.name, self.number = name, number
+        self.table = table_type(rule)
+        self.queued, self.started = {}, {}
+
+
+class Caller:
+    """The sender's side of one key."""
+
+    def __init__(self):
+        self.state, self.attempt = "idle", 0
+        self.upstream = self.stamp = None
+
+
+class World:
+    """Callers, upstreams and the messages between them."""
+
+    def __init__(self, rng, table_type=RunTable):
+        self.rng, self.table_type, self.now_s = rng, table_type, 0.0
+        self.nodes = {u: Upstream(u, 1, 0.0, table_type) for u in UPSTREAMS}
+        self.callers = {key: Caller() for key in KEYS}
+        self.book, self.net, self.runs = StampBook(fresh_s=2.0), [], []
+
+    def step(self):
+        actions = [self.deliver] * 8 + [self.act] * 5 + [self.work] * 4
+        self.rng.choice([*actions, self.wait, self.wait, self.crash])()
+
+    def wait(self):
+        """Pauses of any party are time in which nothing of it happens."""
+        self.now_s += self.rng.choice([0.1, 0.5, 1.0, 2.0, 5.0])
+
+    def crash(self):
+        if self.rng.random() < 0.3:
+            old = self.nodes[self.rng.choice(UPSTREAMS)]
+            new = Upstream(old.name, old.number + 1, self.now_s, self.table_type)
+            self.nodes[old.name] = new
+
+    def deliver(self):
+        if not self.net:
+            return
+        message = self.rng.choice(self.net)
+        fate = self.rng.random()
+        if fate > 0.2:
+            self.net.remove(message)
+        if fate < 0.85:
+            getattr(self, message[0])(*message[1:])
+
+    def act(self):
+        key = self.rng.choice(KEYS)
+        caller = self.callers[key]
+        if caller.state == "idle":
+            self.send(key, caller)
+        elif caller.state in ("waiting", "resolving"):
+            caller.state = "resolving"
+            ask = (key, caller.attempt, caller.upstream, caller.stamp)
+            self.net.append(("resolve", *ask))
+
+    def send(self, key, caller):
+        upstream = self.rng.choice(UPSTREAMS)
+        if self.rng.random() < 0.5:
+            table = self.nodes[upstream].table
+            self.book.learn(upstream, table.stamp(self.now_s), self.now_s)
+        stamp = self.book.current(upstream, self.now_s)
+        if stamp:
+            caller.attempt += 1
+            caller.state, caller.upstream, caller.stamp = "waiting", upstream, stamp
+            self.net.append(("call", key, caller.attempt, upstream, stamp))
+
+    def call(self, key, attempt, upstream, stamp):
+        node = self.nodes[upstream]
+        decision = node.table.begin(key, "digest", self.now_s, stamp, attempt)
+        match decision:
+            case Run():
+                node.queued[key] = attempt
+            case Replay(result):
+                self.reply(key, attempt, result)
+            case Blocked():
+                self.reply(key, attempt, "refused")
+            case Unknown():
+                self.reply(key, attempt, "unknown")
+
+    def work(self):
+        """Start, refuse or end a job."""
+        node = self.nodes[self.rng.choice(UPSTREAMS)]
+        if node.started and self.rng.random() < 0.6:
+            key = self.rng.choice(list(node.started))
+            attempt = node.started.pop(key)
+            failed = Failed(Kind.TARGET_FAILED)
+            result = ANSWER if self.rng.random() < 0.7 else failed
+            node.table.finish(key, result, self.now_s)
+            is_kept = node.table.resolve(key, self.now_s, None) == Done(result)
+            self.reply(key, attempt, result if is_kept else "refused")
+        elif node.queued:
+            key = self.rng.choice(list(node.queued))
+            attempt = node.queued.pop(key)
+            if self.rng.random() < 0.5:
+                node.table.abandon(key)
+                self.reply(key, attempt, "refused")
+            else:
+                node.started[key] = attempt
+                self.runs.append(key)
+
+    def reply(self, key, attempt, answer):
+        self.net.append(("answer", key, attempt, answer))
+
+    def answer(self, key, attempt, answer):
+        caller = self.callers[key]
+        if caller.attempt != attempt or caller.state not in ("waiting", "resolving"):
+            return
+        if answer == "refused":
+            caller.state = self.rng.choice(["idle", "idle", "not_run"])
+        else:
+            caller.state = "unknown" if answer == "unknown" else "ended"
+
+    def resolve(self, key, attempt, upstream, stamp):
+        table = self.nodes[upstream].table
+        state = Unknown()
+        if table.stamp(self.now_s).incarnation == stamp.incarnation:
+            state = table.resolve(key, self.now_s, stamp)
+        self.net.append(("resolved", key, attempt, state))
+
+    def resolved(self, key, attempt, state):
+        caller = self.callers[key]
+        if caller.attempt != attempt or caller.state != "resolving":
+            return
+        if isinstance(state, NotRun):
+            caller.state = self.rng.choice(["idle", "idle", "not_run"])
+        elif not isinstance(state, Running):
+            caller.state = "ended" if isinstance(state, Done) else "unknown"
+
+
+def find_violations(seed, table_type=RunTable):
+    """Run the model; return keys run twice or run although reported as not run."""
+    world = World(random.Random(seed), table_type)
+    for _ in range(STEPS):
+        world.step()
+    for message in [m for m in world.net if m[0] == "call"]:
+        world.call(*message[1:])
+    for node in world.nodes.values():
+        world.runs.extend(node.queued)
+    counts = Counter(world.runs)
+    refused = [k for k, c in world.callers.items() if c.state == "not_run"]
+    return [k for k in KEYS if counts[k] > 1] + [k for k in refused if counts[k]]
+
+
+@given(st.integers(0, 2**32))
+def test_a_key_runs_at_most_once_and_refusals_are_true(seed):
+    """A fee that is issued twice, or after "not run", charges a family in error."""
+    assert find_violations(seed) == []
+
+
+@pytest.mark.parametrize(
+    "table_type",
+    [NoTombstone, ForgetfulRefusal, EarlyDrop, AnyIncarnation, PartialRefused],
+)
+def test_the_check_rejects_broken_tables(table_type):
+    """A check that accepts one of these can't vouch for the real table."""
+    assert any(find_violations(seed, table_type) for seed in range(1500))
+
+
+def test_memory_is_bounded_by_the_window_and_by_the_limits():
+    """A table that only grows takes the node's memory within days."""
+    rule = EpochRule("i", 0.0, period_s=1.0, retained=3, max_entries=5)
+    table = RunTable(rule, max_result_bytes=8)
+    for number in range(5):
+        assert table.begin(f"k{number}", "", 0.5, Stamp("i", 0), 1) == Run()
+        table.finish(f"k{number}", ANSWER, 0.5)
+    assert table.begin("over", "", 0.6, Stamp("i", 0), 1) == Blocked()
+    assert table.resolve("over", 0.6, Stamp("i", 0)) == NotRun()
+    assert table.result_bytes == 8
+    assert table.resolve("k4", 0.7) == Done(ANSWER)
+    assert table.resolve("k0", 0.7).result.kind is Kind.OUTCOME_UNKNOWN
+    assert table.begin("over", "", 4.0, Stamp("i", 0), 1) == Unknown()
+    assert table.begin("next", "", 4.0, Stamp("i", 3), 1) == Run()
+    assert len(table) == 1
+    assert table.result_bytes == 0
+    assert table.begin("next", "", 40.0, Stamp("i", 40), 1) == Join()
+
+
+def test_a_refusal_prolongs_the_tombstone_that_caused_it():
+    """A copy of a refused attempt ran once the older tombstone had expired."""
+    table = RunTable(EpochRule("i", 0.0, period_s=1.0, retained=4))
+    assert table.resolve("k", 3.0, Stamp("i", 0)) == NotRun()
+    assert table.begin("k", "", 5.0, Stamp("i", 5), 3) == Blocked()
+    assert table.begin("k", "", 7.0, Stamp("i", 5), 3) == Blocked()
