--- a/libs/mimosaloom-model/mimosaloom_model/__init__.py
+++ b/libs/mimosaloom-model/mimosaloom_model/__init__.py
@@ -14,9 +14,17 @@
     encode_answer_note,
     encode_context,
 )
+from .faults import Fault, Invalid
 from .ids import digest_bytes, hash_unit, new_request_id
 from .kinds import ANSWERS, Answer, Kind, Ran
 from .outcomes import Answered, Failed, Outcome, Refused
+from .reading import (
+    FileKind,
+    check_documents,
+    detect_file_kind,
+    read_resources,
+    read_settings,
+)
 from .resources import (
     Catalog,
     RequestClass,
@@ -51,6 +59,9 @@
     "Clock",
     "ContextError",
     "Failed",
+    "Fault",
+    "FileKind",
+    "Invalid",
     "Kind",
     "LimitSettings",
     "ListenSettings",
@@ -69,11 +80,15 @@
     "TargetSettings",
     "Upstream",
     "build_catalog",
+    "check_documents",
     "decode_answer_note",
     "decode_context",
+    "detect_file_kind",
     "digest_bytes",
     "encode_answer_note",
     "encode_context",
     "hash_unit",
     "new_request_id",
+    "read_resources",
+    "read_settings",
 ]
