Bound the admission queue by what the target serves in 0.1 s

Cause: a queue of 256 calls holds slots of the callers, up to the entry service, so that a slow deep service used up the slots above it. Change: the bound follows the measured capacity, at least 4; up to the slots while it is not known.

--- a/libs/mimosaloom-policy/mimosaloom_policy/admission.py
+++ b/libs/mimosaloom-policy/mimosaloom_policy/admission.py
@@ -13,6 +13,9 @@
 RETRY_AFTER_S = 1.0
 SERVICE_TIME_SMOOTHING = 0.1
 PROTECTED_FIT_RATIO = 0.9
+# Calls that wait hold slots of their callers, up to the entry service.
+MAX_QUEUE_S = 0.1
+MIN_QUEUE_CAPACITY = 4
 
 
 class Arrival(NamedTuple):
@@ -100,7 +103,8 @@
 
     def __init__(self, slots: int, now_s: float, *, queue_capacity: int = 256):
         self._slots = slots
-        self._queue = WaitingQueue(queue_capacity)
+        self._queue_capacity = queue_capacity
+        self._queue = WaitingQueue(min(slots, queue_capacity))
         self._running: dict[str, _Running] = {}
         self._service_s: dict[str, float] = {}
         self._is_draining = False
@@ -213,6 +217,10 @@
         self._meter.advance(len(self._running), now_s)
         window = self._meter.take(self.limit, len(self._queue), now_s)
         self._control.end_window(window, self._protected_floor())
+        if self._control.capacity_per_s:
+            fitting = int(self._control.capacity_per_s * MAX_QUEUE_S)
+            fitting = max(MIN_QUEUE_CAPACITY, fitting)
+            self._queue.capacity = min(self._queue_capacity, fitting)
 
     def _protected_floor(self) -> float:
         """Return the level under which only protected classes lie, if they fit."""
--- a/libs/mimosaloom-policy/mimosaloom_policy/queue.py
+++ b/libs/mimosaloom-policy/mimosaloom_policy/queue.py
@@ -40,11 +40,12 @@
     `NEWEST_FIRST_WAIT_S`; from then on the newest.
 
     Args:
-        capacity: Calls that may wait.
+        capacity: Calls that may wait. It may be changed at any time; it takes
+            effect with the next call.
     """
 
     def __init__(self, capacity: int):
-        self._capacity = capacity
+        self.capacity = capacity
         self._lanes: tuple[deque[_Entry], ...] = tuple(
             deque() for _ in range(2 * PRIORITY_COUNT)
         )
@@ -66,7 +67,7 @@
         self._lanes[_lane(arrival)].append(entry)
         self._entries[arrival.call_key] = entry
         displaced = []
-        while len(self._entries) > self._capacity:
+        while len(self._entries) > self.capacity:
             displaced.append(self._displace())
         return displaced
 
