--- a/libs/mimosaloom-bench/mimosaloom_bench/overload/controlled.py
+++ b/libs/mimosaloom-bench/mimosaloom_bench/overload/controlled.py
@@ -299,6 +299,10 @@
 
     def _may_retry(self, call: Call, kind: Kind) -> bool:
         is_idempotent = self._mesh.classes[call.request.class_name].is_idempotent
+        if kind is Kind.FAILED_DOWNSTREAM:
+            # The hop next to the failure has retried; another retry here would
+            # repeat the work of all hops between.
+            return False
         if not self._result(kind, is_idempotent).may_retry:
             return False
         if not self._budget(call.node, call).try_spend(self._loop.now_s):
