--- /dev/null
+++ b/tests/control/test_replay.py
@@ -0,0 +1,286 @@
+"""Guards that an accepted configuration is the same everywhere and never reverts."""
+
+# ruff: noqa: D102 - the names of rules and test subjects say what they do
+
+import random
+from typing import ClassVar
+
+import msgspec
+import pytest
+from hypothesis import Phase, given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+
+from mimosaloom_control import (
+    BadRecord,
+    ConfigRecord,
+    Effect,
+    Outcome,
+    Replay,
+    Resource,
+    choose_snapshot,
+    decode_record,
+    decode_snapshot,
+    encode_record,
+    encode_snapshot,
+    replay_records,
+)
+
+WINDOW = 6
+NODES = st.integers(0, 2)
+BAD_VALUES = [b"x", b"{}", b"[" * 2000, b'{"id":""}', b" " * 70_000]
+
+
+def replay_naively(log):
+    """Replay from offset zero, keeping every id for ever."""
+    resources, outcomes = {}, {}
+    for offset, value in enumerate(log):
+        record = decode_record(value)
+        if isinstance(record, BadRecord) or record.base_offset > offset:
+            continue
+        if record.id in outcomes:
+            continue
+        key = (record.kind, record.name)
+        revision = resources[key].revision if key in resources else 0
+        if record.base_offset < offset - WINDOW:
+            outcomes[record.id] = Outcome(Effect.STALE, offset, revision)
+        elif record.expected_revision != revision:
+            outcomes[record.id] = Outcome(Effect.CONFLICT, offset, revision)
+        elif record.spec is None:
+            resources.pop(key, None)
+            outcomes[record.id] = Outcome(Effect.ACCEPTED, offset, 0)
+        else:
+            resources[key] = Resource(offset + 1, record.spec)
+            outcomes[record.id] = Outcome(Effect.ACCEPTED, offset, offset + 1)
+    return resources, outcomes
+
+
+class ConfigMachine(RuleBasedStateMachine):
+    """Operators, a log whose head expires, and nodes that read, pause and restart."""
+
+    replay_type: ClassVar = Replay
+    decode: ClassVar = staticmethod(decode_snapshot)
+
+    def __init__(self):
+        super().__init__()
+        self.log, self.held, self.head = [], [], 0
+        self.snapshots, self.paused = [], []
+        self.nodes = [self.replay_type(id_window=WINDOW) for _ in range(3)]
+        self.floors = [0, 0, 0]
+
+    @rule(node=NODES, name=st.sampled_from("ab"), is_deletion=st.booleans())
+    def compose(self, node, name, is_deletion):
+        seen = self.nodes[node]
+        known = seen.resources.get(("Service", name))
+        record = ConfigRecord(
+            id=f"r{len(self.log)}-{len(self.held)}-{node}",
+            kind="Service",
+            name=name,
+            expected_revision=known.revision if known else 0,
+            base_offset=seen.next_offset,
+            spec=None if is_deletion else {"by": node},
+        )
+        self.held.append(encode_record(record))
+
+    @rule(index=st.integers(0, 20), copies=st.integers(1, 2))
+    def append(self, index, copies):
+        """Held records stay, so a late writer may append them again."""
+        if self.held:
+            self.log.extend([self.held[index % len(self.held)]] * copies)
+
+    @rule(value=st.sampled_from(BAD_VALUES))
+    def append_bad(self, value):
+        self.log.append(value)
+
+    @rule(node=NODES, first=st.integers(0, 30), count=st.integers(1, 8))
+    def read(self, node, first, count):
+        """Records come from any offset, also below or beyond the node's own."""
+        replay = self.nodes[node]
+        first = max(self.head, min(first, replay.next_offset + 1))
+        for offset in range(first, min(len(self.log), first + count)):
+            replay.apply(offset, self.log[offset])
+
+    @rule(node=NODES)
+    def read_all(self, node):
+        self.read(node, self.nodes[node].next_offset, len(self.log))
+
+    @rule(node=NODES)
+    def restart(self, node):
+        self.nodes[node] = self.replay_type(id_window=WINDOW)
+        self.floors[node] = 0
+        state = choose_snapshot(self.snapshots, self.head)
+        if state:
+            self.nodes[node].adopt(state)
+
+    @rule(node=NODES, is_paused=st.booleans())
+    def write_snapshot(self, node, is_paused):
+        target = self.paused if is_paused else self.snapshots
+        target.append(encode_snapshot(self.nodes[node]))
+
+    @rule(is_twice=st.booleans())
+    def resume_writer(self, is_twice):
+        if self.paused:
+            self.snapshots.extend([self.paused.pop(0)] * (1 + is_twice))
+
+    @rule(count=st.integers(1, 10))
+    def truncate(self, count):
+        state = choose_snapshot(self.snapshots, self.head)
+        if state:
+            self.head = min(self.head + count, state.next_offset)
+
+    @rule(node=NODES, peer=NODES, seed=st.integers(0, 99))
+    def adopt_from_peer(self, node, peer, seed):
+        value = encode_snapshot(self.nodes[peer])
+        if seed % 2:
+            at = value.index(b"[") + 1
+            value = value[:at] + b"9" + value[at:]
+        state = self.decode(value)
+        if state:
+            self.nodes[node].adopt(state)
+
+    @invariant()
+    def no_node_reverts(self):
+        for number, replay in enumerate(self.nodes):
+            assert replay.next_offset >= self.floors[number]
+            self.floors[number] = replay.next_offset
+
+    @invariant()
+    def each_state_is_that_of_its_prefix(self):
+        for replay in self.nodes:
+            offset = replay.next_offset
+            assert offset <= len(self.log)
+            resources, outcomes = replay_naively(self.log[:offset])
+            assert replay.resources == resources
+            for record_id, outcome in outcomes.items():
+                if outcome.offset >= offset - WINDOW:
+                    assert replay.outcome_of(record_id) == outcome
+            assert len(replay.state().seen) <= WINDOW + 1
+
+    @invariant()
+    def nodes_at_one_offset_hold_the_same_state(self):
+        states = [replay.state() for replay in self.nodes]
+        for state in states:
+            same = [s for s in states if s.next_offset == state.next_offset]
+            assert all(encode_state(s) == encode_state(state) for s in same)
+
+
+def encode_state(state):
+    """Return the canonical bytes of a state."""
+    return msgspec.json.encode(state, order="deterministic")
+
+
+class LastWriterWins(Replay):
+    """Accepts a change that was made against an older revision."""
+
+    def _decide(self, offset, record):
+        known = self._resources.get((record.kind, record.name))
+        revision = known.revision if known else 0
+        changed = msgspec.structs.replace(record, expected_revision=revision)
+        return super()._decide(offset, changed)
+
+
+class ForgottenIds(Replay):
+    """Drops ids whose copies are not stale yet."""
+
+    def _forget_ids(self):
+        self._seen.clear()
+        self._outcomes.clear()
+
+
+class LowerOffset(Replay):
+    """Continues from a snapshot of a lower offset."""
+
+    def adopt(self, state):
+        self._next_offset = 0
+        return super().adopt(state)
+
+
+class IgnoredGap(Replay):
+    """Reads on over missing records."""
+
+    def apply(self, offset, value):
+        self._next_offset = max(self._next_offset, offset)
+        return super().apply(offset, value)
+
+
+def decode_unchecked(value):
+    """Read a snapshot without comparing its digest."""
+    state = msgspec.json.decode(value)["state"]
+    return msgspec.convert(state, type(Replay().state()))
+
+
+def make_machine(replay_class, decoder=decode_snapshot):
+    """Return the state machine with other parts under test."""
+
+    class Machine(ConfigMachine):
+        replay_type = replay_class
+        decode = staticmethod(decoder)
+
+    return Machine
+
+
+TestReplay = ConfigMachine.TestCase
+TestReplay.settings = settings(max_examples=80, stateful_step_count=40)
+
+
+@pytest.mark.parametrize(
+    "machine",
+    [
+        make_machine(LastWriterWins),
+        make_machine(ForgottenIds),
+        make_machine(LowerOffset),
+        make_machine(IgnoredGap),
+        make_machine(Replay, decode_unchecked),
+    ],
+)
+def test_the_machine_rejects_broken_replays(machine):
+    """A machine that accepts one of these can't vouch for the real replay."""
+    broken = settings(max_examples=400, stateful_step_count=40, phases=[Phase.generate])
+    with pytest.raises(AssertionError):
+        run_state_machine_as_test(machine, settings=broken)
+
+
+def test_a_deleted_resource_is_not_created_again_by_a_late_copy():
+    """A second append of a creation brought a deleted class back into force."""
+    replay = Replay(id_window=2)
+    create = {"id": "c", "kind": "Service", "name": "a", "spec": {}}
+    create |= {"expected_revision": 0, "base_offset": 0}
+    delete = create | {"id": "d", "spec": None, "expected_revision": 1}
+    values = [create, delete, create, *[b"x"] * 3, create]
+    encoded = [v if v == b"x" else msgspec.json.encode(v) for v in values]
+    effects = [replay.apply(offset, value) for offset, value in enumerate(encoded)]
+    assert effects[2] is Effect.DUPLICATE
+    assert effects[6] is Effect.STALE
+    assert replay.resources == {}
+    assert replay.bad_records == {"not_json": 3}
+
+
+@pytest.mark.fuzz
+@given(st.dictionaries(st.text(max_size=5), st.integers() | st.text(max_size=9)))
+def test_fields_of_a_newer_version_survive(fields):
+    """An old node that drops a field would undo part of a newer one's change."""
+    known = {"id": "i", "kind": "Service", "name": "a", "spec": {"new": [1, None]}}
+    known |= {"expected_revision": 0, "base_offset": 3}
+    value = msgspec.json.encode(fields | known)
+    record = decode_record(value)
+    if not isinstance(record, BadRecord):
+        again = msgspec.json.decode(encode_record(record))
+        assert again.items() >= msgspec.json.decode(value).items()
+    else:
+        assert {"author", "time_ms"} & set(fields)
+
+
+@pytest.mark.fuzz
+@given(st.binary(max_size=200))
+def test_any_bytes_are_skipped_or_read(value):
+    """One bad record must not stop the configuration of all nodes."""
+    replay = replay_records(enumerate([value, value]))
+    assert replay.next_offset == 2
+    damaged = bytearray(encode_snapshot(replay))
+    damaged[random.Random(len(value)).randrange(len(damaged))] ^= 1
+    assert decode_snapshot(bytes(damaged)) is None
