--- a/libs/mimosaloom-mesh/mimosaloom_mesh/caller.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/caller.py
@@ -31,7 +31,7 @@
 from .messages import HopAnswer, Request, kind_of
 from .metrics import MeshMetrics
 from .remote import RemoteHop
-from .retrying import NextStep, decide_next_step
+from .retrying import NextStep, combine_attempts, decide_next_step
 from .scopes import CallScope, ScopeTable, current_scope
 from .transport import Transport
 
@@ -229,25 +229,33 @@
         for attempt in range(1, MAX_ATTEMPTS + 1):
             candidate = self._pick(call, frozenset(tried))
             if candidate is None:
-                return last
+                break
             if attempt > 1:
                 if not self._take_retry(call):
-                    return last
+                    break
                 self.metrics.count_retry(kind_of(last).value)
             tried.add(candidate.name)
-            last = await self._attempt(call, candidate, attempt)
-            step = decide_next_step(
-                last, is_idempotent=call.request_class.is_idempotent
-            )
-            if step is NextStep.RESOLVE:
-                last = await self._resolve(call, candidate)
-                step = decide_next_step(last, is_idempotent=False)
+            outcome, step = await self._attempt_and_resolve(call, candidate, attempt)
+            last = combine_attempts(last, outcome)
             if step is not NextStep.RETRY:
-                return last
+                break
             if call.scope.deadline_s <= self.clock.monotonic_s():
-                return last
+                break
         return last
 
+    async def _attempt_and_resolve(
+        self, call: _Call, candidate: Candidate, attempt: int
+    ) -> tuple[Outcome, NextStep]:
+        is_idempotent = call.request_class.is_idempotent
+        outcome = await self._attempt(call, candidate, attempt)
+        step = decide_next_step(outcome, is_idempotent=is_idempotent)
+        if step is not NextStep.RESOLVE:
+            return outcome, step
+        resolved = await self._remote.resolve(
+            candidate, call.call_id, deadline_s=call.scope.deadline_s
+        )
+        return resolved, decide_next_step(resolved, is_idempotent=False)
+
     def _pick(self, call: _Call, tried: frozenset[str]) -> Candidate | None:
         own = self._own_candidate(call, tried)
         if own is not None and call.scope.depth == 0 and not self.local.is_draining():
@@ -340,11 +348,6 @@
         if answer.is_draining:
             self.mark_draining(call.service, answer.incarnation)
 
-    async def _resolve(self, call: _Call, candidate: Candidate) -> Outcome:
-        return await self._remote.resolve(
-            candidate, call.call_id, deadline_s=call.scope.deadline_s
-        )
-
     def _router(self, service: str) -> Router:
         version = self.directory.version
         known = self._routers.get(service)
