--- a/libs/mimosaloom-mesh/mimosaloom_mesh/server.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/server.py
@@ -33,6 +33,7 @@
 MAX_DROPPED_BYTES = 16 * 1_048_576
 UNLIMITED_BYTES = 1 << 62
 STOP_TIMEOUT_S = 30.0
+LISTEN_BACKLOG = 1024
 
 
 def refuse_request(kind: Kind, detail: str = "") -> Response:
@@ -70,7 +71,7 @@
 
     def listen(self, address: Address) -> Address:
         """Start to listen; return the address with the port in use."""
-        sockets = bind_sockets(address.port, address.host)
+        sockets = bind_sockets(address.port, address.host, backlog=LISTEN_BACKLOG)
         self._server.add_sockets(sockets)
         return Address(address.host, sockets[0].getsockname()[1])
 
--- a/libs/mimosaloom-node/mimosaloom_node/daemon.py
+++ b/libs/mimosaloom-node/mimosaloom_node/daemon.py
@@ -21,11 +21,12 @@
 from mimosaloom_model import Address, Catalog, Clock, NodeSettings, Upstream
 
 from .admin import Admin
+from .directory import new_incarnation
 from .logs import log_listening
 from .membership import Membership, NodeDirectory, Self
 from .stopping import drain_data_path, wait_until_quiet
 
-__all__ = ["Node", "new_incarnation", "run_until_stopped"]
+__all__ = ["Node", "run_until_stopped"]
 
 LEAVE_TIMEOUT = timedelta(seconds=1)
 LINGER_TIMEOUT_S = 2.0
@@ -34,12 +35,6 @@
 UNDECLARED_MAX_CONNECTIONS = 64
 
 
-def new_incarnation(clock: Clock, rng: random.Random) -> str:
-    """Return the start time and a random number, so that text order is start order."""
-    started_ms = int(clock.now().timestamp() * 1000)
-    return f"{started_ms:013x}-{rng.getrandbits(32):08x}"
-
-
 class Node:
     """One node and its listeners.
 
