--- a/libs/mimosaloom-mesh/mimosaloom_mesh/caller.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/caller.py
@@ -31,7 +31,7 @@
 from .messages import HopAnswer, Request, kind_of
 from .metrics import MeshMetrics
 from .remote import RemoteHop
-from .retrying import NextStep, decide_next_step
+from .retrying import NextStep, combine_attempts, decide_next_step
 from .scopes import CallScope, ScopeTable, current_scope
 from .transport import Transport
 
@@ -226,7 +226,6 @@
     async def _attempt_until_final(self, call: _Call) -> Outcome:
         tried: set[str] = set()
         last: Outcome = Refused(Kind.NO_UPSTREAM, "", RETRY_AFTER_S)
-        doubt: Failed | None = None
         for attempt in range(1, MAX_ATTEMPTS + 1):
             candidate = self._pick(call, frozenset(tried))
             if candidate is None:
@@ -236,15 +235,13 @@
                     break
                 self.metrics.count_retry(kind_of(last).value)
             tried.add(candidate.name)
-            last, step = await self._attempt_and_resolve(call, candidate, attempt)
-            if isinstance(last, Failed):
-                doubt = last
+            outcome, step = await self._attempt_and_resolve(call, candidate, attempt)
+            last = combine_attempts(last, outcome)
             if step is not NextStep.RETRY:
                 break
             if call.scope.deadline_s <= self.clock.monotonic_s():
                 break
-        # The refusal of a later attempt says nothing about one that may have run.
-        return doubt if doubt is not None and isinstance(last, Refused) else last
+        return last
 
     async def _attempt_and_resolve(
         self, call: _Call, candidate: Candidate, attempt: int
--- a/libs/mimosaloom-node/mimosaloom_node/__init__.py
+++ b/libs/mimosaloom-node/mimosaloom_node/__init__.py
@@ -3,7 +3,7 @@
 from .daemon import Node, run_until_stopped
 from .log_membership import LogMembership
 from .membership import FixedMembership, Membership, NodeDirectory, Self
-from .running import run_node
+from .startup import run_node
 
 __all__ = [
     "FixedMembership",
--- a/libs/mimosaloom-node/mimosaloom_node/log_membership.py
+++ b/libs/mimosaloom-node/mimosaloom_node/log_membership.py
@@ -1,10 +1,11 @@
-"""Members of the mesh as recorded in the log service."""
+"""Membership through the `members` stream of the log service."""
 
 import asyncio
-import random
 from datetime import timedelta
 
-from mimosaloom_model import Clock, NodeSettings
+from eliot import log_message
+
+from mimosaloom_model import NodeSettings
 from mimosaloom_policy import Candidate
 
 from .directory import (
@@ -14,29 +15,26 @@
     follow_members,
     record_leave,
 )
-from .log_client import LogClient
+from .log_client import Appended, LogClient
 from .membership import Self
 
 __all__ = ["LogMembership"]
 
-LEAVE_GIVE_UP = timedelta(seconds=0.5)
+LEAVE_GIVE_UP = timedelta(seconds=1)
 
 
 class LogMembership:
-    """Announces this node in the log and follows the others there.
+    """Announces this node in the log and follows the other members there.
 
     Args:
         settings: Settings of the node.
-        clock: Source of time.
-        rng: Source of record ids and of jitter.
+        client: Client of the log service.
     """
 
-    def __init__(self, settings: NodeSettings, clock: Clock, rng: random.Random):
+    def __init__(self, settings: NodeSettings, client: LogClient):
         self._settings = settings
-        self._clock = clock
-        self._rng = rng
+        self._client = client
         self._directory = Directory()
-        self._client: LogClient | None = None
         self._member: Member | None = None
         self._tasks: list[asyncio.Task] = []
 
@@ -50,29 +48,41 @@
         return self._directory.candidates(service)
 
     async def join(self, own: Self) -> None:
-        """Announce this node and begin to follow the others; returns at once."""
-        client = LogClient(self._settings.log_service, self._clock, self._rng)
-        wait = timedelta(seconds=self._settings.log_service.poll_interval_s)
-        self._client = client
+        """Announce this node and follow the others, both in the background."""
         self._member = _build_member(self._settings, own)
-        follow = follow_members(client, self._directory, lambda: None, wait=wait)
-        announce = announce_member(client, self._member)
-        self._tasks = [asyncio.ensure_future(follow), asyncio.ensure_future(announce)]
+        self._tasks = [
+            asyncio.ensure_future(self._announce(self._member)),
+            asyncio.ensure_future(
+                follow_members(self._client, self._directory, self._log_members)
+            ),
+        ]
 
     async def leave(self) -> None:
-        """Record that this node leaves; gives up after a short time."""
-        if self._client is None or self._member is None:
+        """Record the leave; an outage of the log delays it by a second at most."""
+        if self._member is None:
             return
-        self._tasks[1].cancel()
-        await record_leave(self._client, self._member, give_up_after=LEAVE_GIVE_UP)
+        # An announcement that is still being repeated must not follow the leave.
+        self._tasks[0].cancel()
+        outcome = await record_leave(
+            self._client, self._member, give_up_after=LEAVE_GIVE_UP
+        )
+        if not isinstance(outcome, Appended):
+            log_message(message_type="leave_not_recorded", outcome=repr(outcome))
 
     async def close(self) -> None:
-        """End the work in the background."""
+        """End the work in the background and close the client."""
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        if self._client is not None:
-            self._client.close()
+        self._client.close()
+
+    async def _announce(self, member: Member) -> None:
+        offset = await announce_member(self._client, member)
+        log_message(message_type="announced", offset=offset)
+
+    def _log_members(self) -> None:
+        names = [member.name for member in self._directory.members()]
+        log_message(message_type="members_changed", members=names)
 
 
 def _build_member(settings: NodeSettings, own: Self) -> Member:
@@ -85,8 +95,7 @@
         host=own.ingress.host,
         ingress_port=own.ingress.port,
         admin_port=own.admin.port,
-        # Nodes have no links of their own yet; operators' port stands in.
-        control_port=own.admin.port,
+        control_port=0,
         slots=own.slots,
         max_connections=own.max_connections,
         incarnation=own.incarnation,
--- a/libs/mimosaloom-node/mimosaloom_node/running.py
+++ b/libs/mimosaloom-node/mimosaloom_node/startup.py
@@ -1,9 +1,9 @@
-"""Runs a node from its settings until it is stopped."""
+"""Builds a node from its settings and runs it."""
 
 import asyncio
 import random
-
-from eliot import log_message
+import sys
+from pathlib import Path
 
 from mimosaloom_model import (
     Catalog,
@@ -15,6 +15,7 @@
 )
 
 from .daemon import Node, run_until_stopped
+from .log_client import LogClient
 from .log_membership import LogMembership
 from .logs import start_logging
 
@@ -25,37 +26,38 @@
 
 
 def run_node(settings: NodeSettings) -> int:
-    """Run a node until SIGTERM, SIGINT or `POST /drain`.
+    """Run a node until it is told to stop.
 
     Args:
-        settings: Settings of the node; its resources file is read at the start.
+        settings: Checked settings.
 
     Returns:
-        0 after a graceful stop, 3 if the resources are not valid.
+        The exit code: 0 after a graceful stop, 3 if the resource file is invalid.
 
     Raises:
         OSError: If a listener can't be opened.
     """
-    start_logging(settings.node.name)
     catalog = _read_catalog(settings)
     if isinstance(catalog, Invalid):
         for fault in catalog.faults:
-            log_message(message_type="invalid_resources", **fault._asdict())
+            print(f"{fault.file}: {fault.path}: {fault.message}", file=sys.stderr)
         return EXIT_INVALID
+    start_logging(settings.node.name)
     asyncio.run(_run(settings, catalog))
     return EXIT_OK
 
 
-async def _run(settings: NodeSettings, catalog: Catalog) -> None:
-    clock = SystemClock()
-    rng = random.SystemRandom()
-    membership = LogMembership(settings, clock, rng)
-    node = Node(settings, catalog, membership, clock=clock, rng=rng)
-    await run_until_stopped(node)
-
-
 def _read_catalog(settings: NodeSettings) -> Catalog | Invalid:
     if not settings.resources_file:
         return build_catalog([])
-    documents = read_resources([settings.resources_file])
+    documents = read_resources([Path(settings.resources_file)])
     return documents if isinstance(documents, Invalid) else build_catalog(documents)
+
+
+async def _run(settings: NodeSettings, catalog: Catalog) -> None:
+    clock = SystemClock()
+    rng = random.Random()
+    client = LogClient(settings.log_service, clock, rng)
+    membership = LogMembership(settings, client)
+    node = Node(settings, catalog, membership, clock=clock, rng=rng)
+    await run_until_stopped(node)
