Route around upstreams that refuse a rank, and settle loans of retries by attempt

Cause: the levels of single upstreams were not used by the choice of an upstream, and a call below the root was refused by level after work had been done for it. Change: Routes holds the routers and tells LevelTable which upstreams are left; refusing() excludes upstreams; admits() gets the depth; loans carry a key.

--- a/libs/mimosaloom-mesh/mimosaloom_mesh/assembly.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/assembly.py
@@ -59,6 +59,7 @@
     failure_domain: str,
     directory: Directory,
     *,
+    own_service: str = "",
     clock: Clock,
     rng: random.Random,
     transport: Transport | None = None,
@@ -70,6 +71,8 @@
         name: Name of the caller, for the choice of its subset of upstreams.
         failure_domain: Its failure domain.
         directory: Resources in force and upstreams.
+        own_service: Service of the target that makes the calls; empty for a program
+            that is no target.
         clock: Source of time.
         rng: Source of ids and of choices.
         transport: Sends requests; a new one if None.
@@ -79,6 +82,7 @@
         name,
         failure_domain,
         directory,
+        own_service=own_service,
         clock=clock,
         rng=rng,
         transport=transport or Transport(),
--- a/libs/mimosaloom-mesh/mimosaloom_mesh/caller.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/caller.py
@@ -23,7 +23,6 @@
     Candidate,
     LevelTable,
     RetryBudget,
-    Router,
     rank_request,
 )
 
@@ -32,6 +31,7 @@
 from .metrics import MeshMetrics
 from .remote import RemoteHop
 from .retrying import NextStep, combine_attempts, decide_next_step
+from .routes import Routes
 from .scopes import CallScope, ScopeTable, current_scope
 from .transport import Transport
 
@@ -72,6 +72,8 @@
         name: Name of the caller, for the choice of its subset of upstreams.
         failure_domain: Failure domain of the caller.
         directory: Resources in force and upstreams.
+        own_service: Service of the target that makes the calls; empty for a program
+            that is no target.
         clock: Source of time.
         rng: Source of ids and of choices.
         transport: Sends requests.
@@ -84,23 +86,23 @@
         failure_domain: str,
         directory: Directory,
         *,
+        own_service: str = "",
         clock: Clock,
         rng: random.Random,
         transport: Transport,
         metrics: MeshMetrics,
     ):
         self.scopes = ScopeTable()
-        self.levels = LevelTable(rng)
+        self.levels = LevelTable(rng, own_service)
         self.local: LocalHop | None = None
         self.clock = clock
         self.directory = directory
         self.rng = rng
         self.metrics = metrics
-        self._name = name
-        self._failure_domain = failure_domain
+        self._routes = Routes(
+            name, failure_domain, directory, self.levels, clock=clock, rng=rng
+        )
         self._remote = RemoteHop(clock, transport, metrics)
-        self._routers: dict[str, tuple[object, Router]] = {}
-        self._draining: set[str] = set()
         self._budgets: dict[tuple[str, str], RetryBudget] = {}
 
     def open_root(
@@ -155,16 +157,6 @@
         finally:
             self.scopes.close(root)
 
-    def mark_draining(self, service: str, incarnation: str) -> None:
-        """Send no more calls to an incarnation that leaves."""
-        if incarnation in self._draining:
-            return
-        self._draining.add(incarnation)
-        # The next call builds the candidates of the service anew.
-        known = self._routers.get(service)
-        if known is not None:
-            self._routers[service] = (None, known[1])
-
     async def _call_in(
         self, service: str, request: Request, scope: CallScope
     ) -> Outcome:
@@ -217,7 +209,9 @@
         if scope.deadline_s <= now_s:
             return Refused(Kind.DEADLINE_TOO_SHORT, "the deadline has passed")
         rank = rank_request(scope.request_id, request_class.priority)
-        is_admitted = self.levels.admits(service, scope.class_name, rank, now_s)
+        is_admitted = self.levels.admits(
+            service, scope.class_name, rank, now_s, depth=scope.depth
+        )
         if not is_admitted:
             detail = f"{service} refuses requests of this rank now"
             return Refused(Kind.OVERLOADED, detail, RETRY_AFTER_S)
@@ -260,9 +254,14 @@
         own = self._own_candidate(call, tried)
         if own is not None and call.scope.depth == 0 and not self.local.is_draining():
             return own
-        router = self._router(call.service)
+        router = self._routes.router(call.service)
         now_s = self.clock.monotonic_s()
-        candidate = router.pick(now_s, tried) or own
+        rank = rank_request(call.scope.request_id, call.request_class.priority)
+        refusing = self.levels.refusing(
+            call.service, call.request_class.name, rank, now_s
+        )
+        candidate = router.pick(now_s, tried | refusing) or router.pick(now_s, tried)
+        candidate = candidate or own
         if candidate is None and tried and call.request_class.is_idempotent:
             # All have been tried; an idempotent call may go to one of them again.
             candidate = router.pick(now_s)
@@ -289,10 +288,11 @@
     async def _attempt(
         self, call: _Call, candidate: Candidate, attempt: int
     ) -> Outcome:
-        router = self._router(call.service)
+        router = self._routes.router(call.service)
         start_s = self.clock.monotonic_s()
         ledger = self.scopes.ledger
-        lent = ledger.lend(call.scope.key)
+        loan_key = f"{call.call_id}/{attempt}"
+        lent = ledger.lend(call.scope.key, loan_key)
         context = CallContext(
             request_id=call.scope.request_id,
             call_id=call.call_id,
@@ -308,7 +308,7 @@
             answer = await self._send(call, candidate, context)
         finally:
             now_s = self.clock.monotonic_s()
-            ledger.give_back(call.scope.key, lent, answer.retries_unused)
+            ledger.give_back(call.scope.key, lent, answer.retries_unused, loan_key)
             router.finish(
                 candidate.name,
                 now_s,
@@ -346,31 +346,7 @@
             budget = self._budget(call.service, call.request_class.name)
             budget.record_success(now_s)
         if answer.is_draining:
-            self.mark_draining(call.service, answer.incarnation)
-
-    def _router(self, service: str) -> Router:
-        version = self.directory.version
-        known = self._routers.get(service)
-        if known is not None and known[0] == version:
-            return known[1]
-        router = (
-            known[1]
-            if known
-            else Router(service, self._name, self._failure_domain, self.rng)
-        )
-        now_s = self.clock.monotonic_s()
-        router.set_candidates(self._candidates(service), now_s)
-        self._routers[service] = (version, router)
-        return router
-
-    def _candidates(self, service: str) -> list[Candidate]:
-        """Return the upstreams, marked with what their answers said of leaving."""
-        return [
-            candidate._replace(is_draining=True)
-            if candidate.incarnation in self._draining
-            else candidate
-            for candidate in self.directory.candidates(service)
-        ]
+            self._routes.mark_draining(call.service, answer.incarnation)
 
     def _budget(self, service: str, class_name: str) -> RetryBudget:
         budget = self._budgets.get((service, class_name))
--- a/libs/mimosaloom-node/mimosaloom_node/daemon.py
+++ b/libs/mimosaloom-node/mimosaloom_node/daemon.py
@@ -128,6 +128,7 @@
             settings.node.name,
             settings.node.failure_domain,
             self.directory,
+            own_service=settings.target.service,
             clock=clock,
             rng=rng,
             transport=self._transport,
