Decide on retries with decide_retry of the policy library

Cause: the data path had a decision function of its own until this one landed. Change: FollowUp resolves an attempt as far as decide_retry asks for it, counts retries and stopped retries by its reasons, and waits its back-off.

--- a/libs/mimosaloom-mesh/mimosaloom_mesh/assembly.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/assembly.py
@@ -110,7 +110,7 @@
     caller.local = LocalHop(
         place.upstream, place.service, hop.run, lambda: gate.is_draining
     )
-    remote = RemoteHop(clock, transport, metrics)
+    remote = RemoteHop(clock, transport)
     roots = RootCalls(place.name, caller, hop, remote)
     ingress = Ingress(caller, hop, roots, place.max_context_bytes)
     egress = Egress(caller, place.incarnation, place.max_context_bytes)
--- a/libs/mimosaloom-mesh/mimosaloom_mesh/caller.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/caller.py
@@ -1,5 +1,6 @@
 """The caller's side of a call: routing, levels, deadline and retries."""
 
+import asyncio
 import random
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
@@ -30,7 +31,8 @@
 from .messages import HopAnswer, Request, kind_of
 from .metrics import MeshMetrics
 from .remote import RemoteHop
-from .retrying import NextStep, combine_attempts, decide_next_step
+from .resolution import Resolved
+from .retrying import FollowUp, combine_attempts
 from .routes import Routes
 from .scopes import CallScope, ScopeTable, current_scope
 from .transport import Transport
@@ -102,7 +104,7 @@
         self._routes = Routes(
             name, failure_domain, directory, self.levels, clock=clock, rng=rng
         )
-        self._remote = RemoteHop(clock, transport, metrics)
+        self._remote = RemoteHop(clock, transport)
         self._budgets: dict[tuple[str, str], RetryBudget] = {}
 
     def open_root(
@@ -224,31 +226,35 @@
             candidate = self._pick(call, frozenset(tried))
             if candidate is None:
                 break
-            if attempt > 1:
-                if not self._take_retry(call):
-                    break
-                self.metrics.count_retry(kind_of(last).value)
             tried.add(candidate.name)
-            outcome, step = await self._attempt_and_resolve(call, candidate, attempt)
+            outcome = await self._attempt(call, candidate, attempt)
+            has_next = self._pick(call, frozenset(tried)) is not None
+            follow = self._follow_up(call, candidate, attempt, has_next)
+            outcome, delay_s = await follow.settle(outcome)
             last = combine_attempts(last, outcome)
-            if step is not NextStep.RETRY:
-                break
-            if call.scope.deadline_s <= self.clock.monotonic_s():
+            if delay_s is None:
                 break
+            await asyncio.sleep(delay_s)
         return last
 
-    async def _attempt_and_resolve(
-        self, call: _Call, candidate: Candidate, attempt: int
-    ) -> tuple[Outcome, NextStep]:
-        is_idempotent = call.request_class.is_idempotent
-        outcome = await self._attempt(call, candidate, attempt)
-        step = decide_next_step(outcome, is_idempotent=is_idempotent)
-        if step is not NextStep.RESOLVE:
-            return outcome, step
-        resolved = await self._remote.resolve(
-            candidate, call.call_id, deadline_s=call.scope.deadline_s
+    def _follow_up(
+        self, call: _Call, candidate: Candidate, attempt: int, has_next: bool
+    ) -> FollowUp:
+        def ask() -> Awaitable[Resolved]:
+            return self._remote.ask(candidate, call.call_id)
+
+        return FollowUp(
+            call.scope,
+            attempt,
+            is_idempotent=call.request_class.is_idempotent,
+            has_next=has_next,
+            ask=ask,
+            ledger=self.scopes.ledger,
+            budget=self._budget(call.service, call.request_class.name),
+            clock=self.clock,
+            rng=self.rng,
+            metrics=self.metrics,
         )
-        return resolved, decide_next_step(resolved, is_idempotent=False)
 
     def _pick(self, call: _Call, tried: frozenset[str]) -> Candidate | None:
         own = self._own_candidate(call, tried)
@@ -274,17 +280,6 @@
         candidates = self.directory.candidates(call.service)
         return next((c for c in candidates if c.name == local.upstream), None)
 
-    def _take_retry(self, call: _Call) -> bool:
-        budget = self._budget(call.service, call.request_class.name)
-        now_s = self.clock.monotonic_s()
-        if not budget.try_spend(now_s):
-            self.metrics.count_stopped_retry("retry_budget_empty")
-            return False
-        if not self.scopes.ledger.spend(call.scope.key):
-            self.metrics.count_stopped_retry("retry_allowance_spent")
-            return False
-        return True
-
     async def _attempt(
         self, call: _Call, candidate: Candidate, attempt: int
     ) -> Outcome:
--- a/libs/mimosaloom-mesh/mimosaloom_mesh/hop.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/hop.py
@@ -17,14 +17,13 @@
     Service,
     digest_bytes,
 )
-from mimosaloom_policy import Arrival, Refuse, RunTable, rank_request
+from mimosaloom_policy import Arrival, Refuse, ResolveState, RunTable, rank_request
 
 from .caller import Caller
 from .gate import AdmissionGate, Withdrawn
 from .messages import HopAnswer, Request, kind_of
 from .once import OnceRunner
-from .resolution import ResolveAnswer, ResolveRequest, ResolveState
-from .retrying import UNRESOLVED
+from .resolution import ResolveAnswer, ResolveRequest
 from .scopes import CallScope, scope_key
 
 __all__ = ["Execute", "Execution", "TargetHop"]
@@ -51,6 +50,12 @@
 Execute = Callable[[Execution], Awaitable[Outcome]]
 
 
+# Kinds after which the target may have run the call, or may run it still.
+_UNRESOLVED = frozenset(
+    {Kind.CONNECTION_LOST, Kind.ANSWER_TRUNCATED, Kind.ANSWER_MISMATCH}
+)
+
+
 class _Ended(NamedTuple):
     outcome: Outcome
     retries_unused: int = 0
@@ -219,7 +224,7 @@
             return self._check_size(outcome)
         if scope.sub_calls:
             outcome = _blame_downstream(scope, outcome)
-        if not is_idempotent and kind_of(outcome) in UNRESOLVED:
+        if not is_idempotent and kind_of(outcome) in _UNRESOLVED:
             # The target keeps no record that could be asked.
             return Failed(Kind.OUTCOME_UNKNOWN, f"{outcome.kind}: {outcome.detail}")
         return outcome
--- a/libs/mimosaloom-mesh/mimosaloom_mesh/once.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/once.py
@@ -11,11 +11,14 @@
     Join,
     NotRun,
     Replay,
+    ResolveState,
     Run,
+    Running,
     RunTable,
+    Unknown,
 )
 
-from .resolution import ResolveState, StoredResult, store_result
+from .resolution import UNKNOWN_STATE, StoredResult, store_result
 
 __all__ = ["OnceRunner"]
 
@@ -68,6 +71,8 @@
             case Blocked():
                 # Whoever had the key forbidden here may have run it elsewhere.
                 return Failed(Kind.OUTCOME_UNKNOWN, "the call was given up before")
+            case Unknown():
+                return Failed(Kind.OUTCOME_UNKNOWN, "the stamp of the call is too old")
             case Conflict():
                 return Refused(Kind.KEY_CONFLICT)
         try:
@@ -83,8 +88,10 @@
                 return ResolveState.DONE, store_result(result)
             case NotRun():
                 return ResolveState.NOT_RUN, None
-            case _:
+            case Running():
                 return ResolveState.RUNNING, None
+            case Unknown():
+                return UNKNOWN_STATE, None
 
     async def _run_to_end(
         self, key: str, start: Callable[[], Awaitable[Outcome | None]]
--- a/libs/mimosaloom-mesh/mimosaloom_mesh/remote.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/remote.py
@@ -16,17 +16,16 @@
     Refused,
     encode_context,
 )
-from mimosaloom_policy import Candidate
+from mimosaloom_policy import Candidate, ResolveState
 
 from .headers import INCARNATION_HEADER, forwarded_headers, read_hop_answer
 from .messages import HopAnswer, Request, Response
-from .metrics import MeshMetrics
 from .resolution import (
     RESOLVE_PATH,
     ResolveAnswer,
+    Resolved,
     ResolveRequest,
-    ResolveState,
-    read_stored_result,
+    read_resolved,
 )
 from .transport import Broken, Endpoint, Transport
 
@@ -51,13 +50,11 @@
     Args:
         clock: Source of time.
         transport: Sends requests.
-        metrics: Counts resolutions.
     """
 
-    def __init__(self, clock: Clock, transport: Transport, metrics: MeshMetrics):
+    def __init__(self, clock: Clock, transport: Transport):
         self._clock = clock
         self._transport = transport
-        self._metrics = metrics
 
     async def run(
         self,
@@ -105,53 +102,27 @@
 
     async def resolve(
         self, candidate: Candidate, call_id: str, *, deadline_s: float
-    ) -> Outcome:
-        """Find out what became of a call whose answer did not arrive.
-
-        Args:
-            candidate: The upstream that the call was sent to.
-            call_id: The call.
-            deadline_s: How long a call that still runs is waited for.
-
-        Returns:
-            The stored result, a refusal if the call never ran and never will, or a
-            failure if it still runs at the deadline or nobody can tell.
-        """
+    ) -> Resolved:
+        """Ask until a call has ended or the deadline has passed."""
         interval_s = POLL_INTERVAL_S
         while True:
-            state, result = await self._ask(candidate, call_id, RESOLVE_TRIES)
-            if state != ResolveState.RUNNING:
-                self._metrics.count_resolution(state)
-                return _resolved_outcome(state, result)
+            resolved = await self.ask(candidate, call_id)
             left_s = deadline_s - self._clock.monotonic_s()
-            if left_s <= 0:
-                self._metrics.count_resolution(state)
-                return Failed(Kind.DEADLINE_EXCEEDED, "the call still runs")
+            if resolved.state is not ResolveState.RUNNING or left_s <= 0:
+                return resolved
             await asyncio.sleep(min(interval_s, left_s))
             interval_s = min(2 * interval_s, MAX_POLL_INTERVAL_S)
 
-    async def _watch(
-        self, task: asyncio.Future, candidate: Candidate, call_id: str
-    ) -> Outcome | None:
-        """Wait for the answer; return an outcome if it must be learned otherwise."""
-        while True:
-            done, _ = await asyncio.wait({task}, timeout=SILENCE_BOUND_S)
-            if done:
-                return None
-            state, result = await self._ask(candidate, call_id, 1)
-            if task.done():
-                return None
-            if state == ResolveState.RUNNING:
-                continue
-            if state == ResolveState.DONE:
-                done, _ = await asyncio.wait({task}, timeout=ANSWER_GRACE_S)
-                return None if done else read_stored_result(result)
-            # A node that can't be asked, or knows nothing of the call, will not
-            # answer it on this connection either.
-            return Failed(Kind.CONNECTION_LOST, f"no answer, and the node says {state}")
+    async def ask(
+        self, candidate: Candidate, call_id: str, *, tries: int = RESOLVE_TRIES
+    ) -> Resolved:
+        """Ask the node that got a call, over a new connection, what became of it.
 
-    async def _ask(self, candidate: Candidate, call_id: str, tries: int):
-        """Return the state of a call and its result; "unknown" if none is told."""
+        Args:
+            candidate: The upstream that the call was sent to.
+            call_id: The call.
+            tries: Requests until one is answered.
+        """
         body = msgspec.json.encode(ResolveRequest(call_id, candidate.incarnation))
         request = Request("POST", RESOLVE_PATH, body=body)
         endpoint = _endpoint(candidate)._replace(
@@ -164,12 +135,30 @@
                 endpoint, request, timeout_s=RESOLVE_TIMEOUT_S, is_fresh=True
             )
             answer = _read_resolve_answer(response, call_id)
-            if answer is None:
+            if answer is not None:
+                return read_resolved(answer, candidate.incarnation)
+        return Resolved(ResolveState.NO_ANSWER)
+
+    async def _watch(
+        self, task: asyncio.Future, candidate: Candidate, call_id: str
+    ) -> Outcome | None:
+        """Wait for the answer; return an outcome if it must be learned otherwise."""
+        while True:
+            done, _ = await asyncio.wait({task}, timeout=SILENCE_BOUND_S)
+            if done:
+                return None
+            resolved = await self.ask(candidate, call_id, tries=1)
+            if task.done():
+                return None
+            if resolved.state is ResolveState.RUNNING:
                 continue
-            if answer.incarnation != candidate.incarnation:
-                return ResolveState.OTHER_INCARNATION, None
-            return answer.state, answer.result
-        return "unknown", None
+            if resolved.state is ResolveState.DONE:
+                done, _ = await asyncio.wait({task}, timeout=ANSWER_GRACE_S)
+                return None if done else resolved.result
+            # A node that can't be asked, or knows nothing of the call, will not
+            # answer it on this connection either.
+            detail = f"no answer, and the node says {resolved.state}"
+            return Failed(Kind.CONNECTION_LOST, detail)
 
 
 def _endpoint(candidate: Candidate) -> Endpoint:
@@ -195,12 +184,3 @@
     except (msgspec.MsgspecError, UnicodeError):
         return None
     return answer if answer.call_id == call_id else None
-
-
-def _resolved_outcome(state: str, result) -> Outcome:
-    if state == ResolveState.DONE and result is not None:
-        return read_stored_result(result)
-    if state == ResolveState.NOT_RUN:
-        detail = "the call did not reach the target"
-        return Refused(Kind.CONNECT_FAILED, detail, RETRY_AFTER_S)
-    return Failed(Kind.OUTCOME_UNKNOWN, f"the node's answer on the call: {state}")
--- a/libs/mimosaloom-mesh/mimosaloom_mesh/resolution.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/resolution.py
@@ -1,29 +1,27 @@
 """Messages by which the caller's side learns what became of a call."""
 
+from typing import NamedTuple
+
 import msgspec
 
 from mimosaloom_model import Answered, Failed, Kind
+from mimosaloom_policy import ResolveState
 
 __all__ = [
     "RESOLVE_PATH",
+    "UNKNOWN_STATE",
     "ResolveAnswer",
     "ResolveRequest",
-    "ResolveState",
+    "Resolved",
     "StoredResult",
+    "read_resolved",
     "read_stored_result",
     "store_result",
 ]
 
 RESOLVE_PATH = "/.mimosaloom/resolve"
-
-
-class ResolveState:
-    """The states of a call as seen by the node that it was sent to."""
-
-    DONE = "done"
-    RUNNING = "running"
-    NOT_RUN = "not_run"
-    OTHER_INCARNATION = "other_incarnation"
+# The node can't tell what became of the call.
+UNKNOWN_STATE = "unknown"
 
 
 class ResolveRequest(msgspec.Struct, frozen=True):
@@ -61,7 +59,8 @@
 
     Attributes:
         call_id: The call, so that an answer to another question is not taken.
-        state: One of `ResolveState`.
+        state: "done", "running", "not_run", "other_incarnation", or "unknown" if
+            the node can't tell.
         incarnation: Incarnation of the answering node.
         result: The stored result of a call that is done.
     """
@@ -85,3 +84,28 @@
         headers = tuple(tuple(item) for item in stored.headers)
         return Answered(stored.status, headers, stored.body)
     return Failed(Kind(stored.kind), stored.detail)
+
+
+class Resolved(NamedTuple):
+    """What is known about an attempt that may have run.
+
+    Attributes:
+        state: What the node said; `NO_ANSWER` if it can't tell.
+        result: The result of a call that is done.
+    """
+
+    state: ResolveState
+    result: Answered | Failed | None = None
+
+
+def read_resolved(answer: ResolveAnswer, incarnation: str) -> Resolved:
+    """Return what an answer says about a call to an incarnation."""
+    if answer.incarnation != incarnation:
+        return Resolved(ResolveState.OTHER_INCARNATION)
+    if answer.state == ResolveState.DONE:
+        if answer.result is None:
+            return Resolved(ResolveState.NO_ANSWER)
+        return Resolved(ResolveState.DONE, read_stored_result(answer.result))
+    if answer.state in (ResolveState.RUNNING, ResolveState.NOT_RUN):
+        return Resolved(ResolveState(answer.state))
+    return Resolved(ResolveState.NO_ANSWER)
--- a/libs/mimosaloom-mesh/mimosaloom_mesh/retrying.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/retrying.py
@@ -1,48 +1,131 @@
-"""Decision between a retry, a resolution and giving up."""
+"""What follows an attempt: its resolution, a retry, or the final outcome."""
 
-from enum import StrEnum
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
 
-from mimosaloom_model import ANSWERS, Answered, Failed, Kind, Outcome, Refused
-
-__all__ = ["UNRESOLVED", "NextStep", "combine_attempts", "decide_next_step"]
-
-
-class NextStep(StrEnum):
-    """What the caller's side does after an attempt."""
+from mimosaloom_model import (
+    ANSWERS,
+    Answered,
+    Clock,
+    Failed,
+    Kind,
+    Outcome,
+    Ran,
+    Refused,
+)
+from mimosaloom_policy import (
+    Attempt,
+    GiveUp,
+    Ledger,
+    ResolveFirst,
+    ResolveState,
+    Retry,
+    RetryBudget,
+    RetryDecision,
+    UseStored,
+    decide_retry,
+)
 
-    RETURN = "return"
-    RETRY = "retry"
-    RESOLVE = "resolve"
+from .messages import kind_of
+from .metrics import MeshMetrics
+from .resolution import Resolved
+from .scopes import CallScope
 
+__all__ = ["FollowUp", "combine_attempts"]
 
-# Kinds after which the first copy may still run, or may have run, unseen.
-UNRESOLVED = frozenset(
-    {
-        Kind.CONNECTION_LOST,
-        Kind.ANSWER_TRUNCATED,
-        Kind.ANSWER_MISMATCH,
-    }
-)
+# Shortest time in which another attempt can succeed.
+MIN_ATTEMPT_S = 0.005
 
 
-def decide_next_step(outcome: Outcome, *, is_idempotent: bool) -> NextStep:
-    """Decide what follows an attempt, before allowance and budget are asked.
+class FollowUp:
+    """Decides on one attempt of a call.
 
     Args:
-        outcome: Outcome of the attempt.
+        scope: Scope in which the call is made; holds its retries.
+        attempt: Number of the attempt, from 1.
         is_idempotent: Whether the request class may run more than once.
+        has_next: Whether there is an upstream for another attempt.
+        ask: Asks the node that got the attempt what became of it.
+        ledger: Accounts of the retries.
+        budget: Retry budget of the called service and the class.
+        clock: Source of time.
+        rng: Source of jitter.
+        metrics: Counts retries by reason.
     """
-    match outcome:
-        case Answered():
-            return NextStep.RETURN
-        case Refused(kind=kind):
-            is_retryable = ANSWERS[kind].is_retryable
-            return NextStep.RETRY if is_retryable else NextStep.RETURN
-        case Failed(kind=kind):
-            if not is_idempotent:
-                return NextStep.RESOLVE if kind in UNRESOLVED else NextStep.RETURN
-            is_retryable = ANSWERS[kind].is_retryable
-            return NextStep.RETRY if is_retryable else NextStep.RETURN
+
+    def __init__(
+        self,
+        scope: CallScope,
+        attempt: int,
+        *,
+        is_idempotent: bool,
+        has_next: bool,
+        ask: Callable[[], Awaitable[Resolved]],
+        ledger: Ledger,
+        budget: RetryBudget,
+        clock: Clock,
+        rng: random.Random,
+        metrics: MeshMetrics,
+    ):
+        self._scope = scope
+        self._attempt = attempt
+        self._is_idempotent = is_idempotent
+        self._has_next = has_next
+        self._ask = ask
+        self._ledger = ledger
+        self._budget = budget
+        self._clock = clock
+        self._rng = rng
+        self._metrics = metrics
+
+    async def settle(self, outcome: Outcome) -> tuple[Outcome, float | None]:
+        """Resolve an attempt as far as needed and decide on another one.
+
+        Args:
+            outcome: Outcome of the attempt.
+
+        Returns:
+            The outcome as resolved, and the delay in seconds before another attempt;
+            None if there is none.
+        """
+        resolved = Resolved(ResolveState.NOT_ASKED)
+        while True:
+            if isinstance(outcome, Answered):
+                return outcome, None
+            if isinstance(outcome, Refused) and not self._has_next:
+                return outcome, None
+            match self._decide(outcome, resolved.state):
+                case Retry(reason, delay_s):
+                    self._metrics.count_retry(reason.value)
+                    return _as_resolved(outcome, resolved.state), delay_s
+                case GiveUp(reason, kind, retry_after_s):
+                    self._metrics.count_stopped_retry(reason.value)
+                    return _final(outcome, kind, retry_after_s), None
+                case UseStored():
+                    self._metrics.count_resolution(resolved.state)
+                    return resolved.result, None
+                case ResolveFirst(delay_s):
+                    await asyncio.sleep(delay_s)
+                    resolved = await self._ask()
+                    if resolved.state != ResolveState.RUNNING:
+                        self._metrics.count_resolution(resolved.state)
+
+    def _decide(
+        self, outcome: Refused | Failed, resolved: ResolveState
+    ) -> RetryDecision:
+        now_s = self._clock.monotonic_s()
+        attempt = Attempt(
+            call_key=self._scope.key,
+            kind=outcome.kind,
+            attempt=self._attempt,
+            is_idempotent=self._is_idempotent,
+            time_left_s=self._scope.deadline_s - now_s,
+            needed_s=MIN_ATTEMPT_S,
+            retry_after_s=outcome.retry_after_s,
+            resolved=resolved,
+        )
+        return decide_retry(attempt, self._ledger, self._budget, self._rng, now_s)
 
 
 def combine_attempts(earlier: Outcome, later: Outcome) -> Outcome:
@@ -54,3 +137,19 @@
     if isinstance(later, Refused) and isinstance(earlier, Failed):
         return earlier
     return later
+
+
+def _as_resolved(outcome: Refused | Failed, state: ResolveState) -> Outcome:
+    """Return a failure that was resolved to "not run" as a refusal."""
+    if state is not ResolveState.NOT_RUN or isinstance(outcome, Refused):
+        return outcome
+    return Refused(Kind.CONNECT_FAILED, "the call did not reach the target")
+
+
+def _final(outcome: Refused | Failed, kind: Kind, retry_after_s: float) -> Outcome:
+    detail = outcome.detail
+    if kind_of(outcome) is not kind:
+        detail = f"{outcome.kind}: {detail}"
+    if ANSWERS[kind].ran is not Ran.NO:
+        return Failed(kind, detail, retry_after_s)
+    return Refused(kind, detail, retry_after_s)
--- a/libs/mimosaloom-mesh/mimosaloom_mesh/roots.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/roots.py
@@ -13,7 +13,7 @@
     digest_bytes,
     new_request_id,
 )
-from mimosaloom_policy import Candidate, rank_request
+from mimosaloom_policy import Candidate, ResolveState, rank_request
 
 from .caller import Caller
 from .headers import (
@@ -120,10 +120,17 @@
         if root.timeout is not None:
             timeout_s = root.timeout.total_seconds()
         deadline_s = self._caller.clock.monotonic_s() + timeout_s
-        outcome = await self._remote.resolve(
+        resolved = await self._remote.resolve(
             owner, KEY_PREFIX + root.key, deadline_s=deadline_s
         )
-        return None if isinstance(outcome, Refused) else outcome
+        match resolved.state:
+            case ResolveState.NOT_RUN:
+                return None
+            case ResolveState.DONE:
+                return resolved.result
+            case ResolveState.RUNNING:
+                return Failed(Kind.DEADLINE_EXCEEDED, "the request still runs")
+        return Failed(Kind.OUTCOME_UNKNOWN, f"the owner says {resolved.state}")
 
     def _find_owner(self, incarnation: str) -> Candidate | None:
         for candidate in self._caller.directory.candidates(self._hop.service):
--- a/tests/mesh/test_requests.py
+++ b/tests/mesh/test_requests.py
@@ -8,6 +8,7 @@
 
 from mimosaloom_mesh import Endpoint, Request, Response
 from mimosaloom_model import CONTEXT_HEADER, CallContext, Kind, encode_context
+from mimosaloom_policy import RetryReason
 
 pytestmark = pytest.mark.sockets
 
@@ -239,7 +240,7 @@
                 )
                 or 0
                 for node in chain.nodes.values()
-                for reason in ("target_failed", "failed_downstream")
+                for reason in RetryReason
             )
             assert 0 < retries <= 3
             assert runs[2] <= 1 + 3
