Follow the configuration and the members over links between nodes

Every node polled the members stream, and none read the config stream. A set of resources that is not consistent keeps its last good values.

--- a/libs/mimosaloom-control/mimosaloom_control/replay.py
+++ b/libs/mimosaloom-control/mimosaloom_control/replay.py
@@ -137,6 +137,12 @@
         """Bad records skipped, by reason."""
         return dict(self._bad)
 
+    @property
+    def conflicts(self) -> int:
+        """Changes within the window of ids that lost against another one."""
+        outcomes = self._outcomes.values()
+        return sum(outcome.effect is Effect.CONFLICT for outcome in outcomes)
+
     def outcome_of(self, record_id: str) -> Outcome | None:
         """Return what became of a change; None if it is not within the window."""
         return self._outcomes.get(record_id)
--- a/libs/mimosaloom-node/mimosaloom_node/__init__.py
+++ b/libs/mimosaloom-node/mimosaloom_node/__init__.py
@@ -1,13 +1,15 @@
 """The mimosaloom node daemon."""
 
+from .control_plane import ControlPlane
 from .daemon import Node, run_until_stopped
-from .log_membership import LogMembership
 from .membership import FixedMembership, Membership, NodeDirectory, Self
+from .peers import LinkTiming
 from .startup import run_node
 
 __all__ = [
+    "ControlPlane",
     "FixedMembership",
-    "LogMembership",
+    "LinkTiming",
     "Membership",
     "Node",
     "NodeDirectory",
--- a/libs/mimosaloom-node/mimosaloom_node/admin.py
+++ b/libs/mimosaloom-node/mimosaloom_node/admin.py
@@ -21,6 +21,7 @@
         incarnation: Incarnation of this process.
         data_path: What is reported on.
         start_drain: Begins to drain; returns at once.
+        describe_control: Returns further fields of the status.
     """
 
     def __init__(
@@ -29,11 +30,13 @@
         incarnation: str,
         data_path: DataPath,
         start_drain: Callable[[], None],
+        describe_control: Callable[[], dict] = dict,
     ):
         self._settings = settings
         self._incarnation = incarnation
         self._data_path = data_path
         self._start_drain = start_drain
+        self._describe_control = describe_control
 
     async def handle(self, request: Request) -> Response:
         """Answer one request."""
@@ -73,6 +76,7 @@
                 name: [c._asdict() for c in directory.candidates(name)]
                 for name in services
             },
+            **self._describe_control(),
         }
 
 
--- /dev/null
+++ b/libs/mimosaloom-node/mimosaloom_node/control_plane.py
@@ -0,0 +1,225 @@
+"""The control parts of a node: configuration in force, links and membership."""
+
+import asyncio
+import random
+from collections.abc import Callable, Iterable
+from datetime import timedelta
+
+import msgspec
+from eliot import log_message
+
+from mimosaloom_control import Leave, Member, MemberNews
+from mimosaloom_model import Address, Catalog, Clock, NodeSettings, ResourceDocument
+from mimosaloom_policy import Candidate
+
+from .config_follower import ConfigFollower, SnapshotPlan
+from .config_state import ConfigState
+from .log_client import Appended, Gone, LogClient, Page
+from .membership import Self
+from .peer_membership import PeerNetwork
+from .peers import LinkTiming
+
+__all__ = ["MEMBERS_STREAM", "ControlPlane"]
+
+MEMBERS_STREAM = "members"
+ANNOUNCE_ROUND = timedelta(seconds=30)
+LEAVE_GIVE_UP = timedelta(seconds=1)
+READ_WAIT = timedelta(seconds=5)
+IDLE_S = 0.5
+# A reader is announced again before its record expires, so that the stream always
+# names members that a starting node can ask.
+ANNOUNCE_AGAIN_S = 3_600.0
+
+
+class ControlPlane:
+    """Membership over links, and configuration from the log or from peers.
+
+    Args:
+        settings: Settings of the node.
+        client: Client of the log service.
+        documents: Resources in force until the log has been read.
+        clock: Source of time.
+        rng: Source of choices.
+        timing: Times of the links.
+        plan: When snapshots are written.
+        contacts: Addresses of peers to try beside those in the log.
+    """
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        client: LogClient,
+        documents: Iterable[ResourceDocument],
+        *,
+        clock: Clock,
+        rng: random.Random,
+        timing: LinkTiming | None = None,
+        plan: SnapshotPlan | None = None,
+        contacts: Iterable[Address] = (),
+    ):
+        self.put_in_force: Callable[[Catalog], None] = lambda catalog: None
+        self.config = ConfigState(documents, lambda c: self.put_in_force(c))
+        self.network = PeerNetwork(
+            settings,
+            self.config,
+            clock=clock,
+            rng=rng,
+            timing=timing or LinkTiming(),
+            contacts=contacts,
+        )
+        index = self.network.index
+        self.follower = ConfigFollower(
+            client,
+            self.config,
+            clock=clock,
+            is_reader=index.is_reader,
+            is_writer=index.is_writer,
+            plan=plan,
+        )
+        self._settings = settings
+        self._client = client
+        self._control: Address | None = None
+        self._members_offset = 0
+        self._announcing: asyncio.Task | None = None
+        self._tasks: list[asyncio.Task] = []
+
+    @property
+    def version(self) -> int:
+        """Return a number that changes with each change of the members."""
+        return self.network.index.version
+
+    def candidates(self, service: str) -> list[Candidate]:
+        """Return the upstreams of a service."""
+        return self.network.index.candidates(service)
+
+    def open_listener(self) -> Address:
+        """Open the listener for other nodes and return its address."""
+        self._control = self.network.links.listen(self._settings.listen.control)
+        return self._control
+
+    def describe(self) -> dict:
+        """Return what operators see."""
+        config = {**self.config.status(), **self.follower.status()}
+        return {"config": config, "control": self.network.status()}
+
+    async def join(self, own: Self) -> None:
+        """Announce this node and begin to follow the others; returns at once."""
+        self.network.join(_build_member(self._settings, own, self._control))
+        self._announcing = asyncio.ensure_future(self._announce())
+        self._tasks = [
+            asyncio.ensure_future(_report(work))
+            for work in (
+                self.network.links.receive(),
+                self.network.run(),
+                self.follower.run(),
+                self._follow_members(),
+            )
+        ]
+
+    async def leave(self) -> None:
+        """Tell the peers at once and the log within a bounded time."""
+        if self.network.own is None:
+            return
+        self.network.publish(self.network.own.drain())
+        # An announcement that is still being repeated must not follow the leave.
+        self._announcing.cancel()
+        current = self.network.own.current()
+        leave = Leave(
+            id=f"{current.id}/leave", member=current.member, sequence=current.sequence
+        )
+        outcome = await self._append(leave, LEAVE_GIVE_UP)
+        if not isinstance(outcome, Appended):
+            log_message(message_type="leave_not_recorded", outcome=repr(outcome))
+
+    async def close(self) -> None:
+        """Tell the peers that this incarnation ends, and end all work."""
+        self.network.links.stop_receiving()
+        tasks = [*self._tasks, *([self._announcing] if self._announcing else [])]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        if self.network.own is not None:
+            self.network.publish(self.network.own.leave())
+        await self.network.links.close()
+        self._client.close()
+
+    async def _announce(self) -> None:
+        while True:
+            outcome = await self._append(self.network.own.current(), ANNOUNCE_ROUND)
+            if not isinstance(outcome, Appended):
+                continue
+            log_message(message_type="announced", offset=outcome.offset)
+            while True:
+                await asyncio.sleep(ANNOUNCE_AGAIN_S)
+                if self.network.index.is_reader():
+                    break
+
+    async def _append(self, news: MemberNews, give_up_after: timedelta) -> object:
+        record = msgspec.to_builtins(news)
+        return await self._client.append(
+            MEMBERS_STREAM, record, give_up_after=give_up_after
+        )
+
+    async def _follow_members(self) -> None:
+        """Read the whole stream once, and go on as a reader or without peers."""
+        backoff = self._client.new_backoff()
+        is_caught_up = False
+        while True:
+            has_peers = bool(self.network.heard_from())
+            if is_caught_up and has_peers and not self.network.index.is_reader():
+                await self._client.wait(IDLE_S)
+                continue
+            wait = READ_WAIT if is_caught_up else timedelta(0)
+            outcome = await self._client.read(
+                MEMBERS_STREAM, self._members_offset, wait=wait
+            )
+            if isinstance(outcome, Page):
+                backoff.reset()
+                is_caught_up = not outcome.records
+                self._learn(outcome)
+            elif isinstance(outcome, Gone) and (
+                outcome.first_offset > self._members_offset
+            ):
+                self._members_offset = outcome.first_offset
+            else:
+                await self._client.wait(backoff.next_delay_s())
+
+    def _learn(self, page: Page) -> None:
+        self._members_offset = max(self._members_offset, page.next_offset)
+        for record in page.records:
+            try:
+                news = msgspec.convert(record.value, MemberNews)
+            except msgspec.ValidationError as error:
+                log_message(
+                    message_type="bad_member_record",
+                    offset=record.offset,
+                    error=str(error),
+                )
+                continue
+            self.network.learn(news)
+
+
+async def _report(work: object) -> None:
+    """Log a fault that ends work in the background, which nothing else would show."""
+    try:
+        await work
+    except Exception as error:
+        log_message(message_type="control_failed", error=repr(error))
+        raise
+
+
+def _build_member(settings: NodeSettings, own: Self, control: Address | None) -> Member:
+    return Member(
+        name=settings.node.name,
+        region=settings.node.region,
+        service=settings.target.service,
+        upstream=settings.target.upstream,
+        failure_domain=settings.node.failure_domain,
+        host=own.ingress.host,
+        ingress_port=own.ingress.port,
+        admin_port=own.admin.port,
+        control_port=control.port if control else 0,
+        slots=own.slots,
+        max_connections=own.max_connections,
+        incarnation=own.incarnation,
+    )
--- a/libs/mimosaloom-node/mimosaloom_node/daemon.py
+++ b/libs/mimosaloom-node/mimosaloom_node/daemon.py
@@ -70,7 +70,13 @@
         )
         self.data_path = self._build_data_path(clock, rng)
         self._ticks: asyncio.Task | None = None
-        admin = Admin(settings, self.incarnation, self.data_path, self.must_stop.set)
+        admin = Admin(
+            settings,
+            self.incarnation,
+            self.data_path,
+            self.must_stop.set,
+            membership.describe,
+        )
         self._servers = {
             "ingress": self._build_server(self.data_path.ingress.handle),
             "egress": self._build_server(self.data_path.egress.handle),
@@ -82,6 +88,9 @@
         wanted = self.settings.listen._asdict()
         for name, server in self._servers.items():
             self.addresses[name] = server.listen(wanted[name])
+        control = self._membership.open_listener()
+        if control is not None:
+            self.addresses["control"] = control
         log_listening(self.addresses, self.incarnation)
         self._ticks = asyncio.ensure_future(self.data_path.gate.run_ticks())
         own = Self(
--- /dev/null
+++ b/libs/mimosaloom-node/mimosaloom_node/member_index.py
@@ -0,0 +1,209 @@
+"""The member table with what is derived from it, kept up to date with each change."""
+
+from functools import reduce
+from hashlib import blake2b
+from operator import xor
+
+from mimosaloom_control import (
+    Announce,
+    Drain,
+    Leave,
+    Member,
+    MemberNews,
+    MemberTable,
+    MemberView,
+    Overlay,
+    Status,
+    Suspect,
+    choose_readers,
+)
+from mimosaloom_policy import Candidate
+
+from .link_messages import BUCKETS
+
+__all__ = ["MemberIndex", "describe_view"]
+
+HASH_BYTES = 8
+_LIVE = (Status.ALIVE, Status.DRAINING)
+
+
+class MemberIndex:
+    """Members by name, service and failure domain, with the overlay and digests.
+
+    Args:
+        name: Name of this node.
+        failure_domain: Failure domain of this node.
+    """
+
+    def __init__(self, name: str, failure_domain: str):
+        self.table = MemberTable()
+        self.version = 0
+        self._name = name
+        self._domain = failure_domain
+        self._overlay = Overlay([name])
+        self._live: dict[str, Member] = {}
+        self._dead: set[str] = set()
+        self._domains: dict[str, set[str]] = {}
+        self._services: dict[str, set[str]] = {}
+        self._service_of: dict[str, str] = {}
+        self._hashes: dict[str, int] = {}
+        self._digests = [0] * BUCKETS
+        self._buckets: list[set[str]] = [set() for _ in range(BUCKETS)]
+        self._readers: tuple[int, tuple[str, ...]] = (-1, ())
+        self._neighbors: tuple[int, tuple[str, ...]] = (-1, ())
+
+    @property
+    def digest(self) -> int:
+        """Digest of all live members."""
+        return reduce(xor, self._digests)
+
+    @property
+    def digests(self) -> list[int]:
+        """Digest of the live members of each bucket."""
+        return list(self._digests)
+
+    @property
+    def live(self) -> dict[str, Member]:
+        """Members that are alive or draining; not to be changed."""
+        return self._live
+
+    @property
+    def dead(self) -> set[str]:
+        """Names of members that monitors hold for dead; not to be changed."""
+        return self._dead
+
+    def apply(self, news: MemberNews, now_s: float) -> bool:
+        """Take in news; return whether it changed the table."""
+        name = news.name if isinstance(news, Suspect) else news.member.name
+        if not self.table.apply(news, now_s):
+            return False
+        self._refresh(name)
+        return True
+
+    def prune(self, now_s: float) -> None:
+        """Forget names that departed long ago."""
+        if self.table.prune(now_s):
+            self._dead = {name for name in self._dead if self.table.find(name)}
+            for bucket in self._buckets:
+                bucket -= {name for name in bucket if not self.table.find(name)}
+
+    def neighbors(self) -> tuple[str, ...]:
+        """Return the neighbours of this node."""
+        if self._neighbors[0] != self.version:
+            self._neighbors = self.version, self._overlay.neighbors_of(self._name)
+        return self._neighbors[1]
+
+    def is_reader(self) -> bool:
+        """Whether this node reads the log for its failure domain."""
+        if self._readers[0] != self.version:
+            names = self._domains.get(self._domain, set()) | {self._name}
+            self._readers = self.version, choose_readers(self._domain, names)
+        return self._name in self._readers[1]
+
+    def is_writer(self) -> bool:
+        """Whether this node writes the snapshots of the configuration."""
+        if not self.is_reader() or self._readers[1][0] != self._name:
+            return False
+        domains = [name for name, members in self._domains.items() if members]
+        chosen = choose_readers("snapshots", {*domains, self._domain}, count=1)
+        return chosen == (self._domain,)
+
+    def news_of(self, buckets: list[int]) -> list[MemberNews]:
+        """Return all that is known of the members of some buckets."""
+        names = [name for number in buckets for name in sorted(self._buckets[number])]
+        return [
+            news
+            for name in names
+            for news in describe_view(name, self.table.find(name))
+        ]
+
+    def candidates(self, service: str) -> list[Candidate]:
+        """Return the upstreams of a service for the router.
+
+        Where two nodes announce one upstream, the newer incarnation is the upstream's.
+        With no live member, those held for dead are returned: the monitors may be
+        wrong, and a call that can't connect has not run.
+        """
+        names = self._services.get(service, set())
+        chosen = {n for n in names if n in self._live} or (names & self._dead)
+        newest: dict[str, MemberView] = {}
+        for name in sorted(chosen):
+            view = self.table.find(name)
+            known = newest.get(view.member.upstream)
+            if known is None or known.incarnation < view.incarnation:
+                newest[view.member.upstream] = view
+        return [_build_candidate(view) for view in newest.values()]
+
+    def _refresh(self, name: str) -> None:
+        view = self.table.find(name)
+        self.version += 1
+        number = _hash_name(name) % BUCKETS
+        self._buckets[number].add(name)
+        self._digests[number] ^= self._hashes.pop(name, 0)
+        old = self._live.pop(name, None)
+        if old is not None:
+            self._domains[old.failure_domain].discard(name)
+        self._services.get(self._service_of.pop(name, ""), set()).discard(name)
+        self._dead.discard(name)
+        member = view.member
+        if member is not None and view.status is not Status.LEFT:
+            self._service_of[name] = member.service
+            self._services.setdefault(member.service, set()).add(name)
+        if member is not None and view.status in _LIVE:
+            self._live[name] = member
+            self._domains.setdefault(member.failure_domain, set()).add(name)
+            self._hashes[name] = _hash_view(name, view)
+            self._digests[number] ^= self._hashes[name]
+            self._overlay.add(name)
+            return
+        if view.status is Status.DEAD:
+            self._dead.add(name)
+        if name != self._name:
+            self._overlay.remove(name)
+
+
+def describe_view(name: str, view: MemberView | None) -> list[MemberNews]:
+    """Return news from which another table gets the same view."""
+    if view is None:
+        return []
+    news: list[MemberNews] = []
+    if view.member is not None:
+        kind = Drain if view.is_draining else Announce
+        kind = Leave if view.has_left else kind
+        news_id = f"{name}/{view.incarnation}/{view.sequence}"
+        news.append(kind(id=news_id, member=view.member, sequence=view.sequence))
+    news += [
+        Suspect(
+            name=name,
+            incarnation=view.incarnation,
+            sequence=view.sequence,
+            monitor=monitor,
+        )
+        for monitor in sorted(view.monitors)
+    ]
+    return news
+
+
+def _build_candidate(view: MemberView) -> Candidate:
+    member = view.member
+    return Candidate(
+        name=member.upstream,
+        host=member.host,
+        port=member.ingress_port,
+        failure_domain=member.failure_domain,
+        slots=member.slots,
+        max_connections=member.max_connections,
+        incarnation=member.incarnation,
+        is_draining=view.is_draining,
+    )
+
+
+def _hash_name(name: str) -> int:
+    raw = blake2b(name.encode(), digest_size=HASH_BYTES).digest()
+    return int.from_bytes(raw, "big")
+
+
+def _hash_view(name: str, view: MemberView) -> int:
+    monitors = ",".join(sorted(view.monitors))
+    text = f"{name}/{view.incarnation}/{view.sequence}/{view.status}/{monitors}"
+    return _hash_name(text)
--- a/libs/mimosaloom-node/mimosaloom_node/membership.py
+++ b/libs/mimosaloom-node/mimosaloom_node/membership.py
@@ -36,6 +36,12 @@
     def candidates(self, service: str) -> list[Candidate]:
         """Return the upstreams of a service."""
 
+    def open_listener(self) -> Address | None:
+        """Open the listener for other nodes, if there is one; before `join`."""
+
+    def describe(self) -> dict:
+        """Return what operators see of the control parts."""
+
     async def join(self, own: Self) -> None:
         """Announce this node and begin to follow the others; returns at once."""
 
@@ -71,6 +77,13 @@
         self._candidates[service] = candidates
         self._version += 1
 
+    def open_listener(self) -> None:
+        """Open nothing: there are no other nodes to talk to."""
+
+    def describe(self) -> dict:
+        """Return nothing: there are no control parts."""
+        return {}
+
     async def join(self, own: Self) -> None:
         """Do nothing: the members are fixed."""
 
--- a/libs/mimosaloom-node/mimosaloom_node/startup.py
+++ b/libs/mimosaloom-node/mimosaloom_node/startup.py
@@ -6,17 +6,17 @@
 from pathlib import Path
 
 from mimosaloom_model import (
-    Catalog,
     Invalid,
     NodeSettings,
+    ResourceDocument,
     SystemClock,
     build_catalog,
     read_resources,
 )
 
+from .control_plane import ControlPlane
 from .daemon import Node, run_until_stopped
 from .log_client import LogClient
-from .log_membership import LogMembership
 from .logs import start_logging
 
 __all__ = ["run_node"]
@@ -37,27 +37,27 @@
     Raises:
         OSError: If a listener can't be opened.
     """
-    catalog = _read_catalog(settings)
-    if isinstance(catalog, Invalid):
-        for fault in catalog.faults:
+    documents = _read_documents(settings)
+    if isinstance(documents, Invalid):
+        for fault in documents.faults:
             print(f"{fault.file}: {fault.path}: {fault.message}", file=sys.stderr)
         return EXIT_INVALID
     start_logging(settings.node.name)
-    asyncio.run(_run(settings, catalog))
+    asyncio.run(_run(settings, documents))
     return EXIT_OK
 
 
-def _read_catalog(settings: NodeSettings) -> Catalog | Invalid:
+def _read_documents(settings: NodeSettings) -> list[ResourceDocument] | Invalid:
     if not settings.resources_file:
-        return build_catalog([])
-    documents = read_resources([Path(settings.resources_file)])
-    return documents if isinstance(documents, Invalid) else build_catalog(documents)
+        return []
+    return read_resources([Path(settings.resources_file)])
 
 
-async def _run(settings: NodeSettings, catalog: Catalog) -> None:
+async def _run(settings: NodeSettings, documents: list[ResourceDocument]) -> None:
     clock = SystemClock()
     rng = random.Random()
     client = LogClient(settings.log_service, clock, rng)
-    membership = LogMembership(settings, client)
-    node = Node(settings, catalog, membership, clock=clock, rng=rng)
+    plane = ControlPlane(settings, client, documents, clock=clock, rng=rng)
+    node = Node(settings, build_catalog(documents), plane, clock=clock, rng=rng)
+    plane.put_in_force = node.directory.set_catalog
     await run_until_stopped(node)
--- /dev/null
+++ b/tests/node/test_config_in_force.py
@@ -0,0 +1,228 @@
+"""Guards the configuration that a node has in force."""
+
+import asyncio
+import json
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from mesh.fakes import FakeTarget, run
+from node.control_mesh import FAST, ControlMesh, until
+
+from mimosaloom_control import Resource
+from mimosaloom_mesh import Endpoint, Request, Transport
+from mimosaloom_model import SystemClock, build_catalog, check_documents
+from mimosaloom_node import Node
+from mimosaloom_node.config_follower import SnapshotPlan
+from mimosaloom_node.config_settle import settle_resources
+
+LOOKUP = {
+    "entry_service": "a",
+    "priority": 4,
+    "is_idempotent": True,
+    "retry_allowance": "default",
+    "path": ["a"],
+}
+
+
+def _services(names):
+    return st.lists(st.sampled_from(names), max_size=2, unique=True)
+
+
+_SPECS = st.one_of(
+    st.tuples(
+        st.just("Service"),
+        st.sampled_from("abc"),
+        st.builds(lambda calls: {"calls": calls}, _services("abc")),
+    ),
+    st.tuples(
+        st.just("RequestClass"),
+        st.sampled_from("xy"),
+        st.builds(
+            lambda path, priority: {**LOOKUP, "path": path, "priority": priority},
+            _services("ab"),
+            st.integers(-1, 4),
+        ),
+    ),
+    st.tuples(st.just("Service"), st.sampled_from("abc"), st.none()),
+    st.tuples(st.just("Gadget"), st.just("g"), st.just({})),
+)
+
+
+@given(st.lists(_SPECS, max_size=12))
+def test_any_accepted_resources_give_a_consistent_configuration(changes):
+    """A set that operators made inconsistent must not be put in force or end a node."""
+    wanted, in_force = {}, {}
+    for revision, (kind, name, spec) in enumerate(changes, 1):
+        wanted.pop((kind, name), None)
+        if spec is not None:
+            wanted[kind, name] = Resource(revision, spec)
+        settled = settle_resources(wanted, in_force)
+        in_force = settled.in_force
+        documents = [
+            {"kind": k, "name": n, "spec": r.spec} for (k, n), r in in_force.items()
+        ]
+        assert check_documents(documents, "in force") is None
+        build_catalog(documents)
+        assert {k for k in wanted if in_force.get(k) != wanted[k]} <= set(
+            settled.held_back
+        )
+
+
+def test_deleted_service_stays_while_a_class_needs_it():
+    """Two operators who delete a service and use it must not leave a class dangling."""
+
+    async def body():
+        mesh = ControlMesh()
+        plane = await mesh.start("n-0")
+        mesh.append("Service", "a", {"calls": []})
+        mesh.append("RequestClass", "lookup", LOOKUP)
+        await until(lambda: plane.config.next_offset == 2)
+        mesh.append("Service", "a", None, expected_revision=1)
+        mesh.append("Service", "b", {"calls": []}, expected_revision=7)
+        mesh.append("Service", "not a name", {})
+        await until(lambda: plane.config.next_offset == 5)
+        assert set(mesh.catalogs["n-0"].services) == {"a"}
+        status = plane.describe()["config"]
+        assert status["resources"] == {"RequestClass/lookup": 2, "Service/a": 1}
+        assert list(status["held_back"]) == ["Service/a"]
+        assert (status["conflicts"], status["bad_records"]) == (1, {"bad_field": 1})
+        await mesh.close()
+
+    run(body)
+
+
+@pytest.mark.sockets
+def test_change_is_in_force_on_all_nodes_and_only_readers_read():
+    """A change must reach nodes that do not read the log, and outlive the log."""
+
+    async def body():
+        mesh = ControlMesh()
+        planes = await mesh.start_many([f"n-{i}" for i in range(5)])
+        readers = [p for p in planes if p.network.index.is_reader()]
+        assert len(readers) == 2
+        await until(
+            lambda: sum(p.follower.is_log_reachable is not None for p in planes) == 2
+        )
+        mesh.append("Service", "a", {"calls": []})
+        await until(lambda: all(p.config.next_offset == 1 for p in planes))
+        mesh.store.change({"is_down": True})
+        await until(lambda: all(r.follower.is_log_reachable is False for r in readers))
+        assert all("a" in mesh.catalogs[f"n-{i}"].services for i in range(5))
+        assert len({p.config.position for p in planes}) == 1
+        # A node without the log and without members takes the state from a peer.
+        late = await mesh.start("n-9", contacts=[planes[0].address])
+        await until(lambda: late.config.next_offset == 1)
+        assert "a" in mesh.catalogs["n-9"].services
+        await mesh.close()
+
+    run(body)
+
+
+@pytest.mark.sockets
+def test_truncated_head_is_bridged_by_a_snapshot():
+    """A node that starts after the first records expired must not miss resources."""
+
+    async def body():
+        mesh = ControlMesh()
+        plan = SnapshotPlan(max_records=4)
+        first = await mesh.start("n-0", plan=plan)
+        for number in range(6):
+            mesh.append("Service", f"s-{number}", {"calls": []})
+        await until(lambda: first.config.next_offset == 6)
+        await until(lambda: mesh.store.read("config-snapshots", 0, 9, 0).records)
+        await first.close()
+        snapshots = mesh.store.read("config-snapshots", 0, 9, 0).records
+        mesh.store.change({"retention_records": 2})
+        mesh.append("Service", "s-6", {"calls": []})
+        assert mesh.store.read("config", 0, 1, 0).is_gone
+        mesh.planes.clear()
+        late = await mesh.start("n-1")
+        await until(lambda: late.config.next_offset == 7)
+        assert len(snapshots) >= 1
+        assert set(mesh.catalogs["n-1"].services) == {f"s-{n}" for n in range(7)}
+        await mesh.close()
+
+    run(body)
+
+
+@pytest.mark.sockets
+def test_state_of_a_lagging_peer_is_not_adopted():
+    """A node must not go back to what a peer holds that has missed records."""
+
+    async def body():
+        mesh = ControlMesh()
+        planes = await mesh.start_many(["n-0", "n-1"])
+        mesh.append("Service", "a", {"calls": []})
+        mesh.append("Service", "b", {"calls": []})
+        await until(lambda: all(p.config.next_offset == 2 for p in planes))
+        mesh.store.change({"is_down": True})
+        empty = ControlMesh()
+        empty.append("Service", "old", {"calls": []})
+        lagging = await empty.start("n-2")
+        await until(lambda: lagging.config.next_offset == 1)
+        empty.store.change({"is_down": True})
+        seen = []
+        planes[0].config.listen(lambda: seen.append(planes[0].config.next_offset))
+        late = await mesh.start(
+            "n-3", contacts=[lagging.address, planes[0].address, planes[1].address]
+        )
+        offsets = []
+        late.config.listen(lambda: offsets.append(late.config.next_offset))
+        await until(
+            lambda: late.config.next_offset == 2 and len(late.network.index.live) == 4
+        )
+        await until(lambda: lagging.config.next_offset == 2)
+        assert offsets == sorted(offsets)
+        assert seen == []
+        await asyncio.gather(empty.close(), mesh.close())
+
+    run(body)
+
+
+@pytest.mark.sockets
+def test_calls_are_served_during_an_outage_of_the_log():
+    """A node must go on serving with the configuration that it has."""
+
+    async def body():
+        mesh = ControlMesh()
+        target = FakeTarget("a-0")
+        plane = mesh.build("n-0", timing=FAST)
+        settings = plane._settings._replace(
+            target=plane._settings.target._replace(url=target.url)
+        )
+        node = Node(
+            settings,
+            build_catalog([]),
+            plane,
+            clock=SystemClock(),
+            rng=random.Random(1),
+        )
+        plane.put_in_force = node.directory.set_catalog
+        await node.start()
+        mesh.append("Service", "a", {"calls": []})
+        mesh.append("RequestClass", "lookup", LOOKUP)
+        await until(lambda: "lookup" in node.directory.catalog().classes)
+        mesh.store.change({"is_down": True})
+        await until(lambda: plane.follower.is_log_reachable is False)
+        transport = Transport()
+        ingress = f"http://127.0.0.1:{node.addresses['ingress'].port}"
+        response = await transport.send(
+            Endpoint("ingress", ingress, 4),
+            Request("POST", "/x", (("Mimosaloom-Class", "lookup"),), b"1"),
+            timeout_s=5.0,
+        )
+        assert (response.status, response.body) == (200, b"a-0:1")
+        admin = f"http://127.0.0.1:{node.addresses['admin'].port}"
+        response = await transport.send(
+            Endpoint("admin", admin, 4), Request(path="/status"), timeout_s=5.0
+        )
+        status = json.loads(response.body)
+        assert status["config"]["is_log_reachable"] is False
+        assert status["config"]["resources"]["RequestClass/lookup"] == 2
+        await node.close()
+        transport.close()
+        mesh.log.stop()
+
+    run(body)
