--- a/libs/mimosaloom-bench/mimosaloom_bench/commands.py
+++ b/libs/mimosaloom-bench/mimosaloom_bench/commands.py
@@ -4,6 +4,7 @@
 
 import typer
 
+from .control import control, replay
 from .demo import show_demo
 from .latency import LoadPlan, show_latency
 from .meshes import MeshName
@@ -20,6 +21,8 @@
     app.command(name="demo")(_demo)
     bench = typer.Typer(no_args_is_help=True, help="Measure mimosaloom.")
     bench.command("overload")(overload)
+    bench.command("control")(control)
+    bench.command("replay")(replay)
     bench.command(name="latency")(_latency)
     app.add_typer(bench, name="bench")
 
--- /dev/null
+++ b/libs/mimosaloom-bench/mimosaloom_bench/control/__init__.py
@@ -0,0 +1,6 @@
+"""Control bench: cost of the control parts per node, and speed of the replay."""
+
+from .command import control, replay
+from .replay_speed import replay_naively
+
+__all__ = ["control", "replay", "replay_naively"]
--- a/libs/mimosaloom-node/mimosaloom_node/control_plane.py
+++ b/libs/mimosaloom-node/mimosaloom_node/control_plane.py
@@ -131,6 +131,15 @@
         if not isinstance(outcome, Appended):
             log_message(message_type="leave_not_recorded", outcome=repr(outcome))
 
+    def crash(self) -> None:
+        """End at once and tell nobody, as a killed process does; for benches."""
+        self.network.links.stop_receiving()
+        for task in [*self._tasks, self._announcing]:
+            if task is not None:
+                task.cancel()
+        self.network.links.abort()
+        self._client.close()
+
     async def close(self) -> None:
         """Tell the peers that this incarnation ends, and end all work."""
         self.network.links.stop_receiving()
--- a/libs/mimosaloom-node/mimosaloom_node/links.py
+++ b/libs/mimosaloom-node/mimosaloom_node/links.py
@@ -91,7 +91,10 @@
         """Pass on messages until cancelled; a bad one is counted and dropped."""
         assert self._pull is not None
         while not self._is_stopping:
-            message = await self._pull.arecv_msg()
+            try:
+                message = await self._pull.arecv_msg()
+            except pynng.Closed:
+                return
             data = message.bytes
             peer = _describe_peer(message)
             self.traffic.received_messages += 1
@@ -168,6 +171,10 @@
     async def close(self) -> None:
         """Close all sockets after a moment for what is queued."""
         await asyncio.sleep(CLOSE_LINGER_S)
+        self.abort()
+
+    def abort(self) -> None:
+        """Close all sockets; what is queued is lost."""
         self.keep(())
         if self._pull is not None:
             self._pull.close()
--- a/libs/mimosaloom-node/mimosaloom_node/peer_membership.py
+++ b/libs/mimosaloom-node/mimosaloom_node/peer_membership.py
@@ -42,6 +42,8 @@
 # gets thousands of members must not send all of them on.
 MAX_PASSED_ON = 32
 PRUNE_BEATS = 600
+# Neighbours and nodes that have asked lately; more get no answer until the next beat.
+MAX_PEERS = 12
 
 
 class PeerNetwork:
@@ -195,7 +197,8 @@
     def _pass_on(self, news: list[MemberNews], skip: str) -> None:
         for at in range(0, len(news), MAX_NEWS_PER_MESSAGE):
             message = News(news[at : at + MAX_NEWS_PER_MESSAGE])
-            for name in self._peers:
+            # Guests and contacts get the news from their own neighbours.
+            for name in self.index.neighbors():
                 if name != skip:
                     self.links.send(name, message)
 
@@ -252,8 +255,10 @@
         """Return the peer, with a link to it from the next message on."""
         peer = self._peers.get(name)
         if peer is None:
-            peer = self._peers[name] = Peer()
-            self._send_beat(name, peer)
+            peer = Peer()
+            if len(self._peers) < MAX_PEERS:
+                self._peers[name] = peer
+                self._send_beat(name, peer)
         return peer
 
     def _take_beat(self, name: str, peer: Peer, beat: Beat) -> None:
