Choose upstreams by expected wait, refusals, ramp and subset

Cause: refusals came back at once and made a refusing upstream look fast; all callers moved to new upstreams together. Change: two random choices on calls in flight times smoothed delay, with a cost for recent refusals and failures, a slight preference for the own failure domain, a ramp for upstreams that join, staggered per caller, reported load as a weak hint, and rendezvous subsets that keep the connections of each upstream below its maximum.

--- a/libs/mimosaloom-bench/mimosaloom_bench/overload/controlled.py
+++ b/libs/mimosaloom-bench/mimosaloom_bench/overload/controlled.py
@@ -120,14 +120,11 @@
         self._loop.call_later(TICK_S, self._tick)
 
     def _poll_load(self) -> None:
-        for node in self._nodes.values():
-            suggest = getattr(node.routers.get(node.target.service.name), "suggest", 0)
-            for service, targets in self._services.items() if suggest else ():
-                for target in targets:
-                    load_ratio = target.reported_load()
-                    node.routers[service].suggest(
-                        target.name, load_ratio, self._loop.now_s
-                    )
+        for target in (t for own in self._services.values() for t in own):
+            load_ratio = target.reported_load()
+            for node in self._nodes.values():
+                router = node.routers[target.service.name]
+                router.suggest(target.name, load_ratio, self._loop.now_s)
         self._loop.call_later(LOAD_POLL_S, self._poll_load)
 
     # Events of the scenario.
--- a/libs/mimosaloom-policy/mimosaloom_policy/routing.py
+++ b/libs/mimosaloom-policy/mimosaloom_policy/routing.py
@@ -1,15 +1,29 @@
 """Choice of an upstream for a call."""
 
+import math
 import random
 from dataclasses import dataclass
 from typing import NamedTuple
 
-from mimosaloom_model import Kind
+from mimosaloom_model import ANSWERS, Kind, Ran, hash_unit
+
+from .subset import CONNECTIONS_PER_UPSTREAM, choose_subset, plan_subset
 
 __all__ = ["Candidate", "Router"]
 
 INITIAL_DELAY_S = 0.01
 DELAY_SMOOTHING = 0.2
+TROUBLE_SMOOTHING = 0.2
+TROUBLE_DECAY_S = 0.5
+# At full trouble an upstream looks this many times as costly; a refusal comes back
+# at once, so without it an upstream that refuses would look like the fastest one.
+TROUBLE_COST = 10.0
+OTHER_DOMAIN_COST = 1.1
+RAMP_S = 2.0
+RAMP_STAGGER_S = 1.0
+RAMP_START_RATIO = 0.1
+HINT_MAX_AGE_S = 3.0
+HINT_COST = 0.2
 
 
 class Candidate(NamedTuple):
@@ -39,7 +53,12 @@
 @dataclass
 class _Stats:
     in_flight: int = 0
-    delay_s: float = INITIAL_DELAY_S
+    delay_s: float | None = None
+    trouble: float = 0.0
+    trouble_at_s: float = 0.0
+    ramp_start_s: float = -math.inf
+    load_ratio: float = 0.0
+    load_at_s: float = -math.inf
 
 
 class Router:
@@ -60,14 +79,47 @@
         self._own_domain = own_domain
         self._rng = rng
         self._candidates: dict[str, Candidate] = {}
+        self._names: list[str] = []
         self._stats: dict[str, _Stats] = {}
+        self._connections = CONNECTIONS_PER_UPSTREAM
+
+    @property
+    def connections_per_upstream(self) -> int:
+        """Connections that this caller may hold to each upstream it uses."""
+        return self._connections
 
-    def set_candidates(self, candidates: list[Candidate], now_s: float) -> None:
-        """Replace the list of upstreams; statistics of those that stay are kept."""
+    @property
+    def subset(self) -> list[str]:
+        """Names of the upstreams that this caller uses."""
+        return list(self._names)
+
+    def set_candidates(
+        self, candidates: list[Candidate], now_s: float, *, callers: int = 0
+    ) -> None:
+        """Replace the list of upstreams; statistics of those that stay are kept.
+
+        Upstreams that join later get a share of the calls that grows over
+        `RAMP_S`, from a start that differs between callers.
+
+        Args:
+            candidates: All upstreams of the service.
+            now_s: Current time on the monotonic clock.
+            callers: Number of nodes that call the service; 0 if not known. It
+                bounds the subset, so that `max_connections` holds.
+        """
+        usable = [c for c in candidates if not c.is_draining]
+        is_first = not self._candidates
+        self._names = self._choose_names(usable, callers)
         self._candidates = {candidate.name: candidate for candidate in candidates}
-        self._stats = {
-            name: self._stats.get(name, _Stats()) for name in self._candidates
-        }
+        stats = {}
+        for name in self._candidates:
+            known = self._stats.get(name)
+            if known is None:
+                known = _Stats()
+                if not is_first:
+                    known.ramp_start_s = now_s + self._stagger_s(name)
+            stats[name] = known
+        self._stats = stats
 
     def pick(
         self, now_s: float, exclude: frozenset[str] = frozenset()
@@ -78,15 +130,18 @@
             now_s: Current time on the monotonic clock.
             exclude: Names already tried for this call.
         """
-        names = [
-            name
-            for name, candidate in self._candidates.items()
-            if name not in exclude and not candidate.is_draining
-        ]
+        names = self._names
+        if exclude:
+            names = [name for name in names if name not in exclude]
         if not names:
             return None
-        sample = self._rng.sample(names, min(2, len(names)))
-        return self._candidates[min(sample, key=self._cost)]
+        if len(names) == 1:
+            return self._candidates[names[0]]
+        first = self._rng.randrange(len(names))
+        second = self._rng.randrange(len(names) - 1)
+        second += second >= first
+        pair = (names[first], names[second])
+        return self._candidates[min(pair, key=lambda name: self.cost(name, now_s))]
 
     def start(self, name: str, now_s: float) -> None:
         """Record that a call was sent to an upstream."""
@@ -100,10 +155,68 @@
         stats = self._stats.get(name)
         if stats is None:
             return
-        stats.in_flight -= 1
-        if kind is None:
-            stats.delay_s += DELAY_SMOOTHING * (elapsed_s - stats.delay_s)
+        stats.in_flight = max(0, stats.in_flight - 1)
+        is_trouble = kind is not None and kind is not Kind.FAILED_DOWNSTREAM
+        trouble = self._trouble(stats, now_s)
+        stats.trouble = trouble + TROUBLE_SMOOTHING * (is_trouble - trouble)
+        stats.trouble_at_s = now_s
+        if kind is None or ANSWERS[kind].ran is not Ran.NO:
+            known_s = elapsed_s if stats.delay_s is None else stats.delay_s
+            stats.delay_s = known_s + DELAY_SMOOTHING * (elapsed_s - known_s)
+
+    def suggest(self, name: str, load_ratio: float, now_s: float) -> None:
+        """Take a reported load as a hint; it may lag or be wrong.
+
+        A high load makes an upstream look somewhat costlier for a few seconds. A
+        low one changes nothing, so that an upstream that reports to be idle while it
+        is saturated gains no calls by it.
+
+        Args:
+            name: The upstream.
+            load_ratio: Reported load, 1 for all slots in use.
+            now_s: Current time on the monotonic clock.
+        """
+        stats = self._stats.get(name)
+        if stats is not None:
+            stats.load_ratio = min(1.0, max(0.0, load_ratio))
+            stats.load_at_s = now_s
 
-    def _cost(self, name: str) -> float:
+    def cost(self, name: str, now_s: float) -> float:
+        """Return by how much an upstream is to be avoided: expected wait in s."""
         stats = self._stats[name]
-        return (stats.in_flight + 1) * stats.delay_s
+        cost = (stats.in_flight + 1) * self._delay_s(stats)
+        cost *= 1 + TROUBLE_COST * self._trouble(stats, now_s)
+        if self._candidates[name].failure_domain != self._own_domain:
+            cost *= OTHER_DOMAIN_COST
+        if now_s - stats.load_at_s < HINT_MAX_AGE_S:
+            cost *= 1 + HINT_COST * stats.load_ratio
+        return cost / self._ramp(stats, now_s)
+
+    def _choose_names(self, usable: list[Candidate], callers: int) -> list[str]:
+        if not usable:
+            return []
+        max_connections = min(candidate.max_connections for candidate in usable)
+        plan = plan_subset(len(usable), callers, max_connections)
+        self._connections = plan.connections
+        return choose_subset(self._own_name, [c.name for c in usable], plan.size)
+
+    def _stagger_s(self, name: str) -> float:
+        return RAMP_STAGGER_S * hash_unit(f"{self._own_name}|{name}|ramp")
+
+    def _delay_s(self, stats: _Stats) -> float:
+        if stats.delay_s is not None:
+            return stats.delay_s
+        known = [s.delay_s for s in self._stats.values() if s.delay_s is not None]
+        # An unknown upstream counts as an average one; a low guess would draw all
+        # callers to it at once.
+        return sum(known) / len(known) if known else INITIAL_DELAY_S
+
+    def _trouble(self, stats: _Stats, now_s: float) -> float:
+        if stats.trouble < 0.001:
+            return 0.0
+        age_s = now_s - stats.trouble_at_s
+        return stats.trouble * math.exp(-age_s / TROUBLE_DECAY_S)
+
+    def _ramp(self, stats: _Stats, now_s: float) -> float:
+        part = (now_s - stats.ramp_start_s) / RAMP_S
+        return min(1.0, max(RAMP_START_RATIO, part))
