Take a surge into the histogram of ranks at once

Cause: smoothed rates lag a sudden rise by several windows, so the first levels were too high. Change: a window with 1.5 times the smoothed arrivals counts for 0.9 of the new rate.

--- a/libs/mimosaloom-policy/mimosaloom_policy/histogram.py
+++ b/libs/mimosaloom-policy/mimosaloom_policy/histogram.py
@@ -4,6 +4,11 @@
 
 BUCKETS = 512
 SMOOTHING = 0.3
+# A window with so many times the smoothed arrivals is a surge, not noise; its rates
+# are taken at once.
+SURGE_RATIO = 1.5
+SURGE_MIN_COUNT = 10
+SURGE_SMOOTHING = 0.9
 
 
 class RankHistogram:
@@ -30,10 +35,14 @@
         """
         cut = int(level * BUCKETS)
         rates = self._rates_per_s
+        total = sum(self._counts)
+        known = SURGE_RATIO * elapsed_s * sum(rates)
+        is_surge = total > SURGE_MIN_COUNT and total > known
+        smoothing = SURGE_SMOOTHING if is_surge else SMOOTHING
         for index, count in enumerate(self._counts):
             rate = count / elapsed_s
             if index < cut or rate > rates[index]:
-                rates[index] += SMOOTHING * (rate - rates[index])
+                rates[index] += smoothing * (rate - rates[index])
         self._counts = [0] * BUCKETS
 
     def rate_below(self, level: float) -> float:
