Refuse above the level of the next hop below the root too

Cause: calls of admitted requests went on to a deep service whose level had fallen, and held slots of all hops above while they waited to be refused. Change: the caller's side refuses them at once; one in 0.5 s passes as a probe.

--- a/libs/mimosaloom-policy/mimosaloom_policy/levels.py
+++ b/libs/mimosaloom-policy/mimosaloom_policy/levels.py
@@ -97,16 +97,17 @@
             class_name: Request class.
             rank: Rank of the request.
             now_s: Current time on the monotonic clock.
-            depth: Hops from the root. A call below the root belongs to a request
-                that was admitted, and work was done for it; it is not refused here.
+            depth: Hops from the root. Calls below the root above the level are
+                rare, as the entry refuses most; of these one in each interval is let
+                through, so that a probe of the entry reaches the deepest service.
         """
-        if depth > 0 or rank < self.level(service, class_name, now_s):
+        if rank < self.level(service, class_name, now_s):
             return True
+        if depth == 0 and self._rng.random() >= PROBE_RATIO:
+            return False
         return self._may_probe((service, class_name), now_s)
 
     def _may_probe(self, key: tuple[str, str], now_s: float) -> bool:
-        if self._rng.random() >= PROBE_RATIO:
-            return False
         if now_s - self._probe_s.get(key, -PROBE_INTERVAL_S) < PROBE_INTERVAL_S:
             return False
         self._probe_s[key] = now_s
--- a/tests/policy/test_levels.py
+++ b/tests/policy/test_levels.py
@@ -70,8 +70,8 @@
         assert table.refusing("billing", "any", rank, now_s) == refusing
 
 
-def test_probes_are_bounded_and_deeper_calls_pass():
-    """Guards against probes that overload a service at ten times its capacity."""
+def test_probes_are_bounded_and_reach_deeper_hops():
+    """Guards against probes that overload a service, or end before they reach it."""
     table = LevelTable(random.Random(1))
     table.observe("billing", "any", "a", 0.2, 0.0)
     admitted = sum(
@@ -79,7 +79,8 @@
     )
     assert 1 <= admitted <= 3
     assert table.admits("billing", "any", 0.1, 1.0)
-    assert table.admits("billing", "any", 0.5, 1.0, depth=1)
+    deeper = [table.admits("billing", "any", 0.5, t, depth=1) for t in (1.6, 1.7, 2.0)]
+    assert deeper == [True, False, False]
 
 
 def test_draining_target_hides_no_level():
