Tell calls that were not accepted from calls forbidden by a tombstone

Cause: the answer to a tombstone may be asked by someone else than the one who had the key forbidden and ran it elsewhere, so it is outcome_unknown; a call without a stamp or to a full table is known not to run and is worth a retry. Both were Blocked. Questions about a running call came 25 ms apart or less. Change: NotAccepted for the second case; 50 to 100 ms between questions.

--- a/libs/mimosaloom-policy/mimosaloom_policy/retries.py
+++ b/libs/mimosaloom-policy/mimosaloom_policy/retries.py
@@ -28,6 +28,8 @@
 MAX_DELAY_S = 1.0
 MIN_RETRY_AFTER_S = 1.0
 RESOLVE_S = 0.02
+# Pause between two questions about a call that still runs.
+RUNNING_POLL_S = 0.05
 
 
 class RetryReason(StrEnum):
@@ -187,7 +189,7 @@
     if attempt.time_left_s < RESOLVE_S:
         return GiveUp(StopReason.MAY_HAVE_RUN, attempt.kind, 0.0)
     is_running = attempt.resolved is ResolveState.RUNNING
-    delay_s = _draw_delay_s(attempt.attempt, rng) if is_running else 0.0
+    delay_s = RUNNING_POLL_S * (1.0 + rng.random()) if is_running else 0.0
     return ResolveFirst(min(delay_s, attempt.time_left_s - RESOLVE_S))
 
 
--- a/libs/mimosaloom-policy/mimosaloom_policy/runs.py
+++ b/libs/mimosaloom-policy/mimosaloom_policy/runs.py
@@ -6,9 +6,9 @@
 - The node counts epochs of `period_s` from its start. A call carries a stamp (see
   `stamps`) of an epoch that its sender learned before it sent the call.
 - An unseen key is accepted only if its stamp is of this incarnation and less than
-  `retained` epochs old. Without a stamp it is never accepted (`Blocked`: no copy of
-  it can run anywhere). With an old stamp, or one of another incarnation, an entry
-  may have been lost: `Unknown`, which is answered with `outcome_unknown`.
+  `retained` epochs old. Without a stamp it is never accepted (`NotAccepted`: no
+  copy of that attempt runs anywhere). With an old stamp, or one of another
+  incarnation, an entry may have been lost: `Unknown`, answered `outcome_unknown`.
 - Each change of an entry, and each refusal because of it, sets its epoch to the
   current one, c. It is dropped when the current epoch reaches c + retained, and never
   while it runs.
@@ -54,6 +54,7 @@
     "Done",
     "EpochRule",
     "Join",
+    "NotAccepted",
     "NotRun",
     "Replay",
     "Resolution",
@@ -89,7 +90,20 @@
 
 @dataclass(frozen=True, slots=True)
 class Blocked:
-    """The call must not run here and never will; it may be refused as not run."""
+    """A tombstone forbids this attempt here.
+
+    No part of it ran here, but whoever had it forbidden may have run the key elsewhere
+    since, so a caller that asks again gets `outcome_unknown`.
+    """
+
+
+@dataclass(frozen=True, slots=True)
+class NotAccepted:
+    """No copy of this attempt runs here, now or later: refuse it as not run.
+
+    It carries no stamp, or the table is full. The answer carries the current stamp,
+    with which the next attempt can be accepted.
+    """
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,7 +116,7 @@
     """Whether the call ran can't be told: answer with `outcome_unknown`."""
 
 
-RunDecision = Run | Join | Replay | Blocked | Conflict | Unknown
+RunDecision = Run | Join | Replay | Blocked | NotAccepted | Conflict | Unknown
 
 
 @dataclass(frozen=True, slots=True)
@@ -274,7 +288,7 @@
         if refusal is not None:
             return refusal
         if not self._has_room(key, epoch):
-            return Blocked()
+            return NotAccepted()
         self._put(key, _Entry(digest, "running", None, epoch, attempt))
         return Run()
 
@@ -283,17 +297,19 @@
         if entry.state != "running":
             self._put(key, entry._replace(epoch=epoch))
 
-    def _check_stamp(self, epoch: int, stamp: Stamp | None) -> Blocked | Unknown | None:
+    def _check_stamp(
+        self, epoch: int, stamp: Stamp | None
+    ) -> NotAccepted | Unknown | None:
         """Return why an unseen key must not run, or None."""
         rule = self._rule
         if rule is None:
             return None
         if stamp is None:
-            return Blocked()
+            return NotAccepted()
         is_known = stamp.incarnation == rule.incarnation and stamp.epoch <= epoch
         if not is_known or epoch - stamp.epoch >= rule.retained:
             return Unknown()
-        return Blocked() if stamp.epoch <= self._floor else None
+        return NotAccepted() if stamp.epoch <= self._floor else None
 
     def _forbid(
         self, key: str, epoch: int, stamp: Stamp | None, entry: _Entry | None
--- a/tests/policy/test_runs.py
+++ b/tests/policy/test_runs.py
@@ -19,6 +19,7 @@
     Done,
     EpochRule,
     Join,
+    NotAccepted,
     NotRun,
     Replay,
     Run,
@@ -157,7 +158,7 @@
                 node.queued[key] = attempt
             case Replay(result):
                 self.reply(key, attempt, result)
-            case Blocked():
+            case Blocked() | NotAccepted():
                 self.reply(key, attempt, "refused")
             case Unknown():
                 self.reply(key, attempt, "unknown")
@@ -248,7 +249,8 @@
     for number in range(5):
         assert table.begin(f"k{number}", "", 0.5, Stamp("i", 0), 1) == Run()
         table.finish(f"k{number}", ANSWER, 0.5)
-    assert table.begin("over", "", 0.6, Stamp("i", 0), 1) == Blocked()
+    assert table.begin("over", "", 0.6, Stamp("i", 0), 1) == NotAccepted()
+    assert table.begin("unstamped", "", 0.6) == NotAccepted()
     assert table.resolve("over", 0.6, Stamp("i", 0)) == NotRun()
     assert table.result_bytes == 8
     assert table.resolve("k4", 0.7) == Done(ANSWER)
