Stamp calls of non-idempotent classes, and let a key be run by its owner only

Cause: the run table never dropped entries, and a key that a client chose was known to one node only. Change: the run table follows the epoch rule; nodes tell their stamp on answers and on GET /.mimosaloom/ping, and calls of non-idempotent classes carry it. Keys are minted by a node (POST /.mimosaloom/key, or with the answer); a request with a key goes to the owner that the key names. Keys that callers bring need a claim, for which Claims is the interface.

--- a/libs/mimosaloom-mesh/mimosaloom_mesh/assembly.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/assembly.py
@@ -13,7 +13,7 @@
 from .hop import Execute, TargetHop
 from .ingress import Ingress
 from .metrics import MeshMetrics
-from .remote import RemoteHop
+from .owners import Claims, OwnerLink
 from .roots import RootCalls
 from .transport import Transport
 
@@ -91,7 +91,11 @@
 
 
 def build_data_path(
-    place: Place, caller: Caller, transport: Transport, execute: Execute
+    place: Place,
+    caller: Caller,
+    transport: Transport,
+    execute: Execute,
+    claims: Claims | None = None,
 ) -> DataPath:
     """Return the data path of a target.
 
@@ -100,6 +104,7 @@
         caller: Makes the calls of the target.
         transport: Sends requests.
         execute: Runs an admitted call on the target.
+        claims: Claims on keys that clients bring; such keys are refused if None.
     """
     clock, metrics = caller.clock, caller.metrics
     admission = Admission(
@@ -108,10 +113,10 @@
     gate = AdmissionGate(admission, clock, metrics)
     hop = TargetHop(place.service, place.incarnation, caller, gate, execute)
     caller.local = LocalHop(
-        place.upstream, place.service, hop.run, lambda: gate.is_draining
+        place.upstream, place.service, hop.run_local, lambda: gate.is_draining
     )
-    remote = RemoteHop(clock, transport)
-    roots = RootCalls(place.name, caller, hop, remote)
+    owners = OwnerLink(place.service, caller.directory, clock, transport)
+    roots = RootCalls(place.upstream, caller, hop, owners, claims)
     ingress = Ingress(caller, hop, roots, place.max_context_bytes)
     egress = Egress(caller, place.incarnation, place.max_context_bytes)
     return DataPath(caller, gate, hop, ingress, egress)
--- a/libs/mimosaloom-mesh/mimosaloom_mesh/caller.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/caller.py
@@ -24,6 +24,7 @@
     Candidate,
     LevelTable,
     RetryBudget,
+    Stamp,
     rank_request,
 )
 
@@ -227,9 +228,10 @@
             if candidate is None:
                 break
             tried.add(candidate.name)
-            outcome = await self._attempt(call, candidate, attempt)
+            stamp = await self._find_stamp(call, candidate)
+            outcome = await self._attempt(call, candidate, attempt, stamp)
             has_next = self._pick(call, frozenset(tried)) is not None
-            follow = self._follow_up(call, candidate, attempt, has_next)
+            follow = self._follow_up(call, candidate, attempt, has_next, stamp)
             outcome, delay_s = await follow.settle(outcome)
             last = combine_attempts(last, outcome)
             if delay_s is None:
@@ -237,11 +239,24 @@
             await asyncio.sleep(delay_s)
         return last
 
+    async def _find_stamp(self, call: _Call, candidate: Candidate) -> Stamp | None:
+        if call.request_class.is_idempotent or self._is_local(candidate):
+            return None
+        return await self._remote.find_stamp(candidate)
+
+    def _is_local(self, candidate: Candidate) -> bool:
+        return self.local is not None and candidate.name == self.local.upstream
+
     def _follow_up(
-        self, call: _Call, candidate: Candidate, attempt: int, has_next: bool
+        self,
+        call: _Call,
+        candidate: Candidate,
+        attempt: int,
+        has_next: bool,
+        stamp: Stamp | None,
     ) -> FollowUp:
         def ask() -> Awaitable[Resolved]:
-            return self._remote.ask(candidate, call.call_id)
+            return self._remote.ask(candidate, call.call_id, stamp)
 
         return FollowUp(
             call.scope,
@@ -281,7 +296,11 @@
         return next((c for c in candidates if c.name == local.upstream), None)
 
     async def _attempt(
-        self, call: _Call, candidate: Candidate, attempt: int
+        self,
+        call: _Call,
+        candidate: Candidate,
+        attempt: int,
+        stamp: Stamp | None,
     ) -> Outcome:
         router = self._routes.router(call.service)
         start_s = self.clock.monotonic_s()
@@ -300,7 +319,7 @@
         router.start(candidate.name, start_s)
         answer = HopAnswer(Failed(Kind.CANCELLED))
         try:
-            answer = await self._send(call, candidate, context)
+            answer = await self._send(call, candidate, context, stamp)
         finally:
             now_s = self.clock.monotonic_s()
             ledger.give_back(call.scope.key, lent, answer.retries_unused, loan_key)
@@ -314,16 +333,23 @@
         return answer.outcome
 
     async def _send(
-        self, call: _Call, candidate: Candidate, context: CallContext
+        self,
+        call: _Call,
+        candidate: Candidate,
+        context: CallContext,
+        stamp: Stamp | None,
     ) -> HopAnswer:
-        if self.local is not None and candidate.name == self.local.upstream:
+        if self._is_local(candidate):
             return await self.local.run(context, call.request)
+        if stamp is None and not call.request_class.is_idempotent:
+            detail = f"{candidate.name} tells no stamp"
+            return HopAnswer(Refused(Kind.CONNECT_FAILED, detail, RETRY_AFTER_S))
         return await self._remote.run(
             candidate,
             context,
             call.request,
             deadline_s=call.scope.deadline_s,
-            is_idempotent=call.request_class.is_idempotent,
+            stamp=stamp,
         )
 
     def _learn(
--- a/libs/mimosaloom-mesh/mimosaloom_mesh/headers.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/headers.py
@@ -27,10 +27,10 @@
 
 __all__ = [
     "CLASS_HEADER",
-    "INCARNATION_HEADER",
     "KEY_HEADER",
     "OWNER_HEADER",
     "RAN_HEADER",
+    "STAMP_HEADER",
     "TIMEOUT_HEADER",
     "build_response",
     "forwarded_headers",
@@ -43,7 +43,7 @@
 KEY_HEADER = "Idempotency-Key"
 OWNER_HEADER = "Mimosaloom-Owner"
 RAN_HEADER = "Mimosaloom-Ran"
-INCARNATION_HEADER = "Mimosaloom-Incarnation"
+STAMP_HEADER = "Mimosaloom-Stamp"
 
 # Headers that hold for one connection only, and those that each hop writes itself.
 _NOT_FORWARDED = frozenset(
@@ -63,8 +63,8 @@
         "x-http-reason",
         ANSWER_HEADER.lower(),
         CONTEXT_HEADER.lower(),
-        INCARNATION_HEADER.lower(),
         RAN_HEADER.lower(),
+        STAMP_HEADER.lower(),
         TIMEOUT_HEADER.lower(),
     }
 )
@@ -117,7 +117,10 @@
         is_draining=answer.is_draining,
         digest=digest_bytes(body),
     )
-    return Response(status, (*headers, (ANSWER_HEADER, encode_answer_note(note))), body)
+    headers = (*headers, (ANSWER_HEADER, encode_answer_note(note)))
+    if answer.stamp:
+        headers = (*headers, (STAMP_HEADER, answer.stamp))
+    return Response(status, headers, body)
 
 
 def read_hop_answer(
@@ -131,7 +134,8 @@
         attempt: The attempt that was sent.
         has_body: False for the answer to a HEAD request.
     """
-    value = next((v for k, v in response.headers if k == ANSWER_HEADER), None)
+    values = dict(response.headers)
+    value = values.get(ANSWER_HEADER)
     if value is None:
         return _mismatch("the answer carries no Mimosaloom-Answer header")
     try:
@@ -151,6 +155,7 @@
         note.level,
         note.incarnation,
         note.is_draining,
+        values.get(STAMP_HEADER, ""),
     )
 
 
--- a/libs/mimosaloom-mesh/mimosaloom_mesh/hop.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/hop.py
@@ -17,7 +17,17 @@
     Service,
     digest_bytes,
 )
-from mimosaloom_policy import Arrival, Refuse, ResolveState, RunTable, rank_request
+from mimosaloom_policy import (
+    Arrival,
+    EpochRule,
+    Refuse,
+    ResolveState,
+    RunTable,
+    Stamp,
+    format_stamp,
+    parse_stamp,
+    rank_request,
+)
 
 from .caller import Caller
 from .gate import AdmissionGate, Withdrawn
@@ -81,24 +91,33 @@
         gate: AdmissionGate,
         execute: Execute,
     ):
+        self.rule = EpochRule(incarnation, caller.clock.monotonic_s())
         self.service = service
         self.incarnation = incarnation
         self.gate = gate
-        self.once = OnceRunner(RunTable(), caller.clock)
+        self.once = OnceRunner(RunTable(self.rule), caller.clock)
         self._caller = caller
         self._clock = caller.clock
         self._execute = execute
         self._active: Counter[str] = Counter()
 
-    async def run(self, context: CallContext, request: Request) -> HopAnswer:
+    async def run(
+        self, context: CallContext, request: Request, stamp: Stamp | None
+    ) -> HopAnswer:
         """Run one attempt of a call.
 
         Cancelling the awaiting task takes a waiting call out of the queue and
         cancels a running one, unless its class must run at most once.
+
+        Args:
+            context: Context of the attempt.
+            request: What the caller sent.
+            stamp: Stamp that the attempt carries; needed for classes that run at
+                most once.
         """
         self._active[context.call_id] += 1
         try:
-            ended = await self._run(context, request)
+            ended = await self._run(context, request, stamp)
         finally:
             self._active[context.call_id] -= 1
             if not self._active[context.call_id]:
@@ -111,8 +130,13 @@
             min(self.gate.admission.level, deeper_level),
             self.incarnation,
             self.gate.is_draining,
+            self._stamp_text(),
         )
 
+    async def run_local(self, context: CallContext, request: Request) -> HopAnswer:
+        """Run a call that is made in this process."""
+        return await self.run(context, request, self.once.stamp())
+
     def resolve(self, question: ResolveRequest) -> ResolveAnswer:
         """Tell what became of a call; one that never came is forbidden for good."""
         state, result = ResolveState.OTHER_INCARNATION, None
@@ -120,10 +144,27 @@
             if question.call_id in self._active:
                 state = ResolveState.RUNNING
             else:
-                state, result = self.once.resolve(question.call_id)
+                stamp = parse_stamp(question.stamp)
+                state, result = self.once.resolve(question.call_id, stamp)
         return ResolveAnswer(question.call_id, state, self.incarnation, result)
 
-    async def _run(self, context: CallContext, request: Request) -> _Ended:
+    def _stamp_text(self) -> str:
+        stamp = self.once.stamp()
+        return "" if stamp is None else format_stamp(stamp)
+
+    def ping(self) -> HopAnswer:
+        """Return an answer that carries the stamp and the state of this node."""
+        return HopAnswer(
+            Answered(204),
+            level=self.gate.admission.level,
+            incarnation=self.incarnation,
+            is_draining=self.gate.is_draining,
+            stamp=self._stamp_text(),
+        )
+
+    async def _run(
+        self, context: CallContext, request: Request, stamp: Stamp | None
+    ) -> _Ended:
         request_class = self._caller.directory.catalog().classes.get(context.class_name)
         if request_class is None:
             detail = f"class {context.class_name!r} is not declared"
@@ -144,7 +185,7 @@
         )
         if request_class.is_idempotent:
             return await self._admit(scope, context, request, request_class)
-        return await self._run_once(scope, context, request, request_class)
+        return await self._run_once(scope, context, request, request_class, stamp)
 
     async def _run_once(
         self,
@@ -152,6 +193,7 @@
         context: CallContext,
         request: Request,
         request_class: RequestClass,
+        stamp: Stamp | None,
     ) -> _Ended:
         unused = 0
 
@@ -165,7 +207,12 @@
             f"{request.method} {request.path}\n".encode() + request.body
         )
         outcome = await self.once.run(
-            context.call_id, digest, start, lambda: self.gate.withdraw(scope.key)
+            context.call_id,
+            digest,
+            start,
+            lambda: self.gate.withdraw(scope.key),
+            stamp=stamp,
+            attempt=context.attempt,
         )
         return _Ended(outcome, unused)
 
--- a/libs/mimosaloom-mesh/mimosaloom_mesh/ingress.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/ingress.py
@@ -12,17 +12,19 @@
     Outcome,
     Refused,
 )
+from mimosaloom_policy import parse_stamp
 
 from .caller import Caller
-from .headers import INCARNATION_HEADER, build_response, read_context
+from .headers import STAMP_HEADER, build_response, read_context
 from .hop import TargetHop
 from .messages import HopAnswer, Request, Response, kind_of
-from .resolution import RESOLVE_PATH, ResolveRequest
+from .resolution import PING_PATH, RESOLVE_PATH, ResolveRequest
 from .roots import RootCalls
 
 __all__ = ["Ingress"]
 
 RESERVED_PREFIX = "/.mimosaloom/"
+KEY_PATH = "/.mimosaloom/key"
 
 
 class Ingress:
@@ -61,25 +63,18 @@
         return await self._run(context, request)
 
     async def _run(self, context: CallContext, request: Request) -> Response:
-        wanted = request.header(INCARNATION_HEADER)
-        if wanted and wanted != self._hop.incarnation and self._is_once(context):
-            # libcurl may have sent this copy on its own after an earlier
-            # incarnation took the first one, so "not run" can't be said.
-            detail = f"the call was sent to incarnation {wanted}"
-            outcome: Outcome = Failed(Kind.OUTCOME_UNKNOWN, detail)
-            answer = HopAnswer(outcome, incarnation=self._hop.incarnation)
-        else:
-            answer = await self._hop.run(context, request)
+        stamp = parse_stamp(request.header(STAMP_HEADER) or "")
+        answer = await self._hop.run(context, request, stamp)
         self._count(answer.outcome, context.request_id)
         return build_response(
             answer, context.call_id, context.attempt, context.request_id
         )
 
-    def _is_once(self, context: CallContext) -> bool:
-        known = self._caller.directory.catalog().classes.get(context.class_name)
-        return known is not None and not known.is_idempotent
-
     def _answer_reserved(self, request: Request) -> Response:
+        if request.path == PING_PATH:
+            return build_response(self._hop.ping(), "ping", 1, "")
+        if request.path == KEY_PATH and request.method == "POST":
+            return self._roots.issue_key()
         if request.path != RESOLVE_PATH or request.method != "POST":
             return self._refuse(Kind.BAD_REQUEST, f"there is no {request.path}")
         try:
--- a/libs/mimosaloom-mesh/mimosaloom_mesh/messages.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/messages.py
@@ -58,6 +58,7 @@
         level: Admission level of the answering node; None if it gave none.
         incarnation: Incarnation of the answering node; empty if none answered.
         is_draining: Whether the answering target is leaving.
+        stamp: Text form of the stamp of the answering node; empty if it gave none.
     """
 
     outcome: Outcome
@@ -65,6 +66,7 @@
     level: float | None = None
     incarnation: str = ""
     is_draining: bool = False
+    stamp: str = ""
 
 
 def kind_of(outcome: Outcome) -> Kind | None:
--- a/libs/mimosaloom-mesh/mimosaloom_mesh/once.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/once.py
@@ -15,6 +15,7 @@
     Run,
     Running,
     RunTable,
+    Stamp,
     Unknown,
 )
 
@@ -47,6 +48,9 @@
         digest: str,
         start: Callable[[], Awaitable[Outcome | None]],
         withdraw: Callable[[], None],
+        *,
+        stamp: Stamp | None,
+        attempt: int,
     ) -> Outcome:
         """Run a call, or join or repeat the result of the run with its key.
 
@@ -59,8 +63,11 @@
             start: Runs the call; returns None if the call was withdrawn.
             withdraw: Called when the caller is gone; takes the call back if no part
                 of it has run.
+            stamp: Stamp that the call carries.
+            attempt: Number of the attempt.
         """
-        match self._table.begin(key, digest, self._clock.monotonic_s()):
+        now_s = self._clock.monotonic_s()
+        match self._table.begin(key, digest, now_s, stamp, attempt):
             case Run():
                 task = asyncio.ensure_future(self._run_to_end(key, start))
                 self._tasks[key] = task
@@ -70,7 +77,8 @@
                 return result
             case Blocked():
                 # Whoever had the key forbidden here may have run it elsewhere.
-                return Failed(Kind.OUTCOME_UNKNOWN, "the call was given up before")
+                detail = "the call was given up before, or carries no stamp"
+                return Failed(Kind.OUTCOME_UNKNOWN, detail)
             case Unknown():
                 return Failed(Kind.OUTCOME_UNKNOWN, "the stamp of the call is too old")
             case Conflict():
@@ -81,9 +89,18 @@
             withdraw()
             raise
 
-    def resolve(self, key: str) -> tuple[str, StoredResult | None]:
-        """Return the state of a key and the result of a run that has ended."""
-        match self._table.resolve(key, self._clock.monotonic_s()):
+    def stamp(self) -> Stamp | None:
+        """Return the stamp that calls to this process carry now."""
+        return self._table.stamp(self._clock.monotonic_s())
+
+    def resolve(self, key: str, stamp: Stamp | None) -> tuple[str, StoredResult | None]:
+        """Return the state of a key and the result of a run that has ended.
+
+        Args:
+            key: Key of the call.
+            stamp: Stamp that the attempt in question carried.
+        """
+        match self._table.resolve(key, self._clock.monotonic_s(), stamp):
             case Done(result):
                 return ResolveState.DONE, store_result(result)
             case NotRun():
@@ -109,7 +126,7 @@
         if outcome is None:
             # Nothing ran, and a late copy must not run either.
             self._table.abandon(key)
-            self._table.resolve(key, now_s)
+            self._table.resolve(key, now_s, self.stamp())
         elif isinstance(outcome, Refused):
             self._table.abandon(key)
         else:
--- a/libs/mimosaloom-mesh/mimosaloom_mesh/remote.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/remote.py
@@ -16,11 +16,19 @@
     Refused,
     encode_context,
 )
-from mimosaloom_policy import Candidate, ResolveState
+from mimosaloom_policy import (
+    Candidate,
+    ResolveState,
+    Stamp,
+    StampBook,
+    format_stamp,
+    parse_stamp,
+)
 
-from .headers import INCARNATION_HEADER, forwarded_headers, read_hop_answer
+from .headers import STAMP_HEADER, forwarded_headers, read_hop_answer
 from .messages import HopAnswer, Request, Response
 from .resolution import (
+    PING_PATH,
     RESOLVE_PATH,
     ResolveAnswer,
     Resolved,
@@ -37,10 +45,10 @@
 # An answer that is on its way may still arrive after its node says "done".
 ANSWER_GRACE_S = 0.2
 RESOLVE_TIMEOUT_S = 0.5
+PING_TIMEOUT_S = 0.5
 RESOLVE_TRIES = 3
 RESOLVE_MAX_CONNECTIONS = 16
 POLL_INTERVAL_S = 0.05
-MAX_POLL_INTERVAL_S = 0.5
 RETRY_AFTER_S = 1.0
 
 
@@ -55,6 +63,7 @@
     def __init__(self, clock: Clock, transport: Transport):
         self._clock = clock
         self._transport = transport
+        self._stamps = StampBook()
 
     async def run(
         self,
@@ -63,7 +72,7 @@
         request: Request,
         *,
         deadline_s: float,
-        is_idempotent: bool,
+        stamp: Stamp | None,
     ) -> HopAnswer:
         """Send one attempt and wait for its answer.
 
@@ -72,13 +81,14 @@
             context: Context of the attempt.
             request: What is sent.
             deadline_s: End of the wait, on the monotonic clock.
-            is_idempotent: Whether the class may run more than once.
+            stamp: Stamp of the attempt; None for classes that may run again.
         """
         headers = (
             *forwarded_headers(request.headers),
             (CONTEXT_HEADER, encode_context(context)),
-            (INCARNATION_HEADER, candidate.incarnation),
         )
+        if stamp is not None:
+            headers = (*headers, (STAMP_HEADER, format_stamp(stamp)))
         sent = self._transport.send(
             _endpoint(candidate),
             request._replace(headers=headers),
@@ -86,7 +96,7 @@
         )
         task = asyncio.ensure_future(sent)
         try:
-            early = await self._watch(task, candidate, context.call_id)
+            early = await self._watch(task, candidate, context.call_id, stamp)
         finally:
             if not task.done():
                 task.cancel()
@@ -96,34 +106,51 @@
         if isinstance(response, Broken):
             return HopAnswer(_broken_outcome(response))
         has_body = request.method != "HEAD"
-        return read_hop_answer(
+        answer = read_hop_answer(
             response, context.call_id, context.attempt, has_body=has_body
         )
+        self._learn_stamp(candidate, answer)
+        return answer
+
+    async def find_stamp(self, candidate: Candidate) -> Stamp | None:
+        """Return the stamp for a new call; None if the node does not tell it."""
+        stamp = self._stamps.current(candidate.name, self._clock.monotonic_s())
+        if stamp is not None and stamp.incarnation == candidate.incarnation:
+            return stamp
+        response = await self._transport.send(
+            _endpoint(candidate), Request("GET", PING_PATH), timeout_s=PING_TIMEOUT_S
+        )
+        if isinstance(response, Broken):
+            return None
+        self._learn_stamp(candidate, read_hop_answer(response, "ping", 1))
+        stamp = self._stamps.current(candidate.name, self._clock.monotonic_s())
+        is_same = stamp is not None and stamp.incarnation == candidate.incarnation
+        return stamp if is_same else None
 
-    async def resolve(
-        self, candidate: Candidate, call_id: str, *, deadline_s: float
-    ) -> Resolved:
-        """Ask until a call has ended or the deadline has passed."""
-        interval_s = POLL_INTERVAL_S
-        while True:
-            resolved = await self.ask(candidate, call_id)
-            left_s = deadline_s - self._clock.monotonic_s()
-            if resolved.state is not ResolveState.RUNNING or left_s <= 0:
-                return resolved
-            await asyncio.sleep(min(interval_s, left_s))
-            interval_s = min(2 * interval_s, MAX_POLL_INTERVAL_S)
+    def _learn_stamp(self, candidate: Candidate, answer: HopAnswer) -> None:
+        stamp = parse_stamp(answer.stamp)
+        if stamp is not None:
+            self._stamps.learn(candidate.name, stamp, self._clock.monotonic_s())
 
     async def ask(
-        self, candidate: Candidate, call_id: str, *, tries: int = RESOLVE_TRIES
+        self,
+        candidate: Candidate,
+        call_id: str,
+        stamp: Stamp | None,
+        *,
+        tries: int = RESOLVE_TRIES,
     ) -> Resolved:
         """Ask the node that got a call, over a new connection, what became of it.
 
         Args:
             candidate: The upstream that the call was sent to.
             call_id: The call.
+            stamp: Stamp that the attempt carried.
             tries: Requests until one is answered.
         """
-        body = msgspec.json.encode(ResolveRequest(call_id, candidate.incarnation))
+        stamp_text = "" if stamp is None else format_stamp(stamp)
+        question = ResolveRequest(call_id, candidate.incarnation, stamp_text)
+        body = msgspec.json.encode(question)
         request = Request("POST", RESOLVE_PATH, body=body)
         endpoint = _endpoint(candidate)._replace(
             name=f"{candidate.name}#resolve", max_connections=RESOLVE_MAX_CONNECTIONS
@@ -140,14 +167,18 @@
         return Resolved(ResolveState.NO_ANSWER)
 
     async def _watch(
-        self, task: asyncio.Future, candidate: Candidate, call_id: str
+        self,
+        task: asyncio.Future,
+        candidate: Candidate,
+        call_id: str,
+        stamp: Stamp | None,
     ) -> Outcome | None:
         """Wait for the answer; return an outcome if it must be learned otherwise."""
         while True:
             done, _ = await asyncio.wait({task}, timeout=SILENCE_BOUND_S)
             if done:
                 return None
-            resolved = await self.ask(candidate, call_id, tries=1)
+            resolved = await self.ask(candidate, call_id, stamp, tries=1)
             if task.done():
                 return None
             if resolved.state is ResolveState.RUNNING:
--- a/libs/mimosaloom-mesh/mimosaloom_mesh/resolution.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/resolution.py
@@ -8,6 +8,7 @@
 from mimosaloom_policy import ResolveState
 
 __all__ = [
+    "PING_PATH",
     "RESOLVE_PATH",
     "UNKNOWN_STATE",
     "ResolveAnswer",
@@ -19,6 +20,7 @@
     "store_result",
 ]
 
+PING_PATH = "/.mimosaloom/ping"
 RESOLVE_PATH = "/.mimosaloom/resolve"
 # The node can't tell what became of the call.
 UNKNOWN_STATE = "unknown"
@@ -30,10 +32,12 @@
     Attributes:
         call_id: The call.
         incarnation: Incarnation of the node that the call was sent to.
+        stamp: Stamp that the attempt carried; empty if it carried none.
     """
 
     call_id: str
     incarnation: str
+    stamp: str = ""
 
 
 class StoredResult(msgspec.Struct, frozen=True):
--- a/libs/mimosaloom-mesh/mimosaloom_mesh/roots.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/roots.py
@@ -1,9 +1,11 @@
 """Requests that begin at this node."""
 
-import re
+import itertools
 from datetime import timedelta
 from typing import NamedTuple
 
+import msgspec
+
 from mimosaloom_model import (
     Failed,
     Kind,
@@ -11,9 +13,15 @@
     Refused,
     RequestClass,
     digest_bytes,
-    new_request_id,
 )
-from mimosaloom_policy import Candidate, ResolveState, rank_request
+from mimosaloom_policy import (
+    BroughtKey,
+    MintedKey,
+    Stamp,
+    mint_key,
+    parse_key,
+    rank_request,
+)
 
 from .caller import Caller
 from .headers import (
@@ -25,51 +33,71 @@
 )
 from .hop import TargetHop
 from .messages import HopAnswer, Request, Response, kind_of
-from .remote import RemoteHop
+from .owners import Claims, Mine, OwnedBy, OwnerLink, format_owner
 from .scopes import CallScope
 
 __all__ = ["RootCalls"]
 
 MAX_TIMEOUT_MS = 3_600_000
 RETRY_AFTER_S = 1.0
-# Keys of callers and call ids of nodes share one run table.
+# Keys of clients and call ids of nodes share one run table.
 KEY_PREFIX = "key:"
-_KEY = re.compile(r"[\x21-\x7e]{1,200}")
 
 
 class _Root(NamedTuple):
     request_class: RequestClass
-    timeout: timedelta | None
+    timeout: timedelta
     key: str
-    owner: str
+    is_forwarded: bool
 
 
 class RootCalls:
     """Begins requests and keeps one run for each idempotency key.
 
     Args:
-        name: Name of the node; part of the owner of a key.
+        upstream: Name of the own target; the owner in the keys that are minted here.
         caller: Makes the calls.
         hop: Runs calls on the own target.
-        remote: Asks other owners of keys.
+        owners: Forwards requests to other owners of keys.
+        claims: Claims on keys that clients bring; such keys are refused if None.
     """
 
-    def __init__(self, name: str, caller: Caller, hop: TargetHop, remote: RemoteHop):
+    def __init__(
+        self,
+        upstream: str,
+        caller: Caller,
+        hop: TargetHop,
+        owners: OwnerLink,
+        claims: Claims | None,
+    ):
         self._caller = caller
         self._hop = hop
-        self._remote = remote
-        self._owner = f"{name}/{hop.incarnation}"
+        self._owners = owners
+        self._claims = claims
+        self._upstream = upstream
+        self._owner = format_owner(upstream, hop.incarnation)
+        self._arrivals = itertools.count(1)
 
     async def handle(self, request: Request) -> Response:
         """Answer a request that begins here."""
         root = self._read(request)
         if isinstance(root, Refused):
-            return self._respond(root, "", None)
+            return self._respond(root, "", "")
         if not root.key:
             outcome, request_id = await self._begin(root, request)
-            return self._respond(outcome, request_id, None)
+            return self._respond(outcome, request_id, "")
         outcome, request_id = await self._run_keyed(root, request)
-        return self._respond(outcome, request_id, root)
+        return self._respond(outcome, request_id, root.key)
+
+    def issue_key(self) -> Response:
+        """Return a new key, for clients that want to be able to ask again."""
+        body = msgspec.json.encode({"key": self._mint(), "owner": self._owner})
+        return Response(200, (("Content-Type", "application/json"),), body)
+
+    def _mint(self) -> str:
+        age_s = self._caller.clock.monotonic_s() - self._hop.rule.start_s
+        rng = self._caller.rng
+        return mint_key(self._upstream, self._hop.incarnation, age_s, rng)
 
     def _read(self, request: Request) -> _Root | Refused:
         name = request.header(CLASS_HEADER) or ""
@@ -79,22 +107,50 @@
         if request_class.entry_service != self._hop.service:
             detail = f"class {name} enters at {request_class.entry_service}"
             return Refused(Kind.UNKNOWN_CLASS, detail)
-        timeout = _read_timeout(request.header(TIMEOUT_HEADER))
+        timeout = _read_timeout(request.header(TIMEOUT_HEADER), request_class)
         if isinstance(timeout, Refused):
             return timeout
         key = request.header(KEY_HEADER) or ""
-        if key and not _KEY.fullmatch(key):
-            return Refused(Kind.BAD_REQUEST, f"{KEY_HEADER} is not valid")
+        if key and parse_key(key) is None:
+            detail = (
+                f"{KEY_HEADER} must be Unix seconds in 10 digits, -, and 8 to 53 of "
+                "A-Z a-z 0-9 _ -, or a key that a node issued"
+            )
+            return Refused(Kind.BAD_REQUEST, detail)
         if not key and not request_class.is_idempotent:
-            key = new_request_id(self._caller.rng)
-        owner = request.header(OWNER_HEADER) or ""
-        return _Root(request_class, timeout, key, owner)
+            key = self._mint()
+        is_forwarded = request.header(OWNER_HEADER) == self._owner
+        return _Root(request_class, timeout, key, is_forwarded)
 
     async def _run_keyed(self, root: _Root, request: Request) -> tuple[Outcome, str]:
-        if root.owner not in ("", self._owner):
-            earlier = await self._ask_owner(root)
-            if earlier is not None:
-                return earlier, ""
+        deadline_s = self._caller.clock.monotonic_s() + root.timeout.total_seconds()
+        owner = await self._find_owner(root, deadline_s)
+        if isinstance(owner, Refused | Failed):
+            return owner, ""
+        if owner == self._owner:
+            return await self._run_own(root, request)
+        if root.is_forwarded:
+            return Failed(Kind.OUTCOME_UNKNOWN, f"the owner is {owner}"), ""
+        outcome = await self._owners.forward(owner, root.key, request, deadline_s)
+        return outcome, ""
+
+    async def _find_owner(
+        self, root: _Root, deadline_s: float
+    ) -> str | Refused | Failed:
+        match parse_key(root.key):
+            case MintedKey(owner, incarnation):
+                return format_owner(owner, incarnation)
+            case BroughtKey() if self._claims is not None:
+                claimed = await self._claims.claim(root.key, deadline_s)
+                match claimed:
+                    case Mine():
+                        return self._owner
+                    case OwnedBy(owner):
+                        return owner
+                return claimed
+        return Refused(Kind.BAD_REQUEST, "only keys that a node issued are taken here")
+
+    async def _run_own(self, root: _Root, request: Request) -> tuple[Outcome, str]:
         request_id = ""
 
         async def start() -> Outcome:
@@ -108,35 +164,21 @@
             digest_bytes(text + request.body),
             start,
             lambda: None,
+            stamp=self._key_stamp(root.key),
+            # Clients number no attempts: each arrival is a new one.
+            attempt=next(self._arrivals),
         )
         return outcome, request_id
 
-    async def _ask_owner(self, root: _Root) -> Outcome | None:
-        """Return what the owner of a key knows; None if it forbids the key there."""
-        owner = self._find_owner(root.owner.rpartition("/")[2])
-        if owner is None:
-            return Failed(Kind.OUTCOME_UNKNOWN, f"the owner {root.owner} is gone")
-        timeout_s = root.request_class.timeout_s
-        if root.timeout is not None:
-            timeout_s = root.timeout.total_seconds()
-        deadline_s = self._caller.clock.monotonic_s() + timeout_s
-        resolved = await self._remote.resolve(
-            owner, KEY_PREFIX + root.key, deadline_s=deadline_s
-        )
-        match resolved.state:
-            case ResolveState.NOT_RUN:
-                return None
-            case ResolveState.DONE:
-                return resolved.result
-            case ResolveState.RUNNING:
-                return Failed(Kind.DEADLINE_EXCEEDED, "the request still runs")
-        return Failed(Kind.OUTCOME_UNKNOWN, f"the owner says {resolved.state}")
-
-    def _find_owner(self, incarnation: str) -> Candidate | None:
-        for candidate in self._caller.directory.candidates(self._hop.service):
-            if candidate.incarnation == incarnation:
-                return candidate
-        return None
+    def _key_stamp(self, key: str) -> Stamp | None:
+        """Return the stamp of the time at which a key was issued.
+
+        The claim of a brought key is not older than the stamp of this moment.
+        """
+        match parse_key(key):
+            case MintedKey(_, incarnation, age_s):
+                return Stamp(incarnation, int(age_s // self._hop.rule.period_s))
+        return self._hop.once.stamp()
 
     async def _begin(self, root: _Root, request: Request) -> tuple[Outcome, str]:
         scope = self._caller.open_root(root.request_class.name, root.timeout)
@@ -164,30 +206,37 @@
             if service != self._hop.service
         )
 
-    def _respond(
-        self, outcome: Outcome, request_id: str, root: _Root | None
-    ) -> Response:
-        if not request_id and kind_of(outcome) is not None:
-            self._caller.metrics.count_refusal(kind_of(outcome))
+    def _respond(self, outcome: Outcome, request_id: str, key: str) -> Response:
+        kind = kind_of(outcome)
+        if not request_id and kind is not None:
+            self._caller.metrics.count_refusal(kind)
         answer = HopAnswer(
             outcome,
             incarnation=self._hop.incarnation,
             is_draining=self._hop.gate.is_draining,
         )
         response = build_response(answer, request_id or "none", 1, request_id)
-        if root is None:
+        if not key:
             return response
-        headers = (
-            *response.headers,
-            (KEY_HEADER, root.key),
-            (OWNER_HEADER, self._owner),
-        )
+        kept = [item for item in response.headers if item[0] not in _KEY_HEADERS]
+        headers = (*kept, (KEY_HEADER, key), (OWNER_HEADER, self._owner_of(key)))
         return response._replace(headers=headers)
 
+    def _owner_of(self, key: str) -> str:
+        match parse_key(key):
+            case MintedKey(owner, incarnation):
+                return format_owner(owner, incarnation)
+        return self._owner
+
+
+_KEY_HEADERS = frozenset({KEY_HEADER, OWNER_HEADER})
+
 
-def _read_timeout(value: str | None) -> timedelta | Refused | None:
+def _read_timeout(
+    value: str | None, request_class: RequestClass
+) -> timedelta | Refused:
     if value is None:
-        return None
+        return timedelta(seconds=request_class.timeout_s)
     if not (value.isdecimal() and 1 <= int(value[:8]) <= MAX_TIMEOUT_MS):
         detail = f"{TIMEOUT_HEADER} must be an integer of 1 to {MAX_TIMEOUT_MS}"
         return Refused(Kind.BAD_REQUEST, detail)
--- a/tests/mesh/fakes.py
+++ b/tests/mesh/fakes.py
@@ -12,6 +12,7 @@
     Address,
     Catalog,
     LimitSettings,
+    ListenSettings,
     LogServiceSettings,
     NodeIdentity,
     NodeSettings,
@@ -115,12 +116,15 @@
         return Response(200, (), self.name.encode() + b">" + response.body)
 
 
-def build_node(service, upstream, target_url, catalog, membership, **limits):
-    """Return a node on ephemeral loopback ports."""
+def build_node(
+    service, upstream, target_url, catalog, membership, ingress=ANY_PORT, **limits
+):
+    """Return a node, by default on ephemeral loopback ports."""
     settings = NodeSettings(
         NodeIdentity(f"node-{upstream}", "r1", "z1"),
         TargetSettings(service, upstream, target_url),
         LogServiceSettings("http://127.0.0.1:9"),
+        ListenSettings(ingress=ingress),
         limits=LimitSettings(**limits),
     )
     rng = random.Random(upstream)
--- a/tests/mesh/test_broken_answers.py
+++ b/tests/mesh/test_broken_answers.py
@@ -3,7 +3,7 @@
 import asyncio
 
 import pytest
-from mesh.fakes import FEE, LOOKUP, Chain, run
+from mesh.fakes import FEE, LOOKUP, Chain, build_node, run
 from mesh.relay import Fault, Relay
 
 from mimosaloom_mesh import Response
@@ -109,3 +109,29 @@
             assert b'"kind":"answer_mismatch"' in second.body
 
     run(body)
+
+
+def test_call_to_an_earlier_incarnation_does_not_run_in_the_next():
+    """A node that was replaced at the same address has lost the table of runs."""
+
+    async def body():
+        async with Chain(["a", "b"]) as chain:
+            assert (await chain.ask("a-0", FEE, b"warm")).status == 200
+            old, target = chain.nodes["b-0"], chain.targets["b-0"]
+            await old.close()
+            chain.nodes["b-0"] = build_node(
+                "b",
+                "b-0",
+                target.url,
+                chain.catalog,
+                chain.membership,
+                old.addresses["ingress"],
+            )
+            await chain.nodes["b-0"].start()
+            fee = await chain.ask("a-0", FEE, b"1")
+            assert b'"kind":"outcome_unknown"' in fee.body
+            lookup = await chain.ask("a-0", LOOKUP, b"2")
+            assert lookup.status == 200
+            assert target.runs[b"1"] == 0
+
+    run(body)
--- a/tests/mesh/test_requests.py
+++ b/tests/mesh/test_requests.py
@@ -2,13 +2,14 @@
 
 import asyncio
 import json
+import random
 
 import pytest
 from mesh.fakes import FEE, LOOKUP, Chain, run
 
 from mimosaloom_mesh import Endpoint, Request, Response
 from mimosaloom_model import CONTEXT_HEADER, CallContext, Kind, encode_context
-from mimosaloom_policy import RetryReason
+from mimosaloom_policy import RetryReason, mint_key
 
 pytestmark = pytest.mark.sockets
 
@@ -94,37 +95,64 @@
 
 
 def test_retry_with_the_same_key_joins_the_run():
-    """A client that gives up and asks again must not cause a second fee."""
+    """A client that gives up and asks again, anywhere, must not cause a second fee."""
 
     async def body():
         async with Chain(["a"], upstreams_each=2) as chain:
             target = chain.targets["a-0"]
             target.release.clear()
-            key = (("Idempotency-Key", "order-7"),)
-            first = asyncio.ensure_future(chain.ask("a-0", FEE, b"1", key))
+            issued = await _send(chain, "ingress", Request("POST", "/.mimosaloom/key"))
+            key = json.loads(issued.body)["key"]
+            headers = (("Idempotency-Key", key),)
+            first = asyncio.ensure_future(chain.ask("a-0", FEE, b"1", headers))
             await target.started.wait()
             first.cancel()
-            again = asyncio.ensure_future(chain.ask("a-0", FEE, b"1", key))
+            again = asyncio.ensure_future(chain.ask("a-0", FEE, b"1", headers))
+            forwarded = asyncio.ensure_future(chain.ask("a-1", FEE, b"1", headers))
             await asyncio.sleep(0)
             target.release.set()
             response = await again
-            assert response.status == 200
-            headers = dict(response.headers)
-            assert headers["Idempotency-Key"] == "order-7"
-            owner = (("Mimosaloom-Owner", headers["Mimosaloom-Owner"]),)
-            elsewhere = await chain.ask("a-1", FEE, b"1", key + owner)
-            assert elsewhere.body == response.body
-            conflict = await chain.ask("a-0", FEE, b"2", key)
+            assert (response.status, response.body) == (200, b"a-0:1")
+            answer_headers = dict(response.headers)
+            assert answer_headers["Idempotency-Key"] == key
+            assert (
+                answer_headers["Mimosaloom-Owner"] == json.loads(issued.body)["owner"]
+            )
+            assert (await forwarded).body == response.body
+            conflict = await chain.ask("a-1", FEE, b"2", headers)
             assert json.loads(conflict.body)["kind"] == "key_conflict"
-            gone = (("Mimosaloom-Owner", "node-a-0/0000000000000-00000000"),)
-            unknown = await chain.ask("a-1", FEE, b"1", key + gone)
-            assert json.loads(unknown.body)["kind"] == "outcome_unknown"
             assert target.runs == {b"1": 1}
             assert not chain.targets["a-1"].runs
 
     run(body)
 
 
+def _gone_key():
+    return mint_key("a-0", "0000000000001-00000000", 0.0, random.Random(1))
+
+
+@pytest.mark.parametrize(
+    ("key", "kind"),
+    [
+        (_gone_key(), "outcome_unknown"),
+        ("order-7", "bad_request"),
+        ("1790000000-abcdefgh", "bad_request"),
+    ],
+)
+def test_key_that_nobody_can_answer_for_does_not_run(key, kind):
+    """A key whose owner is gone, or that has none, must not lead to a new run."""
+
+    async def body():
+        async with Chain(["a"], upstreams_each=2) as chain:
+            headers = (("Idempotency-Key", key),)
+            response = await chain.ask("a-1", FEE, b"1", headers)
+            assert json.loads(response.body)["kind"] == kind
+            assert not chain.targets["a-0"].runs
+            assert not chain.targets["a-1"].runs
+
+    run(body)
+
+
 @pytest.mark.parametrize("cause", ["caller_gone", "deadline"])
 def test_unwanted_work_is_cancelled_at_the_target(cause):
     """Work for a caller that has left, or whose time is over, wastes the target."""
