Measure the processor time that mimosaloom adds to a call

Cause: other work on the machine moves the percentiles of the latency bench by several milliseconds between rounds, so they can't show small changes. Change: each turn also measures the processor time of all processes per call; the modules' objects are frozen out of garbage collection in the bench and the stand-ins.

--- a/libs/mimosaloom-bench/mimosaloom_bench/latency.py
+++ b/libs/mimosaloom-bench/mimosaloom_bench/latency.py
@@ -1,28 +1,24 @@
 """Time that mimosaloom adds to a call, measured against the same stand-ins."""
 
 import asyncio
+import gc
 import json
 import random
 import tempfile
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from pathlib import Path
 from typing import NamedTuple, TypedDict
-from urllib.parse import urlsplit
 
 import typer
 from hdrh.histogram import HdrHistogram
 from tornado.curl_httpclient import CurlAsyncHTTPClient
-from tornado.httpclient import HTTPError, HTTPRequest
 
 from mimosaloom_cli import ExitCode
-from mimosaloom_mesh import FixedDirectory, Request, Transport, build_caller
-from mimosaloom_model import Answered, SystemClock, build_catalog
-from mimosaloom_policy import Candidate
+from mimosaloom_mesh import Transport
 
 from .deployment import Deployment, start_deployment, wait_for_url
-from .latency_target import INCARNATION
-from .meshes import ClassPlan, MeshPlan, ServicePlan
+from .latency_paths import BODY_BYTES, PLAN, SERVICE, Call, embedded_call, plain_call
 from .processes import ProcessGroup, StartFailed
 
 __all__ = [
@@ -35,38 +31,35 @@
 ]
 
 GOAL_ADDED_P99_MS = 0.49
-BODY_BYTES = 200
 WARM_UP_S = 1.0
 MAX_CLIENTS = 64
-CALL_TIMEOUT_S = 5.0
 READY_TIMEOUT_S = 10.0
 READY_INTERVAL_S = 0.05
 MAX_RECORDED_US = 10_000_000
 SIGNIFICANT_DIGITS = 3
 
-SERVICE = "echo"
-CLASS_NAME = "echo-call"
-TOKEN = "latency-order-1"
-BODY = json.dumps({"token": TOKEN, "padding": ""}).encode()
-BODY = BODY.replace(b'""', b'"' + b"x" * (BODY_BYTES - len(BODY)) + b'"')
-_PLAN = MeshPlan(
-    name="latency",
-    region="local",
-    failure_domains=("local-a",),
-    services=(ServicePlan(SERVICE, 1, 64, 500, 0.0),),
-    classes=(ClassPlan(CLASS_NAME, 2, True, False, (SERVICE,), 1.0),),
-    deep_service=SERVICE,
-    normal_per_s=250.0,
-)
-
-Call = Callable[[], Awaitable[bool]]
-Rounds = dict[str, list[HdrHistogram]]
+
+class Turn(NamedTuple):
+    """What one turn of a path gave.
+
+    Attributes:
+        histogram: Times of the calls in microseconds.
+        cpu_s: Processor time that the caller and all other processes used.
+    """
+
+    histogram: HdrHistogram
+    cpu_s: float
+
+
+Rounds = dict[str, list[Turn]]
 
 
 class PathReport(TypedDict):
     """Percentiles of calls without and with mimosaloom, and their differences.
 
     `round_added_p99_ms` holds the difference for each round, as a sign of its spread.
+    The processor time per call is that of all processes together; other work on the
+    machine disturbs it less than the percentiles.
     """
 
     calls: int
@@ -77,6 +70,9 @@
     added_p50_ms: float
     added_p99_ms: float
     round_added_p99_ms: list[float]
+    direct_cpu_us: float
+    through_cpu_us: float
+    added_cpu_us: float
 
 
 class LatencyReport(PathReport):
@@ -144,15 +140,18 @@
     return HdrHistogram(1, MAX_RECORDED_US, SIGNIFICANT_DIGITS)
 
 
-async def measure_all(paths: dict[str, Call], load: LoadPlan) -> Rounds:
+async def measure_all(
+    paths: dict[str, Call], load: LoadPlan, read_cpu_s: Callable[[], float]
+) -> Rounds:
     """Measure the paths in turns, so that a change of the machine hits all alike.
 
     Args:
         paths: Call of each path by name.
         load: Load on each path.
+        read_cpu_s: Returns the processor time that all processes have used.
 
     Returns:
-        For each path, one histogram for each round.
+        For each path, one turn for each round.
     """
     rng = random.Random(load.seed)
     for call in paths.values():
@@ -160,45 +159,53 @@
     rounds: Rounds = {name: [] for name in paths}
     for _ in range(load.rounds):
         for name, call in paths.items():
-            rounds[name].append(await measure_path(call, load, rng, load.round_s))
+            start_s = read_cpu_s()
+            histogram = await measure_path(call, load, rng, load.round_s)
+            rounds[name].append(Turn(histogram, read_cpu_s() - start_s))
     return rounds
 
 
-def compare_paths(
-    direct: list[HdrHistogram], through: list[HdrHistogram]
-) -> PathReport:
+def compare_paths(direct: list[Turn], through: list[Turn]) -> PathReport:
     """Return the percentiles of two paths and their differences.
 
     Args:
-        direct: Histograms without mimosaloom, one for each round, in microseconds.
-        through: Histograms with mimosaloom for the same rounds.
+        direct: Turns without mimosaloom, one for each round.
+        through: Turns with mimosaloom in the same rounds.
     """
     all_direct, all_through = _merge(direct), _merge(through)
-    round_added_p99_ms = [
-        round(_read_ms(with_mesh, 99) - _read_ms(without, 99), 3)
-        for without, with_mesh in zip(direct, through, strict=True)
-    ]
-    report = {
+    times_ms = {
         f"{name}_p{percentile}_ms": _read_ms(histogram, percentile)
         for name, histogram in (("direct", all_direct), ("through", all_through))
         for percentile in (50, 99)
     }
+    direct_cpu_us, through_cpu_us = _cpu_us(direct), _cpu_us(through)
     return PathReport(
         calls=all_through.get_total_count(),
-        **report,
-        added_p50_ms=round(report["through_p50_ms"] - report["direct_p50_ms"], 3),
-        added_p99_ms=round(report["through_p99_ms"] - report["direct_p99_ms"], 3),
-        round_added_p99_ms=round_added_p99_ms,
+        **times_ms,
+        added_p50_ms=round(times_ms["through_p50_ms"] - times_ms["direct_p50_ms"], 3),
+        added_p99_ms=round(times_ms["through_p99_ms"] - times_ms["direct_p99_ms"], 3),
+        round_added_p99_ms=[
+            round(_read_ms(turn.histogram, 99) - _read_ms(base.histogram, 99), 3)
+            for base, turn in zip(direct, through, strict=True)
+        ],
+        direct_cpu_us=direct_cpu_us,
+        through_cpu_us=through_cpu_us,
+        added_cpu_us=round(through_cpu_us - direct_cpu_us, 1),
     )
 
 
-def _merge(histograms: list[HdrHistogram]) -> HdrHistogram:
+def _merge(turns: list[Turn]) -> HdrHistogram:
     merged = new_histogram()
-    for histogram in histograms:
-        merged.add(histogram)
+    for turn in turns:
+        merged.add(turn.histogram)
     return merged
 
 
+def _cpu_us(turns: list[Turn]) -> float:
+    calls = sum(turn.histogram.get_total_count() for turn in turns)
+    return round(1e6 * sum(turn.cpu_s for turn in turns) / calls, 1)
+
+
 def _read_ms(histogram: HdrHistogram, percentile: float) -> float:
     return histogram.get_value_at_percentile(percentile) / 1_000
 
@@ -214,9 +221,13 @@
         tempfile.TemporaryDirectory(prefix="mimosaloom-latency-") as name,
         ProcessGroup(Path(name)) as group,
     ):
-        deployment = start_deployment(_PLAN, group, Path(name), seed=load.seed)
+        deployment = start_deployment(PLAN, group, Path(name), seed=load.seed)
         embedded_url = _start_embedded_target(group)
-        rounds = asyncio.run(_measure(deployment, embedded_url, load))
+
+        def read_cpu_s() -> float:
+            return time.process_time() + group.cpu_s()
+
+        rounds = asyncio.run(_measure(deployment, embedded_url, load, read_cpu_s))
     return LatencyReport(
         rate_per_s=load.rate_per_s,
         body_bytes=BODY_BYTES,
@@ -231,10 +242,10 @@
         "target": {
             "service": SERVICE,
             "upstream": "echo-embedded",
-            "slots": _PLAN.service(SERVICE).slots,
+            "slots": PLAN.service(SERVICE).slots,
             "service_time_s": 0.0,
         },
-        "resources": _PLAN.documents(),
+        "resources": PLAN.documents(),
     }
     child = group.start(
         "target-embedded", "mimosaloom_bench.latency_target", json.dumps(settings)
@@ -242,19 +253,27 @@
     return wait_for_url(child)
 
 
-async def _measure(deployment: Deployment, embedded_url: str, load: LoadPlan) -> Rounds:
+async def _measure(
+    deployment: Deployment,
+    embedded_url: str,
+    load: LoadPlan,
+    read_cpu_s: Callable[[], float],
+) -> Rounds:
     client = CurlAsyncHTTPClient(force_instance=True, max_clients=MAX_CLIENTS)
     [target_url] = deployment.target_urls.values()
     [ingress_url] = deployment.ingress_urls.values()
     transport = Transport()
     paths = {
-        "direct": _plain_call(client, target_url),
-        "node": _plain_call(client, ingress_url),
-        "embedded": _embedded_call(transport, embedded_url),
+        "direct": plain_call(client, target_url),
+        "node": plain_call(client, ingress_url),
+        "embedded": embedded_call(transport, embedded_url),
     }
     try:
         await _wait_until_answered(paths)
-        return await measure_all(paths, load)
+        # Later collections then skip the objects of the imported modules.
+        gc.collect()
+        gc.freeze()
+        return await measure_all(paths, load, read_cpu_s)
     finally:
         client.close()
         transport.close()
@@ -269,64 +288,6 @@
             await asyncio.sleep(READY_INTERVAL_S)
 
 
-def _plain_call(client: CurlAsyncHTTPClient, url: str) -> Call:
-    async def call() -> bool:
-        request = HTTPRequest(
-            f"{url}/call",
-            method="POST",
-            headers={
-                "Mimosaloom-Class": CLASS_NAME,
-                "Content-Type": "application/json",
-            },
-            body=BODY,
-            request_timeout=CALL_TIMEOUT_S,
-        )
-        try:
-            response = await client.fetch(request, raise_error=False)
-        except HTTPError:
-            return False
-        return response.code == 200 and _is_own(response.body)
-
-    return call
-
-
-def _embedded_call(transport: Transport, url: str) -> Call:
-    parts = urlsplit(url)
-    candidate = Candidate(
-        name="echo-embedded",
-        host=parts.hostname,
-        port=parts.port,
-        failure_domain="local-a",
-        slots=_PLAN.service(SERVICE).slots,
-        max_connections=_PLAN.service(SERVICE).max_connections,
-        incarnation=INCARNATION,
-    )
-    directory = FixedDirectory(build_catalog(_PLAN.documents()), {SERVICE: [candidate]})
-    caller = build_caller(
-        "latency",
-        "local-a",
-        directory,
-        clock=SystemClock(),
-        rng=random.Random(3),
-        transport=transport,
-    )
-    request = Request("POST", "/call", (("Content-Type", "application/json"),), BODY)
-
-    async def call() -> bool:
-        outcome = await caller.call(SERVICE, request, class_name=CLASS_NAME)
-        return (
-            isinstance(outcome, Answered)
-            and outcome.status == 200
-            and _is_own(outcome.body)
-        )
-
-    return call
-
-
-def _is_own(body: bytes) -> bool:
-    return TOKEN.encode() in body
-
-
 def show_latency(load: LoadPlan, *, is_json: bool) -> ExitCode:
     """Measure and print the figures.
 
@@ -356,13 +317,13 @@
         f"bytes, goal {report['goal_added_p99_ms']} ms added at p99",
         "",
         f"{'path':<10}{'calls':>7}{'direct p50':>12}{'p99':>8}{'through p50':>13}"
-        f"{'p99':>8}{'added p50':>11}{'p99':>8}  added p99 by round",
+        f"{'p99':>8}{'added p50':>11}{'p99':>8}{'added CPU':>11}  added p99 by round",
     ]
     lines += [
         f"{name:<10}{path['calls']:>7}{path['direct_p50_ms']:>12.3f}"
         f"{path['direct_p99_ms']:>8.3f}{path['through_p50_ms']:>13.3f}"
         f"{path['through_p99_ms']:>8.3f}{path['added_p50_ms']:>11.3f}"
-        f"{path['added_p99_ms']:>8.3f}  "
+        f"{path['added_p99_ms']:>8.3f}{path['added_cpu_us']:>8.0f} us  "
         f"{min(path['round_added_p99_ms']):.3f} to "
         f"{max(path['round_added_p99_ms']):.3f}"
         for name, path in (("node", report), ("embedded", report["embedded"]))
--- a/libs/mimosaloom-bench/mimosaloom_bench/processes.py
+++ b/libs/mimosaloom-bench/mimosaloom_bench/processes.py
@@ -150,6 +150,10 @@
         """Return the ids of all processes."""
         return [child.pid for child in self._children]
 
+    def cpu_s(self) -> float:
+        """Return the processor time that all processes have used, in seconds."""
+        return sum(_read_cpu_s(child.pid) for child in self._children)
+
     def stop(self) -> None:
         """End all processes, the last started first; kill those that stay."""
         for child in reversed(self._children):
@@ -163,5 +167,13 @@
     raise SystemExit(128 + number)
 
 
+def _read_cpu_s(pid: int) -> float:
+    stat = Path(f"/proc/{pid}/stat").read_text(encoding="ascii")
+    # The name of the program, in brackets, may hold blanks.
+    fields = stat.rpartition(")")[2].split()
+    user_ticks, system_ticks = int(fields[11]), int(fields[12])
+    return (user_ticks + system_ticks) / os.sysconf("SC_CLK_TCK")
+
+
 def _read_lines(path: Path) -> list[str]:
     return path.read_text(encoding="utf-8", errors="replace").splitlines()
--- a/libs/mimosaloom-standins/mimosaloom_standins/__main__.py
+++ b/libs/mimosaloom-standins/mimosaloom_standins/__main__.py
@@ -7,6 +7,7 @@
 
 import argparse
 import asyncio
+import gc
 import json
 import os
 import signal
@@ -66,6 +67,9 @@
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGINT, stop.set)
+    # Later collections then skip the objects of the imported modules.
+    gc.collect()
+    gc.freeze()
     chosen = sockets[0].getsockname()[1]
     print(json.dumps({"host": host, "port": chosen, "pid": os.getpid()}), flush=True)
     return stop
