Add the operators' commands diff, apply, get and delete

Operators had no way to change the configuration in the log or to learn what became of a change. The commands check files together with the resources in force, append one record for each resource that differs, stop at the first append whose outcome is not known, and read the log again to tell accepted, conflict and unknown apart. A resource with a revision is accepted only if that revision is in force, so that get, edit and apply don't undo another change.

--- a/libs/mimosaloom-cli/mimosaloom_cli/cli/constants.py
+++ b/libs/mimosaloom-cli/mimosaloom_cli/cli/constants.py
@@ -2,7 +2,16 @@
 
 from ..exit_codes import EXIT_CODE_MEANINGS
 
-__all__ = ["APP_EPILOG", "CHECK_EPILOG", "COMMANDS_GROUP", "NODE_EPILOG"]
+__all__ = [
+    "APPLY_EPILOG",
+    "APP_EPILOG",
+    "CHECK_EPILOG",
+    "COMMANDS_GROUP",
+    "DELETE_EPILOG",
+    "DIFF_EPILOG",
+    "GET_EPILOG",
+    "NODE_EPILOG",
+]
 
 # Entry points of this group add commands to the command line.
 COMMANDS_GROUP = "mimosaloom.commands"
@@ -42,3 +51,48 @@
   1  The node could not start, for the reason on stderr.
   3  The settings or the resources they name have faults.
 """
+
+_CHANGE_EXIT_CODES = """Exit codes:
+  0  All changes were accepted, or nothing was to be changed.
+  3  A file has faults, or the change would break a resource in force.
+  4  Another change was accepted first.
+  5  An answer was lost; repeat the command.
+  6  The log service did not take a change; stderr names those not made.
+"""
+
+DIFF_EPILOG = """\b
+Example:
+  mimosaloom diff -f examples/water --log-url http://127.0.0.1:9000
+
+\b
+Exit codes:
+  0  The differences are on stdout.
+  3  A file has faults, or the change would break a resource in force.
+  6  The log service can't be reached.
+"""
+
+APPLY_EPILOG = f"""\b
+Example:
+  mimosaloom apply -f examples/water --log-url http://127.0.0.1:9000
+
+\b
+{_CHANGE_EXIT_CODES}"""
+
+GET_EPILOG = """\b
+Examples:
+  mimosaloom get Service --log-url http://127.0.0.1:9000
+  mimosaloom get RequestClass issue-fee -o json --log-url http://127.0.0.1:9000
+
+\b
+Exit codes:
+  0  The resources are on stdout.
+  1  There is no resource of that name.
+  6  The log service can't be reached.
+"""
+
+DELETE_EPILOG = f"""\b
+Example:
+  mimosaloom delete Upstream billing-3 --log-url http://127.0.0.1:9000
+
+\b
+{_CHANGE_EXIT_CODES}"""
--- a/libs/mimosaloom-cli/mimosaloom_cli/cli/definition.py
+++ b/libs/mimosaloom-cli/mimosaloom_cli/cli/definition.py
@@ -10,8 +10,29 @@
 from ..check import check_files, check_settings
 from ..errors import exit_with_error, exit_with_faults
 from ..exit_codes import ExitCode
-from .constants import APP_EPILOG, CHECK_EPILOG, COMMANDS_GROUP, NODE_EPILOG
-from .parsing import FilesArgument, SettingsOption
+from .constants import (
+    APP_EPILOG,
+    APPLY_EPILOG,
+    CHECK_EPILOG,
+    COMMANDS_GROUP,
+    DELETE_EPILOG,
+    DIFF_EPILOG,
+    GET_EPILOG,
+    NODE_EPILOG,
+)
+from .parsing import (
+    AuthorOption,
+    ChangedFilesOption,
+    FilesArgument,
+    KindArgument,
+    LogUrlOption,
+    NameArgument,
+    OutputFormat,
+    OutputOption,
+    RequiredNameArgument,
+    RevisionOption,
+    SettingsOption,
+)
 
 __all__ = ["build_app"]
 
@@ -28,6 +49,10 @@
     app.callback(epilog=APP_EPILOG)(_print_version_on_request)
     app.command(epilog=NODE_EPILOG)(node)
     app.command(epilog=CHECK_EPILOG)(check)
+    app.command(epilog=DIFF_EPILOG)(diff)
+    app.command(epilog=APPLY_EPILOG)(apply)
+    app.command(epilog=GET_EPILOG)(get)
+    app.command(epilog=DELETE_EPILOG)(delete)
     for entry_point in entry_points(group=COMMANDS_GROUP):
         entry_point.load()(app)
     return app
@@ -88,3 +113,54 @@
         exit_with_faults(checked.faults)
     count = len(checked.files)
     typer.echo("1 file is valid" if count == 1 else f"{count} files are valid")
+
+
+def diff(filename: ChangedFilesOption, log_url: LogUrlOption) -> None:
+    """Show what apply would change.
+
+    Resources that no file declares are left alone by apply and not shown.
+    """
+    from ..operations import show_differences
+
+    show_differences(filename, log_url)
+
+
+def apply(
+    filename: ChangedFilesOption, log_url: LogUrlOption, author: AuthorOption = ""
+) -> None:
+    """Put the resources of files in force.
+
+    A resource with a revision is accepted only if that revision is in force; 0 stands
+    for a resource that must be new. Repeating the command after a failure is safe.
+    """
+    from ..operations import apply_files
+
+    apply_files(filename, log_url, author)
+
+
+def get(
+    kind: KindArgument,
+    log_url: LogUrlOption,
+    name: NameArgument = None,
+    output: OutputOption = OutputFormat.TABLE,
+) -> None:
+    """Show the resources in force of one kind."""
+    from ..operations import show_resources
+
+    show_resources(kind.value, name, log_url, is_json=output is OutputFormat.JSON)
+
+
+def delete(
+    kind: KindArgument,
+    name: RequiredNameArgument,
+    log_url: LogUrlOption,
+    revision: RevisionOption = None,
+    author: AuthorOption = "",
+) -> None:
+    """Take a resource out of force.
+
+    It is refused while another resource in force names it.
+    """
+    from ..operations import delete_resource
+
+    delete_resource(kind.value, name, revision, log_url, author)
--- a/libs/mimosaloom-cli/mimosaloom_cli/cli/parsing.py
+++ b/libs/mimosaloom-cli/mimosaloom_cli/cli/parsing.py
@@ -1,11 +1,79 @@
 """Options and arguments of the commands."""
 
+import re
+from enum import StrEnum
 from pathlib import Path
 from typing import Annotated
+from urllib.parse import urlsplit
 
 import typer
 
-__all__ = ["FilesArgument", "SettingsOption"]
+__all__ = [
+    "AuthorOption",
+    "ChangedFilesOption",
+    "FilesArgument",
+    "KindArgument",
+    "LogUrlOption",
+    "NameArgument",
+    "OutputFormat",
+    "OutputOption",
+    "RequiredNameArgument",
+    "ResourceKind",
+    "RevisionOption",
+    "SettingsOption",
+]
+
+
+_NAME = re.compile(r"[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?")
+MAX_AUTHOR_CHARACTERS = 256
+MAX_REVISION = 2**53
+
+
+class ResourceKind(StrEnum):
+    """Kinds of resources."""
+
+    SERVICE = "Service"
+    UPSTREAM = "Upstream"
+    REQUEST_CLASS = "RequestClass"
+    RETRY_ALLOWANCE = "RetryAllowance"
+
+
+class OutputFormat(StrEnum):
+    """Formats of the output."""
+
+    TABLE = "table"
+    JSON = "json"
+
+
+def parse_url(text: str) -> str:
+    """Return the URL of a log service without a final slash.
+
+    Raises:
+        typer.BadParameter: If it is no URL.
+    """
+    try:
+        parts = urlsplit(text)
+        is_url = parts.scheme in ("http", "https") and bool(parts.hostname)
+        has_port = parts.port is None or parts.port > 0
+    except ValueError:
+        is_url = has_port = False
+    if not is_url or not has_port or not text.isprintable():
+        raise typer.BadParameter("expected a URL such as http://127.0.0.1:9000")
+    return text.rstrip("/")
+
+
+def parse_name(text: str) -> str:
+    """Return the name of a resource.
+
+    Raises:
+        typer.BadParameter: If no resource can have it.
+    """
+    if not _NAME.fullmatch(text):
+        raise typer.BadParameter(
+            "expected 1 to 63 lower-case letters, digits and inner hyphens"
+        )
+    return text
+
 
 FilesArgument = Annotated[
     list[Path],
@@ -19,3 +87,65 @@
     Path,
     typer.Option("--settings", metavar="FILE", help="Settings file of the node."),
 ]
+
+ChangedFilesOption = Annotated[
+    list[Path],
+    typer.Option(
+        "--filename",
+        "-f",
+        metavar="FILE",
+        help="Resource file, or directory with such files; may be repeated.",
+    ),
+]
+
+LogUrlOption = Annotated[
+    str,
+    typer.Option(
+        "--log-url",
+        metavar="URL",
+        envvar="MIMOSALOOM_LOG_URL",
+        parser=parse_url,
+        help="Base URL of the log service.",
+    ),
+]
+
+AuthorOption = Annotated[
+    str,
+    typer.Option(
+        "--author",
+        metavar="NAME",
+        envvar=["MIMOSALOOM_AUTHOR", "USER"],
+        parser=lambda text: text[:MAX_AUTHOR_CHARACTERS],
+        help="Who makes the change; recorded with it.",
+    ),
+]
+
+KindArgument = Annotated[
+    ResourceKind,
+    typer.Argument(metavar="KIND", case_sensitive=False, help=", ".join(ResourceKind)),
+]
+
+NameArgument = Annotated[
+    str | None,
+    typer.Argument(metavar="NAME", parser=parse_name, help="Only this resource."),
+]
+
+RequiredNameArgument = Annotated[
+    str,
+    typer.Argument(metavar="NAME", parser=parse_name, help="Name of the resource."),
+]
+
+RevisionOption = Annotated[
+    int | None,
+    typer.Option(
+        "--revision",
+        min=1,
+        max=MAX_REVISION,
+        help="Delete only if this revision is in force.",
+    ),
+]
+
+OutputOption = Annotated[
+    OutputFormat,
+    typer.Option("--output", "-o", help="A table, or a resource file in JSON."),
+]
--- a/libs/mimosaloom-cli/mimosaloom_cli/errors.py
+++ b/libs/mimosaloom-cli/mimosaloom_cli/errors.py
@@ -20,7 +20,8 @@
         fix: What the operator can do, as an imperative sentence.
         code: Exit code.
     """
-    typer.echo(f"mimosaloom: {problem}. {fix}", err=True)
+    end = "" if problem.endswith("?") else "."
+    typer.echo(f"mimosaloom: {problem}{end} {fix}", err=True)
     raise typer.Exit(code)
 
 
--- a/libs/mimosaloom-cli/mimosaloom_cli/exit_codes.py
+++ b/libs/mimosaloom-cli/mimosaloom_cli/exit_codes.py
@@ -23,8 +23,8 @@
     ExitCode.ERROR: "The command failed for the reason on stderr.",
     ExitCode.USAGE: "An option or argument is missing or unknown.",
     ExitCode.INVALID: "A file has faults; each is one line on stderr.",
-    ExitCode.CONFLICT: "Another change was accepted first; nothing was changed.",
+    ExitCode.CONFLICT: "Another change of a resource was accepted first.",
     ExitCode.OUTCOME_UNKNOWN: "Whether the change was accepted is unknown; repeat it.",
-    ExitCode.UNAVAILABLE: "The log service can't be reached; nothing was changed.",
+    ExitCode.UNAVAILABLE: "The log service did not answer, or did not take a change.",
     ExitCode.NOT_MET: "A measurement missed its goal.",
 }
--- a/libs/mimosaloom-model/mimosaloom_model/__init__.py
+++ b/libs/mimosaloom-model/mimosaloom_model/__init__.py
@@ -20,6 +20,7 @@
 from .outcomes import Answered, Failed, Outcome, Refused
 from .reading import (
     FileKind,
+    check_change,
     check_documents,
     detect_file_kind,
     read_resources,
@@ -80,6 +81,7 @@
     "TargetSettings",
     "Upstream",
     "build_catalog",
+    "check_change",
     "check_documents",
     "decode_answer_note",
     "decode_context",
--- a/libs/mimosaloom-model/mimosaloom_model/reading.py
+++ b/libs/mimosaloom-model/mimosaloom_model/reading.py
@@ -23,6 +23,7 @@
 
 __all__ = [
     "FileKind",
+    "check_change",
     "check_documents",
     "detect_file_kind",
     "read_resources",
@@ -119,6 +120,24 @@
     return checked if isinstance(checked, Invalid) else None
 
 
+def check_change(
+    before: Sequence[ResourceDocument], after: Sequence[ResourceDocument]
+) -> Invalid | None:
+    """Check what a change of the configuration in force would break.
+
+    Args:
+        before: Resources in force.
+        after: Resources in force after the change.
+
+    Returns:
+        The faults that are not there already, or None.
+    """
+    known = set(find_reference_faults(place_resources([], before)))
+    found = find_reference_faults(place_resources([], after))
+    faults = tuple(fault for fault in found if fault not in known)
+    return Invalid(faults) if faults else None
+
+
 def _check_files(
     files: list[JsonFile], in_force: Sequence[ResourceDocument]
 ) -> list[ResourceDocument] | Invalid:
--- a/tests/model/test_reading.py
+++ b/tests/model/test_reading.py
@@ -12,6 +12,7 @@
 from mimosaloom_model import (
     Invalid,
     NodeSettings,
+    check_change,
     check_documents,
     read_resources,
     read_settings,
@@ -266,6 +267,18 @@
     assert fault.path == "$.spec.path[1]"
 
 
+def test_deletion_is_checked_for_what_it_breaks():
+    """A fault that is in force already must not keep operators from a deletion."""
+    in_force = change(RESOURCES, (0, "spec", "calls"), ["billing", "gone"])
+    assert check_change(in_force, in_force[:2] + in_force[3:]) is None
+    broken = check_change(in_force, in_force[:1] + in_force[2:])
+    assert [fault.file for fault in broken.faults] == [
+        "Service/intake in force",
+        "Upstream/billing-1 in force",
+        "RequestClass/issue-fee in force",
+    ]
+
+
 json_values = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
     lambda below: (
