--- a/libs/mimosaloom-model/mimosaloom_model/reading.py
+++ b/libs/mimosaloom-model/mimosaloom_model/reading.py
@@ -200,6 +200,12 @@
             f"may use this listener, got {listen.egress.host}"
         )
         faults.append(Fault(file, "$.listen.egress.host", message))
+    if ip_address(listen.ingress.host).is_unspecified:
+        message = (
+            "expected the address at which other nodes reach this one, since it is "
+            f"announced to them, got {listen.ingress.host}"
+        )
+        faults.append(Fault(file, "$.listen.ingress.host", message))
     return faults + _find_shared_ports(listen, file) + _find_own_urls(settings, file)
 
 
--- a/tests/model/test_headers.py
+++ b/tests/model/test_headers.py
@@ -6,6 +6,7 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from model.strategies import json_values
 
 from mimosaloom_model import (
     MAX_CONTEXT_BYTES,
@@ -34,14 +35,6 @@
     (decode_context, CallContext, CONTEXT),
     (decode_answer_note, AnswerNote, NOTE),
 ]
-json_values = st.recursive(
-    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
-    lambda below: (
-        st.lists(below, max_size=3)
-        | st.dictionaries(st.text(max_size=8), below, max_size=3)
-    ),
-    max_leaves=6,
-)
 
 
 @pytest.mark.fuzz
--- a/tests/model/test_reading.py
+++ b/tests/model/test_reading.py
@@ -8,6 +8,7 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from model.strategies import json_values
 
 from mimosaloom_model import (
     Invalid,
@@ -136,6 +137,7 @@
     (("limits", "queue_capacity"), 2.0, "$.limits.queue_capacity", "an integer from 1"),
     (("listen", "ingress", "port"), 65536, "$.listen.ingress.port", "from 0 to 65535"),
     (("listen", "ingress", "host"), "web", "$.listen.ingress.host", "an IP address"),
+    (("listen", "ingress", "host"), "0.0.0.0", "$.listen.ingress.host", "announced"),
     (("listen", "egress", "host"), "10.0.0.1", "$.listen.egress.host", "a loopback"),
     (("listen", "admin", "port"), 7004, "$.listen.control.port", "other than that of"),
     (("target", "url"), "http://db:1", "$.target.url", "URL with an IP address"),
@@ -151,9 +153,16 @@
 
 def test_port_of_another_host_is_no_fault(tmp_path):
     """A listener on all addresses says nothing about the ports of other hosts."""
-    changed = change(SETTINGS, ("log_service", "url"), "http://10.0.0.9:7001/log/")
+    everywhere = change(SETTINGS, ("listen", "admin", "host"), "0.0.0.0")
+    changed = change(everywhere, ("log_service", "url"), "http://10.0.0.9:7003/log/")
     read = read_settings(write(tmp_path, changed))
-    assert read.log_service.url == "http://10.0.0.9:7001/log"
+    assert read.log_service.url == "http://10.0.0.9:7003/log"
+    changed = change(everywhere, ("target", "url"), "http://127.0.0.1:7003")
+    (fault,) = read_settings(write(tmp_path, changed)).faults
+    assert "the node's own admin listener" in fault.message
+    changed = change(everywhere, ("listen", "egress", "port"), 7003)
+    (fault,) = read_settings(write(tmp_path, changed)).faults
+    assert fault.message == "expected a port other than that of egress, got 7003"
 
 
 @pytest.mark.parametrize(("keys", "value", "path", "message"), BAD_SETTINGS)
@@ -279,16 +288,6 @@
     ]
 
 
-json_values = st.recursive(
-    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
-    lambda below: (
-        st.lists(below, max_size=3)
-        | st.dictionaries(st.text(max_size=8), below, max_size=3)
-    ),
-    max_leaves=6,
-)
-
-
 def list_places(value, keys=()):
     """Return the paths of all values below a JSON value."""
     items = value.items() if isinstance(value, dict) else enumerate(value)
