Show that a record that can't be decoded stops all readers of its stream

A record with a lone surrogate makes LogClient.read answer Unreadable for its whole page for good; one nested a few thousand levels makes it raise RecursionError, which ended the commands with a traceback.

--- a/libs/mimosaloom-cli/mimosaloom_cli/log_access.py
+++ b/libs/mimosaloom-cli/mimosaloom_cli/log_access.py
@@ -111,11 +111,20 @@
 ) -> Page | Gone | Unreadable:
     backoff = client.new_backoff()
     for _ in range(READ_TRIES - 1):
-        outcome = await client.read(stream, start)
+        outcome = await _try_read(client, stream, start)
         if not isinstance(outcome, Unreadable):
             return outcome
         await client.wait(backoff.next_delay_s())
-    return await client.read(stream, start)
+    return await _try_read(client, stream, start)
+
+
+async def _try_read(
+    client: LogClient, stream: str, start: int
+) -> Page | Gone | Unreadable:
+    try:
+        return await client.read(stream, start)
+    except RecursionError:
+        return Unreadable(f"a record from offset {start} on is nested too deeply")
 
 
 async def _adopt_snapshot(
--- a/tests/cli/test_operations.py
+++ b/tests/cli/test_operations.py
@@ -4,6 +4,7 @@
 import json
 import threading
 import time
+from contextlib import contextmanager
 from pathlib import Path
 
 import msgspec
@@ -11,6 +12,7 @@
 from cli.fakes import FakeLog
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
+from tornado.web import Application, RequestHandler
 from typer.testing import CliRunner
 
 from mimosaloom_cli import ExitCode, operations
@@ -208,15 +210,13 @@
     assert run("apply", "-f", fee).stdout.endswith("unchanged, revision 23\n")
 
 
-@pytest.mark.sockets
-def test_commands_work_over_sockets():
-    """The client of the log service must agree with its interface."""
-    store = LogStore(LogOptions(lose_answers=1), time.monotonic())
-    ports, stopped = [], threading.Event()
-    started = threading.Event()
+@contextmanager
+def serve(application):
+    """Serve an application on loopback in a thread; give its base URL."""
+    ports, started, stopped = [], threading.Event(), threading.Event()
 
-    async def serve():
-        server = HTTPServer(build_log_application(store))
+    async def run_server():
+        server = HTTPServer(application)
         sockets = bind_sockets(0, "127.0.0.1")
         server.add_sockets(sockets)
         ports.append(sockets[0].getsockname()[1])
@@ -225,15 +225,60 @@
         server.stop()
         await server.close_all_connections()
 
-    thread = threading.Thread(target=lambda: asyncio.run(serve()))
+    thread = threading.Thread(target=lambda: asyncio.run(run_server()))
     thread.start()
     try:
         assert started.wait(10)
-        url = f"http://127.0.0.1:{ports[0]}"
+        yield f"http://127.0.0.1:{ports[0]}"
+    finally:
+        stopped.set()
+        thread.join()
+
+
+@pytest.mark.sockets
+def test_commands_work_over_sockets():
+    """The client of the log service must agree with its interface."""
+    store = LogStore(LogOptions(lose_answers=1), time.monotonic())
+    with serve(build_log_application(store)) as url:
         result = run("apply", "-f", WATER, url=url)
         assert result.exit_code == ExitCode.OK, result.stderr
         assert store.appends == RESOURCE_COUNT + 1
         assert "billing-3" in run("get", "Upstream", url=url).stdout
-    finally:
-        stopped.set()
-        thread.join()
+
+
+class OneRecord(RequestHandler):
+    """A log whose only record is given as it stands on the wire."""
+
+    def initialize(self, raw):
+        """Take the record."""
+        self.raw = raw
+
+    def get(self):
+        """Answer with the record, or with no records after it."""
+        start = int(self.get_argument("from"))
+        record = b'{"offset": 0, "value": ' + self.raw + b"}" if start == 0 else b""
+        self.finish(b'{"records": [%s], "first_offset": 0, "next_offset": 1}' % record)
+
+
+UNDECODABLE = {"surrogate": b'"\\ud800"', "nesting": b"[" * 9000 + b"]" * 9000}
+
+
+@pytest.mark.sockets
+@pytest.mark.parametrize("name", UNDECODABLE)
+def test_record_that_cannot_be_decoded_gives_no_traceback(name):
+    """Anybody who can append to the log could otherwise break the commands."""
+    handlers = [(r"/streams/config/records", OneRecord, {"raw": UNDECODABLE[name]})]
+    with serve(Application(handlers, log_function=lambda _: None)) as url:
+        result = run("get", "Service", url=url)
+    assert isinstance(result.exception, SystemExit | None)
+    assert result.exit_code in (ExitCode.OK, ExitCode.UNAVAILABLE)
+
+
+@pytest.mark.sockets
+@pytest.mark.parametrize("name", UNDECODABLE)
+def test_record_that_cannot_be_decoded_is_skipped(name):
+    """One such record would keep all readers from all records after it."""
+    handlers = [(r"/streams/config/records", OneRecord, {"raw": UNDECODABLE[name]})]
+    with serve(Application(handlers, log_function=lambda _: None)) as url:
+        result = run("get", "Service", url=url)
+    assert result.exit_code == ExitCode.OK, result.stderr
