Raise the level faster while slots stay unused

Cause: rates of shed ranks hold the retries of refused callers, so that equal steps brought few calls and recovery was slow. Change: the step grows by 1.6 in each window with over 15% of the limit unused, and falls back when saturated.

--- a/libs/mimosaloom-policy/mimosaloom_policy/shedding.py
+++ b/libs/mimosaloom-policy/mimosaloom_policy/shedding.py
@@ -18,6 +18,11 @@
 # Share of the unused capacity by which the level rises in a window. Answers take a
 # few windows to bring more calls, so the whole of it would be added several times.
 RAISE_RATIO = 0.25
+# A rise without effect is made faster with each window, because the remembered rates
+# hold the retries of refused callers, several times the calls that will come.
+UNUSED_RATIO = 0.85
+RAISE_GROWTH = 1.6
+MAX_RAISE_FACTOR = 20.0
 
 
 class Window(NamedTuple):
@@ -44,6 +49,7 @@
         self._histogram = RankHistogram()
         self._done_per_s = 0.0
         self._busy_ratio = 0.0
+        self._raise_factor = 1.0
 
     @property
     def capacity_per_s(self) -> float:
@@ -77,6 +83,11 @@
         capacity_per_s = self.capacity_per_s
         wait_s = window.queued / capacity_per_s
         is_saturated = window.busy_ratio >= SATURATED_RATIO
+        if is_saturated:
+            self._raise_factor = 1.0
+        elif window.busy_ratio < UNUSED_RATIO:
+            grown = self._raise_factor * RAISE_GROWTH
+            self._raise_factor = min(MAX_RAISE_FACTOR, grown)
         if is_saturated and wait_s > WAIT_TARGET_S:
             excess = (wait_s - WAIT_TARGET_S) / DRAIN_S
             ratio = max(MIN_ADMITTED_RATIO, 1 - excess)
@@ -89,6 +100,6 @@
         # Rates remembered from the overload may be too high; then the rate below
         # the level is more than really arrives, and unused slots show it.
         known = self._histogram.rate_below(self.level)
-        extra = RAISE_RATIO * unused_ratio * capacity_per_s
+        extra = RAISE_RATIO * unused_ratio * capacity_per_s * self._raise_factor
         wanted = max(capacity_per_s * ADMITTED_RATIO, known + extra)
         self.level = max(self.level, self._histogram.level_for(wanted))
