Drain queues faster and let cold upstreams in sooner

Cause: a queue over its target was drained over 0.5 s while every call in it held slots of three hops; slow targets were allowed a queue of four calls only, so that noise lowered their level; new upstreams stayed idle for most of their ramp. Change: drain over 0.25 s, keep at least 8 places and 3 waiting calls without effect on the level, ramp over 1 s from 0.4, staggered by 0.3 s.

--- a/libs/mimosaloom-policy/mimosaloom_policy/admission.py
+++ b/libs/mimosaloom-policy/mimosaloom_policy/admission.py
@@ -15,7 +15,7 @@
 PROTECTED_FIT_RATIO = 0.9
 # Calls that wait hold slots of their callers, up to the entry service.
 MAX_QUEUE_S = 0.1
-MIN_QUEUE_CAPACITY = 4
+MIN_QUEUE_CAPACITY = 8
 
 
 class Arrival(NamedTuple):
--- a/libs/mimosaloom-policy/mimosaloom_policy/routing.py
+++ b/libs/mimosaloom-policy/mimosaloom_policy/routing.py
@@ -19,9 +19,9 @@
 # at once, so without it an upstream that refuses would look like the fastest one.
 TROUBLE_COST = 10.0
 OTHER_DOMAIN_COST = 1.1
-RAMP_S = 2.0
-RAMP_STAGGER_S = 1.0
-RAMP_START_RATIO = 0.1
+RAMP_S = 1.0
+RAMP_STAGGER_S = 0.3
+RAMP_START_RATIO = 0.4
 HINT_MAX_AGE_S = 3.0
 HINT_COST = 0.2
 
--- a/libs/mimosaloom-policy/mimosaloom_policy/shedding.py
+++ b/libs/mimosaloom-policy/mimosaloom_policy/shedding.py
@@ -11,7 +11,8 @@
 SATURATED_RATIO = 0.95
 # A short queue keeps the slots busy; a longer one only adds delay.
 WAIT_TARGET_S = 0.03
-DRAIN_S = 0.5
+MIN_WAITING = 3
+DRAIN_S = 0.25
 MIN_ADMITTED_RATIO = 0.3
 # Slightly over the capacity, so that a level that is too low rises.
 ADMITTED_RATIO = 1.02
@@ -88,8 +89,9 @@
         elif window.busy_ratio < UNUSED_RATIO:
             grown = self._raise_factor * RAISE_GROWTH
             self._raise_factor = min(MAX_RAISE_FACTOR, grown)
-        if is_saturated and wait_s > WAIT_TARGET_S:
-            excess = (wait_s - WAIT_TARGET_S) / DRAIN_S
+        target_s = max(WAIT_TARGET_S, MIN_WAITING / capacity_per_s)
+        if is_saturated and wait_s > target_s:
+            excess = (wait_s - target_s) / DRAIN_S
             ratio = max(MIN_ADMITTED_RATIO, 1 - excess)
             level = self._histogram.level_for(capacity_per_s * ratio)
             self.level = min(self.level, level)
