Follow the measured capacity in three windows

Cause: after the slow-down the smoothed capacity took a second to fall to a quarter, and calls were admitted for it meanwhile. Change: smoothing 0.15 to 0.3.

--- a/libs/mimosaloom-policy/mimosaloom_policy/shedding.py
+++ b/libs/mimosaloom-policy/mimosaloom_policy/shedding.py
@@ -7,7 +7,7 @@
 __all__ = ["LevelControl", "Window"]
 
 WINDOW_S = 0.1
-SMOOTHING = 0.15
+SMOOTHING = 0.3
 SATURATED_RATIO = 0.95
 # A short queue keeps the slots busy; a longer one only adds delay.
 WAIT_TARGET_S = 0.03
