--- a/libs/mimosaloom-control/mimosaloom_control/__init__.py
+++ b/libs/mimosaloom-control/mimosaloom_control/__init__.py
@@ -39,11 +39,13 @@
     replay_records,
 )
 from .snapshot import (
+    SnapshotParts,
     adopt_snapshot,
     choose_snapshot,
     decode_snapshot,
     encode_snapshot,
     is_snapshot_due,
+    split_snapshot,
 )
 
 __all__ = [
@@ -71,6 +73,7 @@
     "Resource",
     "SeenRecord",
     "SelfAnnouncer",
+    "SnapshotParts",
     "Status",
     "Suspect",
     "adopt_snapshot",
@@ -85,4 +88,5 @@
     "encode_snapshot",
     "is_snapshot_due",
     "replay_records",
+    "split_snapshot",
 ]
--- a/libs/mimosaloom-control/mimosaloom_control/snapshot.py
+++ b/libs/mimosaloom-control/mimosaloom_control/snapshot.py
@@ -3,25 +3,38 @@
 A snapshot is the state of a replay with a digest over its text. It is a function of
 the prefix of the stream, so two writers at one offset write the same bytes, and one
 written again, or late by a writer that was paused, is passed over because its offset
-is not higher. Snapshots stand in the stream `config-snapshots`.
+is not higher.
+
+Snapshots stand in the stream `config-snapshots`. At the two-year size one has about
+1.8 MB, 0.5 MB compressed, so it is appended in parts. Parts of one snapshot carry the
+digest of the compressed text; they may come in any order, twice and among others.
 """
 
+import zlib
 from collections.abc import Iterable
 from hashlib import blake2b
+from typing import Annotated
 
 import msgspec
 
 from .replay import Replay, ReplayState
 
 __all__ = [
+    "SnapshotParts",
     "adopt_snapshot",
     "choose_snapshot",
     "decode_snapshot",
     "encode_snapshot",
     "is_snapshot_due",
+    "split_snapshot",
 ]
 
 DIGEST_BYTES = 16
+MAX_PART_BYTES = 48_000
+MAX_PARTS = 1_024
+MAX_SNAPSHOT_BYTES = 32 << 20
+# Snapshots collected at once: those of two writers and of two that stopped half-way.
+MAX_OPEN = 4
 # A snapshot may be missed twice before the records that it replaces expire.
 DUE_SHARE = 1 / 3
 
@@ -31,6 +44,14 @@
     state: msgspec.Raw
 
 
+class _Part(msgspec.Struct):
+    digest: str
+    number: Annotated[int, msgspec.Meta(ge=0)]
+    count: Annotated[int, msgspec.Meta(ge=1, le=MAX_PARTS)]
+    data: bytes
+
+
+_PART = msgspec.json.Decoder(_Part)
 _ENVELOPE = msgspec.json.Decoder(_Envelope)
 _STATE = msgspec.json.Decoder(ReplayState)
 
@@ -91,5 +112,62 @@
     return age_s >= retention_s * DUE_SHARE
 
 
+def split_snapshot(value: bytes, *, max_bytes: int = MAX_PART_BYTES) -> list[bytes]:
+    """Return the records to append for a snapshot.
+
+    Args:
+        value: The snapshot.
+        max_bytes: Compressed bytes in a record at most; a third is added for base64.
+    """
+    packed = zlib.compress(value)
+    starts = range(0, len(packed), max_bytes)
+    digest = _digest(packed)
+    return [
+        msgspec.json.encode(
+            _Part(digest, number, len(starts), packed[start : start + max_bytes])
+        )
+        for number, start in enumerate(starts)
+    ]
+
+
+class SnapshotParts:
+    """Puts snapshots together from the records of their stream."""
+
+    def __init__(self):
+        self._open: dict[str, dict[int, bytes]] = {}
+
+    def add(self, record: bytes) -> bytes | None:
+        """Take in a record.
+
+        Returns:
+            The snapshot that it completes, or None. Malformed parts are passed over,
+            and of the incomplete snapshots only the last few are kept.
+        """
+        try:
+            part = _PART.decode(record)
+        except (msgspec.MsgspecError, UnicodeError, RecursionError):
+            return None
+        if part.number >= part.count:
+            return None
+        parts = self._open.pop(part.digest, {})
+        parts[part.number] = part.data
+        if len(parts) < part.count:
+            self._open[part.digest] = parts
+            if len(self._open) > MAX_OPEN:
+                del self._open[next(iter(self._open))]
+            return None
+        return _unpack(part.digest, b"".join(parts[n] for n in sorted(parts)))
+
+
+def _unpack(digest: str, packed: bytes) -> bytes | None:
+    if _digest(packed) != digest:
+        return None
+    try:
+        value = zlib.decompressobj().decompress(packed, MAX_SNAPSHOT_BYTES + 1)
+    except zlib.error:
+        return None
+    return value if len(value) <= MAX_SNAPSHOT_BYTES else None
+
+
 def _digest(state: bytes) -> str:
     return blake2b(state, digest_size=DIGEST_BYTES).hexdigest()
--- a/tests/control/test_replay.py
+++ b/tests/control/test_replay.py
@@ -23,12 +23,14 @@
     Outcome,
     Replay,
     Resource,
+    SnapshotParts,
     choose_snapshot,
     decode_record,
     decode_snapshot,
     encode_record,
     encode_snapshot,
     replay_records,
+    split_snapshot,
 )
 
 WINDOW = 6
@@ -284,3 +286,18 @@
     damaged = bytearray(encode_snapshot(replay))
     damaged[random.Random(len(value)).randrange(len(damaged))] ^= 1
     assert decode_snapshot(bytes(damaged)) is None
+
+
+@given(st.integers(0, 60), st.integers(1, 90), st.randoms(), st.binary(max_size=9))
+def test_snapshots_are_put_together_from_parts_in_any_order(count, size, rng, noise):
+    """Two writers, one of them paused, mix their parts in one stream."""
+    replay = replay_records(enumerate([b"x%d" % n for n in range(count)]))
+    first = encode_snapshot(replay)
+    replay.apply(count, b"y")
+    second = encode_snapshot(replay)
+    parts = split_snapshot(first, max_bytes=size) * 2
+    parts += [*split_snapshot(second, max_bytes=size), noise]
+    rng.shuffle(parts)
+    collector = SnapshotParts()
+    values = {collector.add(part) for part in parts}
+    assert values - {None} == {first, second}
