Batch the claims of a failure domain

Cause: 5,200 nodes that append claims by themselves get one append in 17 s each. Change: a batcher that appends for others and tells them the verdicts; the claimant stays the node, so losing the batcher can't cause a second run.

--- a/libs/mimosaloom-policy/mimosaloom_policy/__init__.py
+++ b/libs/mimosaloom-policy/mimosaloom_policy/__init__.py
@@ -3,6 +3,7 @@
 from .admission import Admission, Arrival, Decision, Refuse, Start
 from .allowance import Ledger
 from .budget import RetryBudget
+from .claim_batches import ClaimBatcher, ClaimNews, LearnedVerdicts
 from .claims import (
     AppendFate,
     Claim,
@@ -60,8 +61,10 @@
     "BroughtKey",
     "Candidate",
     "Claim",
+    "ClaimBatcher",
     "ClaimBook",
     "ClaimLimits",
+    "ClaimNews",
     "ClaimRecord",
     "ClaimReplay",
     "Claimed",
@@ -71,6 +74,7 @@
     "EpochRule",
     "GiveUp",
     "Join",
+    "LearnedVerdicts",
     "Ledger",
     "LevelTable",
     "MintedKey",
--- /dev/null
+++ b/libs/mimosaloom-policy/mimosaloom_policy/claim_batches.py
@@ -0,0 +1,141 @@
+"""Claims of many nodes in few appends: one node per failure domain appends for all.
+
+A node hands its claims to the batcher of its failure domain and learns the verdicts
+from it, so that it reads no stream of claims itself. The claimant stays the node: only
+it starts the run, so a batcher that is lost, replaced or doubled costs time, never a
+second run. Claims that a lost batcher had taken are handed on again, see
+`ClaimBook.repeat`, and further copies in the log change nothing.
+"""
+
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
+
+from .claims import (
+    AppendFate,
+    Claim,
+    ClaimLimits,
+    ClaimRecord,
+    Unclaimed,
+    Undecided,
+    Verdict,
+)
+from .keys import BroughtKey, parse_key
+
+__all__ = ["ClaimBatcher", "ClaimNews", "LearnedVerdicts"]
+
+MAX_OPEN_CLAIMS = 100_000
+
+
+class ClaimNews(NamedTuple):
+    """A verdict for the node that claimed the key."""
+
+    claim: Claim
+    verdict: Verdict
+
+
+class ClaimBatcher:
+    """Collects claims, appends them together and tells who won.
+
+    Args:
+        find: `ClaimReplay.find` of the reader in this process.
+        max_open: Claims without a verdict at most.
+    """
+
+    def __init__(
+        self,
+        find: Callable[[str, float], Verdict],
+        *,
+        max_open: int = MAX_OPEN_CLAIMS,
+    ):
+        self._find = find
+        self._max_open = max_open
+        self._waiting: dict[Claim, None] = {}
+        self._appended: dict[Claim, None] = {}
+        self._records: dict[str, ClaimRecord] = {}
+
+    def __len__(self):
+        in_records = sum(len(record.claims) for record in self._records.values())
+        return len(self._waiting) + len(self._appended) + in_records
+
+    def add(self, claims: Iterable[Claim]) -> list[Claim]:
+        """Take in claims of the nodes of the failure domain.
+
+        Returns:
+            Those that were not taken because too many are open.
+        """
+        refused = []
+        for claim in claims:
+            is_known = claim in self._waiting or claim in self._appended
+            if not is_known and len(self) >= self._max_open:
+                refused.append(claim)
+            else:
+                self._appended.pop(claim, None)
+                self._waiting[claim] = None
+        return refused
+
+    def take_record(
+        self, record_id: str, *, max_claims: int = 512
+    ) -> ClaimRecord | None:
+        """Return a record to append now; None if no claim waits."""
+        chosen = tuple(self._waiting)[:max_claims]
+        if not chosen:
+            return None
+        for claim in chosen:
+            del self._waiting[claim]
+        self._records[record_id] = ClaimRecord(record_id, chosen)
+        return self._records[record_id]
+
+    def settle_append(self, record_id: str, fate: AppendFate) -> None:
+        """Record the result of an append; claims not known as taken wait again."""
+        record = self._records.pop(record_id, None)
+        claims = record.claims if record else ()
+        target = self._appended if fate is AppendFate.TAKEN else self._waiting
+        target.update(dict.fromkeys(claims))
+
+    def take_news(self, wall_s: float) -> list[ClaimNews]:
+        """Return the verdicts reached since the last call, and forget those claims."""
+        news = []
+        for claims in (self._waiting, self._appended):
+            for claim in list(claims):
+                verdict = self._find(claim.key, wall_s)
+                if not isinstance(verdict, Unclaimed):
+                    del claims[claim]
+                    news.append(ClaimNews(claim, verdict))
+        return news
+
+
+class LearnedVerdicts:
+    """Verdicts that a node got from batchers; `find` is for its `ClaimBook`.
+
+    Args:
+        limits: Bounds; the same on all nodes.
+    """
+
+    def __init__(self, limits: ClaimLimits):
+        self._limits = limits
+        self._verdicts: dict[str, Verdict] = {}
+
+    def __len__(self):
+        return len(self._verdicts)
+
+    def learn(self, news: Iterable[ClaimNews], wall_s: float) -> None:
+        """Take in verdicts, and forget those on keys past the window."""
+        for key in [k for k in self._verdicts if self._is_past(k, wall_s)]:
+            del self._verdicts[key]
+        for claim, verdict in news:
+            known = self._verdicts.get(claim.key, Undecided())
+            # A batcher with a gap may say less than another, but never otherwise.
+            if isinstance(known, Undecided):
+                self._verdicts[claim.key] = verdict
+
+    def find(self, key: str, wall_s: float) -> Verdict:
+        """Return the verdict on a key; `Unclaimed` as long as none has arrived."""
+        if self._is_past(key, wall_s):
+            return Undecided()
+        return self._verdicts.get(key, Unclaimed())
+
+    def _is_past(self, key: str, wall_s: float) -> bool:
+        parsed = parse_key(key)
+        if not isinstance(parsed, BroughtKey):
+            return True
+        return parsed.issued_s + self._limits.window_s < wall_s
--- a/libs/mimosaloom-policy/mimosaloom_policy/claims.py
+++ b/libs/mimosaloom-policy/mimosaloom_policy/claims.py
@@ -304,6 +304,12 @@
                 self._wishes[claim.key] = _Wish.TO_APPEND
                 self._to_append[claim.key] = None
 
+    def repeat(self, key: str) -> None:
+        """Claim a key again whose claim was taken but has not been read for long."""
+        if self._wishes.get(key) is _Wish.APPENDED:
+            self._wishes[key] = _Wish.TO_APPEND
+            self._to_append[key] = None
+
     def start(self, key: str, wall_s: float) -> bool:
         """Start the run of a key; True at most once, and only for the winner."""
         self._advance(wall_s)
--- a/tests/policy/test_claims.py
+++ b/tests/policy/test_claims.py
@@ -11,10 +11,12 @@
 
 from mimosaloom_policy import (
     AppendFate,
+    ClaimBatcher,
     ClaimBook,
     Claimed,
     ClaimLimits,
     ClaimReplay,
+    LearnedVerdicts,
     MintedKey,
     Unclaimed,
     Undecided,
@@ -24,8 +26,8 @@
     parse_key,
 )
 
-LIMITS = ClaimLimits(window_s=20.0, ahead_s=2.0, skew_s=1.0, max_keys=2)
-STEPS = 200
+LIMITS = ClaimLimits(window_s=20.0, ahead_s=2.0, skew_s=1.0, max_keys=3)
+STEPS = 240
 
 
 class LastClaimWins(ClaimReplay):
@@ -75,12 +77,18 @@
 
 
 class Node:
-    """A claimant with its own reader and a clock that is wrong by `skew_s`."""
+    """A claimant and reader with a clock that is wrong by `skew_s`.
 
-    def __init__(self, claimant, skew_s, replay_type, book_type):
-        self.claimant, self.skew_s = claimant, skew_s
+    Its batcher serves the others. A node that has verdicts claims through one.
+    """
+
+    def __init__(self, claimant, skew_s, is_remote, replay_type, book_type):
+        self.claimant, self.skew_s, self.is_remote = claimant, skew_s, is_remote
         self.replay = replay_type(LIMITS)
-        self.book = book_type(claimant, self.replay.find, LIMITS)
+        self.batcher = ClaimBatcher(self.replay.find, max_open=4)
+        self.verdicts = LearnedVerdicts(LIMITS) if is_remote else None
+        find = self.verdicts.find if is_remote else self.replay.find
+        self.book = book_type(claimant, find, LIMITS)
         self.records, self.refused = [], set()
 
 
@@ -91,17 +99,19 @@
         self.rng, self.types = rng, (replay_type, book_type)
         self.now_s, self.head, self.log = 1_000_000_000.0, 0, []
         self.keys, self.runs, self.false_refusals, self.starts = [], [], [], 0
+        self.mail = []
         self.nodes = [self.make_node() for _ in range(3)]
 
     def make_node(self):
         self.starts += 1
         skew_s = self.rng.uniform(-LIMITS.skew_s, LIMITS.skew_s)
-        return Node(f"n{self.starts}", skew_s, *self.types)
+        is_remote = self.rng.random() < 0.5
+        return Node(f"n{self.starts}", skew_s, is_remote, *self.types)
 
     def step(self):
         node = self.rng.choice(self.nodes)
         wall_s = self.now_s + node.skew_s
-        actions = [self.request, self.append, self.read, self.start] * 4
+        actions = [self.request, self.append, self.read, self.start, self.tell] * 4
         actions += [self.withdraw, self.wait, self.truncate, self.crash]
         self.rng.choice(actions)(node, wall_s)
 
@@ -117,8 +127,16 @@
         """Append a record; it may be lost, or its answer, or be appended later."""
         self.starts += 1
         record = node.book.take_record(str(self.starts), wall_s, max_claims=2)
-        if record:
+        if record and node.is_remote:
+            fate = self.rng.choice([AppendFate.TAKEN, AppendFate.UNKNOWN])
+            if fate is AppendFate.TAKEN or self.rng.random() < 0.5:
+                self.rng.choice(self.nodes).batcher.add(record.claims)
+            node.book.settle_append(record.record_id, fate)
+        elif record:
             node.records.append(record)
+        batch = node.batcher.take_record(f"batch-{self.starts}")
+        if batch:
+            node.records.append(batch)
         if not node.records:
             return
         chosen = self.rng.choice(node.records)
@@ -128,6 +146,19 @@
             self.log.append(chosen)
         if fate is not AppendFate.NOT_TAKEN:
             node.book.settle_append(chosen.record_id, fate)
+            node.batcher.settle_append(chosen.record_id, fate)
+
+    def tell(self, node, wall_s):
+        """News of a batcher may be lost, or come late and twice."""
+        self.mail.extend(node.batcher.take_news(wall_s) * 2)
+        for news in self.rng.sample(self.mail, min(3, len(self.mail))):
+            self.mail.remove(news)
+            for other in self.nodes:
+                if other.claimant == news.claim.claimant and other.is_remote:
+                    other.verdicts.learn([news], self.now_s + other.skew_s)
+        for key in self.keys[-6:]:
+            if self.rng.random() < 0.2:
+                node.book.repeat(key)
 
     def read(self, node, wall_s):
         if node.replay.next_offset < self.head:
@@ -166,6 +197,7 @@
     for _ in range(STEPS):
         world.step()
     assert all(len(n.replay) <= LIMITS.max_keys for n in world.nodes)
+    assert all(len(n.batcher) <= 12 for n in world.nodes)
     counts = Counter(world.runs)
     return [k for k in world.keys if counts[k] > 1] + world.false_refusals
 
@@ -226,3 +258,26 @@
     """A malformed key must be refused, not end in an internal error."""
     parsed = parse_key(text)
     assert parsed is None or len(text) <= 64
+
+
+def test_a_node_wins_through_a_batcher_that_was_replaced():
+    """Claims that a lost batcher had taken must not keep a key from running."""
+    replay, verdicts = ClaimReplay(LIMITS), LearnedVerdicts(LIMITS)
+    book = ClaimBook("n1", verdicts.find, LIMITS)
+    key = format_brought_key(100, "key-00001")
+    book.request(key, 100.0)
+    lost = book.take_record("r1", 100.0)
+    book.settle_append(lost.record_id, AppendFate.TAKEN)
+    assert book.take_record("r2", 101.0) is None
+    book.repeat(key)
+    batcher = ClaimBatcher(replay.find)
+    batcher.add(book.take_record("r3", 102.0).claims)
+    batch = batcher.take_record("b1")
+    batcher.settle_append("b1", AppendFate.TAKEN)
+    assert batcher.take_news(102.0) == []
+    replay.apply(0, batch, 102.0)
+    verdicts.learn(batcher.take_news(103.0), 103.0)
+    assert book.start(key, 103.0)
+    assert len(batcher) == 0
+    verdicts.learn([], 130.0)
+    assert len(verdicts) == 0
