--- a/libs/mimosaloom-control/mimosaloom_control/snapshot.py
+++ b/libs/mimosaloom-control/mimosaloom_control/snapshot.py
@@ -26,7 +26,9 @@
     "decode_snapshot",
     "encode_snapshot",
     "is_snapshot_due",
+    "pack_snapshot",
     "split_snapshot",
+    "unpack_snapshot",
 ]
 
 DIGEST_BYTES = 16
@@ -119,7 +121,7 @@
         value: The snapshot.
         max_bytes: Compressed bytes in a record at most; a third is added for base64.
     """
-    packed = zlib.compress(value)
+    packed = pack_snapshot(value)
     starts = range(0, len(packed), max_bytes)
     digest = _digest(packed)
     return [
@@ -156,12 +158,17 @@
             if len(self._open) > MAX_OPEN:
                 del self._open[next(iter(self._open))]
             return None
-        return _unpack(part.digest, b"".join(parts[n] for n in sorted(parts)))
+        packed = b"".join(parts[number] for number in sorted(parts))
+        return unpack_snapshot(packed) if _digest(packed) == part.digest else None
 
 
-def _unpack(digest: str, packed: bytes) -> bytes | None:
-    if _digest(packed) != digest:
-        return None
+def pack_snapshot(value: bytes) -> bytes:
+    """Return a snapshot compressed, about a quarter of its size."""
+    return zlib.compress(value)
+
+
+def unpack_snapshot(packed: bytes) -> bytes | None:
+    """Return a snapshot; None if it is damaged or over 32 MiB."""
     try:
         value = zlib.decompressobj().decompress(packed, MAX_SNAPSHOT_BYTES + 1)
     except zlib.error:
