--- a/libs/mimosaloom-bench/mimosaloom_bench/overload/controlled.py
+++ b/libs/mimosaloom-bench/mimosaloom_bench/overload/controlled.py
@@ -120,14 +120,11 @@
         self._loop.call_later(TICK_S, self._tick)
 
     def _poll_load(self) -> None:
-        for node in self._nodes.values():
-            suggest = getattr(node.routers.get(node.target.service.name), "suggest", 0)
-            for service, targets in self._services.items() if suggest else ():
-                for target in targets:
-                    load_ratio = target.reported_load()
-                    node.routers[service].suggest(
-                        target.name, load_ratio, self._loop.now_s
-                    )
+        for target in (t for own in self._services.values() for t in own):
+            load_ratio = target.reported_load()
+            for node in self._nodes.values():
+                router = node.routers[target.service.name]
+                router.suggest(target.name, load_ratio, self._loop.now_s)
         self._loop.call_later(LOAD_POLL_S, self._poll_load)
 
     # Events of the scenario.
@@ -299,6 +296,10 @@
 
     def _may_retry(self, call: Call, kind: Kind) -> bool:
         is_idempotent = self._mesh.classes[call.request.class_name].is_idempotent
+        if kind is Kind.FAILED_DOWNSTREAM:
+            # The hop next to the failure has retried; another retry here would
+            # repeat the work of all hops between.
+            return False
         if not self._result(kind, is_idempotent).may_retry:
             return False
         if not self._budget(call.node, call).try_spend(self._loop.now_s):
--- a/libs/mimosaloom-bench/mimosaloom_bench/processes.py
+++ b/libs/mimosaloom-bench/mimosaloom_bench/processes.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 from types import FrameType
 
-__all__ = ["ChildProcess", "ProcessGroup", "StartFailed", "exit_on_termination"]
+__all__ = ["ChildProcess", "ProcessGroup", "StartFailed"]
 
 POLL_INTERVAL_S = 0.02
 START_TIMEOUT_S = 20.0
@@ -114,6 +114,9 @@
 class ProcessGroup:
     """Processes that are all ended when the `with` block is left, however it is.
 
+    Within the block SIGTERM raises `SystemExit`, so that it too leaves the block. Use
+    it in the main thread only, where signals arrive.
+
     Args:
         directory: Where their output goes.
     """
@@ -121,12 +124,17 @@
     def __init__(self, directory: Path):
         self._directory = directory
         self._children: list[ChildProcess] = []
+        self._earlier_handler = signal.SIG_DFL
 
     def __enter__(self) -> "ProcessGroup":
+        self._earlier_handler = signal.signal(signal.SIGTERM, _leave)
         return self
 
     def __exit__(self, *exception) -> None:
-        self.stop()
+        try:
+            self.stop()
+        finally:
+            signal.signal(signal.SIGTERM, self._earlier_handler)
 
     def start(self, name: str, module: str, *arguments: str) -> ChildProcess:
         """Start a Python module as a process."""
@@ -142,6 +150,10 @@
         """Return the ids of all processes."""
         return [child.pid for child in self._children]
 
+    def cpu_s(self) -> float:
+        """Return the processor time that all processes have used, in seconds."""
+        return sum(_read_cpu_s(child.pid) for child in self._children)
+
     def stop(self) -> None:
         """End all processes, the last started first; kill those that stay."""
         for child in reversed(self._children):
@@ -151,13 +163,16 @@
             child.wait_or_kill(give_up_s)
 
 
-def exit_on_termination() -> None:
-    """Turn SIGTERM into `SystemExit`, so that `with` blocks end their processes."""
+def _leave(number: int, frame: FrameType | None) -> None:
+    raise SystemExit(128 + number)
 
-    def leave(number: int, frame: FrameType | None) -> None:
-        raise SystemExit(128 + number)
 
-    signal.signal(signal.SIGTERM, leave)
+def _read_cpu_s(pid: int) -> float:
+    stat = Path(f"/proc/{pid}/stat").read_text(encoding="ascii")
+    # The name of the program, in brackets, may hold blanks.
+    fields = stat.rpartition(")")[2].split()
+    user_ticks, system_ticks = int(fields[11]), int(fields[12])
+    return (user_ticks + system_ticks) / os.sysconf("SC_CLK_TCK")
 
 
 def _read_lines(path: Path) -> list[str]:
--- a/tests/mesh/fakes.py
+++ b/tests/mesh/fakes.py
@@ -12,6 +12,7 @@
     Address,
     Catalog,
     LimitSettings,
+    ListenSettings,
     LogServiceSettings,
     NodeIdentity,
     NodeSettings,
@@ -30,9 +31,10 @@
 FEE = "issue-fee"
 ANY_PORT = Address("127.0.0.1", 0)
 TIMEOUT_S = 10.0
+SLOTS = 16
 
 
-def build_chain_catalog(services, *, retries=3, upstreams_each=1, slots=16):
+def build_chain_catalog(services, *, retries=3, upstreams_each=1, slots=SLOTS):
     """Return a catalog with a chain of services, an idempotent and a once class."""
     path = tuple(services)
     return Catalog(
@@ -115,12 +117,15 @@
         return Response(200, (), self.name.encode() + b">" + response.body)
 
 
-def build_node(service, upstream, target_url, catalog, membership, **limits):
-    """Return a node on ephemeral loopback ports."""
+def build_node(
+    service, upstream, target_url, catalog, membership, ingress=ANY_PORT, **limits
+):
+    """Return a node, by default on ephemeral loopback ports."""
     settings = NodeSettings(
         NodeIdentity(f"node-{upstream}", "r1", "z1"),
         TargetSettings(service, upstream, target_url),
         LogServiceSettings("http://127.0.0.1:9"),
+        ListenSettings(ingress=ingress),
         limits=LimitSettings(**limits),
     )
     rng = random.Random(upstream)
@@ -132,7 +137,7 @@
     address = node.addresses["ingress"]
     upstream = node.settings.target.upstream
     return Candidate(
-        upstream, address.host, address.port, "z1", 16, 200, node.incarnation
+        upstream, address.host, address.port, "z1", SLOTS, 200, node.incarnation
     )
 
 
