Bound the nesting of configuration records

Change: a record over 32 levels is bad on every node, found by a linear scan. Result: the same effect with 0 and 800 frames on the stack at 31 to 5,000 levels.

--- a/libs/mimosaloom-control/mimosaloom_control/__init__.py
+++ b/libs/mimosaloom-control/mimosaloom_control/__init__.py
@@ -21,6 +21,7 @@
 )
 from .overlay import Overlay
 from .records import (
+    MAX_NESTING,
     MAX_RECORD_BYTES,
     BadReason,
     BadRecord,
@@ -62,6 +63,7 @@
 
 __all__ = [
     "ID_WINDOW",
+    "MAX_NESTING",
     "MAX_RECORD_BYTES",
     "Announce",
     "BadReason",
--- a/libs/mimosaloom-control/mimosaloom_control/records.py
+++ b/libs/mimosaloom-control/mimosaloom_control/records.py
@@ -6,12 +6,14 @@
 records, or they would hold different configurations.
 """
 
+import re
 from enum import StrEnum
 from typing import Annotated, NamedTuple
 
 import msgspec
 
 __all__ = [
+    "MAX_NESTING",
     "MAX_RECORD_BYTES",
     "BadReason",
     "BadRecord",
@@ -21,6 +23,8 @@
 ]
 
 MAX_RECORD_BYTES = 65_536
+# The decoder's own bound depends on the stack of its caller, and nodes have to agree.
+MAX_NESTING = 32
 
 _Id = Annotated[str, msgspec.Meta(pattern="^[A-Za-z0-9._:/-]{1,64}$")]
 _Kind = Annotated[str, msgspec.Meta(pattern="^[A-Z][A-Za-z0-9]{0,63}$")]
@@ -32,6 +36,7 @@
     """Why a record is skipped; a label of the counter of bad records."""
 
     TOO_LARGE = "too_large"
+    TOO_DEEP = "too_deep"
     NOT_JSON = "not_json"
     BAD_FIELD = "bad_field"
 
@@ -69,6 +74,9 @@
     extra: dict[str, msgspec.Raw] = {}
 
 
+# Also matches a string that does not end, so that a scan stays linear.
+_STRING = re.compile(rb'"(?:[^"\\]|\\.)*"?', re.DOTALL)
+_BRACKET = re.compile(rb"[\[\]{}]")
 _KNOWN = frozenset(ConfigRecord.__struct_fields__) - {"extra"}
 _FIELDS = msgspec.json.Decoder(dict[str, msgspec.Raw])
 _RECORD = msgspec.json.Decoder(ConfigRecord)
@@ -78,10 +86,12 @@
     """Read a record.
 
     Args:
-        value: The record as appended; at most 65,536 bytes.
+        value: The record as appended; at most 65,536 bytes and 32 levels.
     """
     if len(value) > MAX_RECORD_BYTES:
         return BadRecord(BadReason.TOO_LARGE, f"{len(value)} bytes")
+    if _is_too_deep(value):
+        return BadRecord(BadReason.TOO_DEEP, f"over {MAX_NESTING} levels")
     try:
         fields = _FIELDS.decode(value)
         known = {name: raw for name, raw in fields.items() if name in _KNOWN}
@@ -98,3 +108,14 @@
     """Return a record as it is appended, with the fields that were not known."""
     fields = {name: getattr(record, name) for name in sorted(_KNOWN)}
     return msgspec.json.encode(fields | record.extra)
+
+
+def _is_too_deep(value: bytes) -> bool:
+    if value.count(b"[") + value.count(b"{") <= MAX_NESTING:
+        return False
+    depth = 0
+    for match in _BRACKET.finditer(_STRING.sub(b"", value)):
+        depth += 1 if match[0] in b"[{" else -1
+        if depth > MAX_NESTING:
+            return True
+    return False
--- a/tests/control/test_replay.py
+++ b/tests/control/test_replay.py
@@ -301,3 +301,17 @@
     collector = SnapshotParts()
     values = {collector.add(part) for part in parts}
     assert values - {None} == {first, second}
+
+
+@pytest.mark.parametrize("levels", [31, 32, 33, 5000])
+def test_nesting_is_judged_without_the_stack_of_the_caller(levels):
+    """The interpreter's recursion limit let nodes differ on one deep record."""
+    spec = b'{"a[":' * (levels - 1) + b'"]\\"[["' + b"}" * (levels - 1)
+    value = b'{"id":"i","kind":"Service","name":"a","expected_revision":0,'
+    value += b'"base_offset":0,"spec":' + spec + b"}"
+
+    def apply(depth):
+        return apply(depth - 1) if depth else Replay().apply(0, value)
+
+    expected = Effect.ACCEPTED if levels <= 32 else Effect.BAD
+    assert apply(0) is apply(800) is expected
