--- a/tests/policy/test_runs.py
+++ b/tests/policy/test_runs.py
@@ -28,6 +28,8 @@
     Stamp,
     StampBook,
     Unknown,
+    format_stamp,
+    parse_stamp,
 )
 
 UPSTREAMS = ("a", "b")
@@ -268,3 +270,13 @@
     assert table.resolve("k", 3.0, Stamp("i", 0)) == NotRun()
     assert table.begin("k", "", 5.0, Stamp("i", 5), 3) == Blocked()
     assert table.begin("k", "", 7.0, Stamp("i", 5), 3) == Blocked()
+
+
+@pytest.mark.fuzz
+@given(st.text(max_size=50) | st.from_regex(r"[0-9a-f]{13}-[0-9a-f]{8}\.[0-9a-f]{1,9}"))
+def test_a_stamp_is_read_as_it_was_written(text):
+    """A stamp that changes on the way makes a live call look stale or too new."""
+    stamp = parse_stamp(text)
+    assert stamp is None or parse_stamp(format_stamp(stamp)) == stamp
+    own = Stamp("019a0b1c2d3e4-89abcdef", 0xFFFFFFFF)
+    assert parse_stamp(format_stamp(own)) == own
