Claim keys that callers bring through the log service

Cause: a key that a caller chose was refused, since two nodes could both run it. The depth of a call is given to the admission.

--- a/libs/mimosaloom-mesh/mimosaloom_mesh/hop.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/hop.py
@@ -230,6 +230,7 @@
             is_protected=request_class.is_protected,
             rank=rank_request(scope.request_id, request_class.priority),
             deadline_s=scope.deadline_s,
+            depth=context.depth,
         )
         if not self._caller.scopes.open(scope, context.retries):
             # libcurl has sent the request again on its own.
--- a/libs/mimosaloom-node/mimosaloom_node/daemon.py
+++ b/libs/mimosaloom-node/mimosaloom_node/daemon.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import signal
+from collections.abc import Callable
 from datetime import timedelta
 
 from eliot import log_message
@@ -17,10 +18,12 @@
     build_caller,
     build_data_path,
 )
+from mimosaloom_mesh.owners import format_owner
 from mimosaloom_mesh.server import Handler
 from mimosaloom_model import Address, Catalog, Clock, NodeSettings, Upstream
 
 from .admin import Admin
+from .claims_log import LogClaims
 from .directory import new_incarnation
 from .logs import log_listening
 from .membership import Membership, NodeDirectory, Self
@@ -44,6 +47,8 @@
         membership: The members of the mesh.
         clock: Source of time.
         rng: Source of ids and of choices.
+        build_claims: Returns the claims for a claimant; without it, keys that
+            callers bring are refused.
     """
 
     def __init__(
@@ -54,6 +59,7 @@
         *,
         clock: Clock,
         rng: random.Random,
+        build_claims: Callable[[str], LogClaims] | None = None,
     ):
         self.settings = settings
         self.incarnation = new_incarnation(clock, rng)
@@ -65,6 +71,8 @@
         self._membership = membership
         self._transport = Transport()
         self._upstream = _declared_upstream(settings, catalog)
+        owner = format_owner(settings.target.upstream, self.incarnation)
+        self._claims = None if build_claims is None else build_claims(owner)
         self._target = TargetLink(
             settings.target.url, self._transport, self._upstream.max_connections
         )
@@ -92,6 +100,8 @@
             self._upstream.max_connections,
         )
         await self._membership.join(own)
+        if self._claims is not None:
+            await self._claims.start()
 
     async def stop(self) -> None:
         """Drain, let the calls in flight end, and close everything."""
@@ -111,6 +121,8 @@
             await server.stop()
         await self._target.stop()
         await self._membership.close()
+        if self._claims is not None:
+            await self._claims.close()
         if self._ticks is not None:
             self._ticks.cancel()
         self._transport.close()
@@ -144,7 +156,9 @@
             queue_capacity=settings.limits.queue_capacity,
             max_context_bytes=settings.limits.max_context_bytes,
         )
-        return build_data_path(place, caller, self._transport, self._target.execute)
+        return build_data_path(
+            place, caller, self._transport, self._target.execute, self._claims
+        )
 
     def _build_server(self, handle: Handler) -> WholeRequestServer:
         return WholeRequestServer(
--- a/libs/mimosaloom-node/mimosaloom_node/startup.py
+++ b/libs/mimosaloom-node/mimosaloom_node/startup.py
@@ -14,6 +14,7 @@
     read_resources,
 )
 
+from .claims_log import LogClaims
 from .daemon import Node, run_until_stopped
 from .log_client import LogClient
 from .log_membership import LogMembership
@@ -59,5 +60,12 @@
     rng = random.Random()
     client = LogClient(settings.log_service, clock, rng)
     membership = LogMembership(settings, client)
-    node = Node(settings, catalog, membership, clock=clock, rng=rng)
+
+    def build_claims(claimant: str) -> LogClaims:
+        claims_client = LogClient(settings.log_service, clock, rng)
+        return LogClaims(settings.target.service, claimant, claims_client, clock)
+
+    node = Node(
+        settings, catalog, membership, clock=clock, rng=rng, build_claims=build_claims
+    )
     await run_until_stopped(node)
--- /dev/null
+++ b/tests/node/test_claims.py
@@ -0,0 +1,80 @@
+"""Guards keys that callers bring: one run over all nodes, through the log."""
+
+import asyncio
+import json
+import time
+
+import pytest
+from mesh.fakes import FEE, Chain, run
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+
+from mimosaloom_model import LogServiceSettings, SystemClock
+from mimosaloom_node.claims_log import LogClaims
+from mimosaloom_node.log_client import LogClient
+from mimosaloom_policy import format_brought_key
+from mimosaloom_standins import LogOptions, LogStore, build_log_application
+
+pytestmark = pytest.mark.sockets
+
+
+class _ClaimingChain(Chain):
+    """One service with two nodes that claim keys in a log stand-in."""
+
+    async def __aenter__(self):
+        self.store = LogStore(LogOptions(), time.monotonic())
+        sockets = bind_sockets(0, "127.0.0.1")
+        self.log = HTTPServer(build_log_application(self.store))
+        self.log.add_sockets(sockets)
+        url = f"http://127.0.0.1:{sockets[0].getsockname()[1]}"
+        self.log_settings = LogServiceSettings(url, timeout_s=0.5)
+        return await super().__aenter__()
+
+    async def __aexit__(self, *exception):
+        await super().__aexit__(*exception)
+        self.log.stop()
+        await self.log.close_all_connections()
+
+    def node_options(self, upstream):
+        clock = SystemClock()
+
+        def build(claimant):
+            client = LogClient(self.log_settings, clock, self.rng(upstream))
+            return LogClaims(upstream.service, claimant, client, clock)
+
+        return {"build_claims": build}
+
+
+def _brought_key():
+    return format_brought_key(time.time(), "abcdefgh")
+
+
+def test_brought_key_runs_once_over_two_nodes():
+    """Two nodes that get the same key at once must not both issue the fee."""
+
+    async def body():
+        async with _ClaimingChain(["a"], upstreams_each=2) as chain:
+            headers = (("Idempotency-Key", _brought_key()),)
+            asked = [chain.ask(f"a-{n % 2}", FEE, b"1", headers) for n in range(6)]
+            responses = await asyncio.gather(*asked)
+            assert {r.status for r in responses} == {200}
+            assert len({r.body for r in responses}) == 1
+            runs = [chain.targets[f"a-{n}"].runs[b"1"] for n in range(2)]
+            assert sorted(runs) == [0, 1]
+
+    run(body)
+
+
+def test_brought_key_is_refused_as_not_run_while_the_log_is_down():
+    """Without a claim nobody may run the key, and the caller must learn so."""
+
+    async def body():
+        async with _ClaimingChain(["a"]) as chain:
+            chain.store.change({"is_down": True})
+            headers = (("Idempotency-Key", _brought_key()),)
+            response = await chain.ask("a-0", FEE, b"1", headers)
+            refusal = json.loads(response.body)
+            assert (refusal["kind"], refusal["ran"]) == ("no_upstream", "no")
+            assert not chain.targets["a-0"].runs
+
+    run(body)
