--- a/libs/mimosaloom-mesh/mimosaloom_mesh/headers.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/headers.py
@@ -8,6 +8,7 @@
     ANSWER_HEADER,
     ANSWERS,
     CONTEXT_HEADER,
+    MAX_CONTEXT_BYTES,
     Answered,
     AnswerNote,
     CallContext,
@@ -21,9 +22,10 @@
     decode_context,
     digest_bytes,
     encode_answer_note,
+    encode_context,
 )
 
-from .messages import Headers, HopAnswer, Response
+from .messages import Headers, HopAnswer, Request, Response
 
 __all__ = [
     "CLASS_HEADER",
@@ -36,6 +38,7 @@
     "forwarded_headers",
     "read_context",
     "read_hop_answer",
+    "write_context",
 ]
 
 CLASS_HEADER = "Mimosaloom-Class"
@@ -81,6 +84,37 @@
     return decode_context(value)
 
 
+def write_context(context: CallContext, received: Request) -> str:
+    """Return the header value of a context for the next hop.
+
+    Args:
+        context: The context.
+        received: The request that is forwarded. Fields of a newer version in its own
+            context header are kept, unless the value would be too long with them.
+    """
+    more = _read_more_fields(received.header(CONTEXT_HEADER))
+    if not more:
+        return encode_context(context)
+    fields = {**more, **msgspec.structs.asdict(context)}
+    value = msgspec.json.encode(fields).decode()
+    if len(value) > MAX_CONTEXT_BYTES or not value.isascii():
+        return encode_context(context)
+    return value
+
+
+def _read_more_fields(value: str | None) -> dict[str, object]:
+    if value is None:
+        return {}
+    try:
+        fields = msgspec.json.decode(value, type=dict[str, object])
+    except (msgspec.MsgspecError, UnicodeError, RecursionError):
+        return {}
+    return {name: fields[name] for name in fields.keys() - _CONTEXT_FIELDS}
+
+
+_CONTEXT_FIELDS = frozenset(CallContext.__struct_fields__)
+
+
 def forwarded_headers(headers: Headers) -> Headers:
     """Return the headers that travel to the next hop."""
     return tuple(item for item in headers if item[0].lower() not in _NOT_FORWARDED)
--- a/libs/mimosaloom-mesh/mimosaloom_mesh/middleware.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/middleware.py
@@ -7,9 +7,10 @@
     HTTPConnection,
     HTTPHeaders,
     HTTPServerRequest,
+    RequestStartLine,
 )
 
-from mimosaloom_model import Answered, Failed, Kind, Outcome
+from mimosaloom_model import Address, Answered, Failed, Kind, Outcome
 
 from .assembly import DataPath, Place, build_data_path
 from .caller import Caller
@@ -36,6 +37,19 @@
     def __init__(self, data_path: DataPath, server: WholeRequestServer):
         self.data_path = data_path
         self.server = server
+        self._ticks: asyncio.Task | None = None
+
+    def listen(self, address: Address) -> Address:
+        """Start to serve; return the address with the port in use."""
+        self._ticks = asyncio.ensure_future(self.data_path.gate.run_ticks())
+        return self.server.listen(address)
+
+    async def stop(self) -> None:
+        """Refuse new calls, and close the connections after the answers under way."""
+        self.data_path.gate.start_draining()
+        await self.server.stop()
+        if self._ticks is not None:
+            self._ticks.cancel()
 
 
 def admit(
@@ -110,8 +124,12 @@
 
 async def _run_application(application: Application, execution: Execution) -> Outcome:
     connection = _CapturedConnection()
-    current_scope.set(execution.scope)
-    application(_build_request(execution, connection))
+    # The application's own task copies the context when it is created.
+    token = current_scope.set(execution.scope)
+    try:
+        application(_build_request(execution, connection))
+    finally:
+        current_scope.reset(token)
     try:
         async with asyncio.timeout(execution.left.total_seconds()):
             answered = await connection.done
@@ -135,11 +153,13 @@
         headers.add(name, value)
     left_ms = int(1000 * execution.left.total_seconds())
     headers[TIMEOUT_HEADER] = str(left_ms)
+    headers.setdefault("Host", "localhost")
+    start_line = RequestStartLine(
+        execution.request.method, execution.request.path, "HTTP/1.1"
+    )
     return HTTPServerRequest(
-        method=execution.request.method,
-        uri=execution.request.path,
         headers=headers,
         body=execution.request.body,
         connection=connection,
-        host=headers.get("Host", "localhost"),
+        start_line=start_line,
     )
--- a/libs/mimosaloom-mesh/mimosaloom_mesh/remote.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/remote.py
@@ -14,7 +14,6 @@
     Outcome,
     Ran,
     Refused,
-    encode_context,
 )
 from mimosaloom_policy import (
     Candidate,
@@ -25,7 +24,7 @@
     parse_stamp,
 )
 
-from .headers import STAMP_HEADER, forwarded_headers, read_hop_answer
+from .headers import STAMP_HEADER, forwarded_headers, read_hop_answer, write_context
 from .messages import HopAnswer, Request, Response
 from .resolution import (
     PING_PATH,
@@ -85,7 +84,7 @@
         """
         headers = (
             *forwarded_headers(request.headers),
-            (CONTEXT_HEADER, encode_context(context)),
+            (CONTEXT_HEADER, write_context(context, request)),
         )
         if stamp is not None:
             headers = (*headers, (STAMP_HEADER, format_stamp(stamp)))
--- a/libs/mimosaloom-mesh/mimosaloom_mesh/target.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/target.py
@@ -17,10 +17,9 @@
     Ran,
     Refused,
     decode_answer_note,
-    encode_context,
 )
 
-from .headers import RAN_HEADER, TIMEOUT_HEADER, forwarded_headers
+from .headers import RAN_HEADER, TIMEOUT_HEADER, forwarded_headers, write_context
 from .hop import Execution
 from .messages import Request, Response
 from .transport import Broken, Endpoint, Transport
@@ -58,7 +57,7 @@
         handed_down = msgspec.structs.replace(context, remaining_ms=left_ms)
         headers = (
             *forwarded_headers(execution.request.headers),
-            (CONTEXT_HEADER, encode_context(handed_down)),
+            (CONTEXT_HEADER, write_context(handed_down, execution.request)),
             (TIMEOUT_HEADER, str(left_ms)),
         )
         try:
--- a/tests/mesh/fakes.py
+++ b/tests/mesh/fakes.py
@@ -68,6 +68,7 @@
         self.name = name
         self.runs = Counter()
         self.contexts = []
+        self.context_values = []
         self.cancelled = []
         self.egress = None
         self.next_service = None
@@ -94,7 +95,9 @@
             self.on_cancel.set()
             return Response(200)
         self.runs[request.body] += 1
-        self.contexts.append(decode_context(request.header(CONTEXT_HEADER)))
+        value = request.header(CONTEXT_HEADER)
+        self.context_values.append(value)
+        self.contexts.append(decode_context(value))
         self.started.set()
         await self.release.wait()
         if self.reply is not None:
--- a/tests/mesh/test_chain.py
+++ b/tests/mesh/test_chain.py
@@ -1,10 +1,13 @@
 """Guards the path of a call over several nodes on real sockets."""
 
 import asyncio
+import json
 
 import pytest
 from mesh.fakes import FEE, LOOKUP, SLOTS, Chain, run
 
+from mimosaloom_model import CONTEXT_HEADER, CallContext, encode_context
+
 pytestmark = pytest.mark.sockets
 
 
@@ -31,3 +34,19 @@
             assert depths == {2}
 
     run(body)
+
+
+def test_context_fields_of_a_newer_version_are_forwarded():
+    """A node of this version must not cut what newer nodes tell each other."""
+
+    async def body():
+        async with Chain(["a", "b"]) as chain:
+            context = CallContext("0" * 32, "call-1", LOOKUP, 5000)
+            newer = encode_context(context).replace("}", ',"tenant":{"id":7}}')
+            response = await chain.ask("a-0", LOOKUP, b"1", ((CONTEXT_HEADER, newer),))
+            assert response.status == 200
+            received = chain.targets["b-0"].context_values[0]
+            assert json.loads(received)["tenant"] == {"id": 7}
+            assert json.loads(received)["depth"] == 1
+
+    run(body)
