Escape names in faults on calls and cycles

A run of the property tests with 5,000 examples each found that the list of a service's calls and the services of a cycle were printed as written, so that a name with a control character broke a fault into two lines. Both are quoted now.

--- a/libs/mimosaloom-model/mimosaloom_model/checks.py
+++ b/libs/mimosaloom-model/mimosaloom_model/checks.py
@@ -237,13 +237,17 @@
         calls[caller].discard(called)
         index = services[caller].texts("calls").index(called)
         yield services[caller].fault(
-            f"expected calls without a cycle, got {' -> '.join(cycle)}",
+            f"expected calls without a cycle, got {_list_cycle(cycle)}",
             "spec",
             "calls",
             index,
         )
 
 
+def _list_cycle(cycle: list[str]) -> str:
+    return " -> ".join(map(describe_value, cycle))
+
+
 def _find_path_faults(
     request_class: PlacedResource, services: dict[str, PlacedResource]
 ) -> Iterator[Fault]:
@@ -288,7 +292,7 @@
 
 
 def _list_calls(service: PlacedResource) -> str:
-    return ", ".join(service.texts("calls")) or "none"
+    return ", ".join(map(describe_value, service.texts("calls"))) or "none"
 
 
 def _find_protection_faults(declared: _Declared) -> Iterator[Fault]:
--- a/tests/model/test_reading.py
+++ b/tests/model/test_reading.py
@@ -181,8 +181,13 @@
     ((0, "name"), MISSING, "[0]", 'expected the field "name"'),
     ((0, "spec"), [], "[0].spec", "expected an object, got an array"),
     ((0, "spec", "calls"), ["billing"] * 2, "[0].spec.calls", "each item once"),
-    ((1, "spec", "calls"), ["intake"], "[0].spec.calls[0]", "intake -> billing -> int"),
-    ((1, "spec", "calls"), ["billing"], "[1].spec.calls[0]", "billing -> billing"),
+    (
+        (1, "spec", "calls"),
+        ["intake"],
+        "[0].spec.calls[0]",
+        '"billing" -> "intake"',
+    ),
+    ((1, "spec", "calls"), ["billing"], "[1].spec.calls[0]", '"billing" -> "billing"'),
     ((2, "spec", "service"), "biling", "[2].spec.service", 'did you mean "billing"?'),
     ((2, "spec", "slots"), 0, "[2].spec.slots", "an integer from 1 to 100000, got 0"),
     ((2, "spec", "slots"), 1e400, "[2].spec.slots", "an integer from 1 to 100000"),
@@ -222,6 +227,19 @@
     assert message in read.faults[0].message
 
 
+def test_names_in_faults_are_escaped():
+    """Found by fuzzing: a name with a newline broke a fault into two lines."""
+    caller = change(RESOURCES, (0, "spec", "calls"), ["a\nb", "billing"])
+    resources = change(caller, (3, "spec", "path"), ["intake", "few"])
+    service = {"kind": "Service", "name": "a\nb", "spec": {"calls": ["a\nb"]}}
+    few = {"kind": "Service", "name": "few", "spec": {}}
+    faults = check_documents([*resources, service, few], "log").faults
+    messages = [fault.message for fault in faults]
+    assert 'expected calls without a cycle, got "a\\nb" -> "a\\nb"' in messages
+    assert any('calls ("a\\nb", "billing"), got "few"' in text for text in messages)
+    assert all(str(fault).isprintable() for fault in faults)
+
+
 def test_slots_must_hold_a_share_for_each_protected_class():
     """With one slot per protected class alone, all others would never run."""
     resources = change(RESOURCES, (2, "spec", "slots"), 1)
