Read past records that can't be decoded

Cause: one record with a lone surrogate or thousands of nested arrays made the whole page unreadable, so that every reader of the stream stood still. msgspec checks the whole document, also below a Raw field. Ruled out: decoding each value apart, since the page itself is refused. Change: a page that can't be decoded is read again one record at a time; records carry their raw bytes, so that the replay's digest is the same at every reader.

--- a/libs/mimosaloom-cli/mimosaloom_cli/log_access.py
+++ b/libs/mimosaloom-cli/mimosaloom_cli/log_access.py
@@ -101,7 +101,7 @@
                 return adopted
             continue
         for record in outcome.records:
-            replay.apply(record.offset, msgspec.json.encode(record.value))
+            replay.apply(record.offset, bytes(record.raw))
         if not outcome.records:
             return replay
 
@@ -139,7 +139,7 @@
         if isinstance(outcome, Gone):
             start = max(start + 1, outcome.first_offset)
             continue
-        values += [msgspec.json.encode(record.value) for record in outcome.records]
+        values += [bytes(record.raw) for record in outcome.records]
         start = outcome.next_offset
         if not outcome.records:
             break
--- a/libs/mimosaloom-node/mimosaloom_node/log_client.py
+++ b/libs/mimosaloom-node/mimosaloom_node/log_client.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import random
+import re
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from datetime import timedelta
@@ -40,6 +41,14 @@
 # Tornado's status for a request without an answer.
 NO_ANSWER_STATUS = 599
 CURL_COULDNT_CONNECT = 7
+# The value may be anything: greedy matching ends it at the last fields of the page.
+_SINGLE_RECORD = re.compile(
+    rb"""\s*\{\s*"records"\s*:\s*\[\s*
+    \{\s*"offset"\s*:\s*(?P<offset>\d+)\s*,\s*"value"\s*:(?P<value>.*)\}\s*\]\s*,
+    \s*"first_offset"\s*:\s*(?P<first_offset>\d+)\s*,
+    \s*"next_offset"\s*:\s*(?P<next_offset>\d+)\s*\}\s*""",
+    re.DOTALL | re.VERBOSE,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,10 +76,23 @@
 
 
 class Record(msgspec.Struct, frozen=True):
-    """A record with its offset; `value` is any JSON value."""
+    """A record with its offset.
+
+    Attributes:
+        offset: Offset in the stream.
+        raw: The record as the log service holds it; equal at every reader.
+    """
 
     offset: int
-    value: object
+    raw: msgspec.Raw = msgspec.field(name="value")
+
+    @property
+    def value(self) -> object:
+        """The JSON value; None for a record that can't be decoded."""
+        try:
+            return msgspec.json.decode(self.raw)
+        except (msgspec.DecodeError, UnicodeError, RecursionError):
+            return None
 
 
 class Page(msgspec.Struct, frozen=True):
@@ -220,15 +242,19 @@
         wait_s = wait.total_seconds()
         path = f"/streams/{stream}/records?from={start}&limit={limit}&wait_s={wait_s}"
         response = await self._fetch(path, timeout_s=wait_s + self._settings.timeout_s)
+        if response.code not in (200, 410):
+            return Unreadable(_describe(response))
         try:
-            if response.code == 200:
-                return msgspec.json.decode(response.body, type=Page)
             if response.code == 410:
                 gone = msgspec.json.decode(response.body, type=_FirstOffset)
                 return Gone(gone.first_offset)
-        except msgspec.MsgspecError as error:
-            return Unreadable(f"unreadable page: {error}")
-        return Unreadable(_describe(response))
+            return msgspec.json.decode(response.body, type=Page)
+        except (msgspec.MsgspecError, UnicodeError, RecursionError) as error:
+            if response.code == 200 and limit > 1:
+                # One record that can't be decoded must not hide the others.
+                return await self.read(stream, start, limit=1)
+            single = _split_single(response.body, start)
+            return single or Unreadable(f"unreadable page: {error}")
 
     def new_record_id(self) -> str:
         """Return a random id for a record."""
@@ -314,6 +340,15 @@
                 await client.wait(backoff.next_delay_s())
 
 
+def _split_single(body: bytes, start: int) -> Page | None:
+    """Return a page of one record whose value can't be decoded; None for others."""
+    match = _SINGLE_RECORD.fullmatch(body)
+    if match is None or int(match["offset"]) != start:
+        return None
+    record = Record(start, msgspec.Raw(match["value"].strip()))
+    return Page((record,), int(match["first_offset"]), int(match["next_offset"]))
+
+
 def _is_connect_error(response: HTTPResponse) -> bool:
     # Without a connection the request was not sent, so the append was not taken.
     error = response.error
--- a/tests/cli/fakes.py
+++ b/tests/cli/fakes.py
@@ -2,6 +2,8 @@
 
 import itertools
 
+import msgspec
+
 from mimosaloom_node.log_client import Appended, Gone, Page, Record, Unreadable
 
 PAGE_RECORDS = 7
@@ -47,7 +49,10 @@
         if stream == "config" and start < self.first_offset:
             return Gone(self.first_offset)
         values = self.streams.get(stream, [])[start : start + PAGE_RECORDS]
-        records = tuple(Record(start + i, value) for i, value in enumerate(values))
+        records = tuple(
+            Record(start + i, msgspec.Raw(msgspec.json.encode(value)))
+            for i, value in enumerate(values)
+        )
         return Page(records, self.first_offset, start + len(records))
 
     def new_record_id(self):
