Let the concurrency limit follow use, and reserve slots for protected classes

Cause: a surge filled all slots of every hop before any level could answer, and other classes could hold every slot when a protected call came.

--- a/libs/mimosaloom-policy/mimosaloom_policy/admission.py
+++ b/libs/mimosaloom-policy/mimosaloom_policy/admission.py
@@ -1,9 +1,11 @@
 """Admission of calls to one target: concurrency limit, queue and level."""
 
+import math
 from typing import NamedTuple
 
 from mimosaloom_model import Kind
 
+from .limiter import ConcurrencyLimit
 from .queue import WaitingQueue
 from .rank import PRIORITY_COUNT
 from .shedding import WINDOW_S, LevelControl, Window
@@ -12,6 +14,9 @@
 
 RETRY_AFTER_S = 1.0
 SERVICE_TIME_SMOOTHING = 0.1
+# Calls of protected classes in flight count towards the share, so that it leaves
+# slots unused only where protected calls are rare.
+RESERVED_RATIO = 0.03
 PROTECTED_FIT_RATIO = 0.9
 # Calls that wait hold slots of their callers, up to the entry service.
 MAX_QUEUE_S = 0.1
@@ -71,9 +76,11 @@
         self._at_s = now_s
         self._busy_s = 0.0
         self._done = 0
+        self.peak = 0
 
     def advance(self, in_flight: int, now_s: float) -> None:
         """Add the time since the last change of the calls in flight."""
+        self.peak = max(self.peak, in_flight)
         self._busy_s += in_flight * (now_s - self._at_s)
         self._at_s = now_s
 
@@ -87,7 +94,7 @@
         elapsed_s = now_s - self.start_s
         busy_ratio = self._busy_s / (limit * elapsed_s)
         window = Window(elapsed_s, self._done, busy_ratio, queued)
-        self.start_s, self._busy_s, self._done = now_s, 0.0, 0
+        self.start_s, self._busy_s, self._done, self.peak = now_s, 0.0, 0, 0
         return window
 
 
@@ -102,7 +109,7 @@
     """
 
     def __init__(self, slots: int, now_s: float, *, queue_capacity: int = 256):
-        self._slots = slots
+        self._limit = ConcurrencyLimit(slots)
         self._queue_capacity = queue_capacity
         self._queue = WaitingQueue(min(slots, queue_capacity))
         self._running: dict[str, _Running] = {}
@@ -110,13 +117,14 @@
         self._is_draining = False
         self._control = LevelControl()
         self._meter = _Meter(now_s)
+        self._protected_running = 0
         self._highest_protected = -1
         self._lowest_other = PRIORITY_COUNT
 
     @property
     def limit(self) -> int:
         """Calls that may run at once now."""
-        return self._slots
+        return self._limit.limit
 
     @property
     def in_flight(self) -> int:
@@ -166,6 +174,7 @@
             return []
         self._meter.count_done(len(self._running), now_s)
         del self._running[call_key]
+        self._protected_running -= running.arrival.is_protected
         if is_success:
             self._learn_service_time(running, now_s)
         self._end_window(now_s)
@@ -192,7 +201,8 @@
     def _start_waiting(self, now_s: float) -> list[Decision]:
         decisions: list[Decision] = []
         while len(self._running) < self.limit:
-            arrival = self._queue.pop(now_s)
+            is_reserved = len(self._running) >= self.limit - self._reserved()
+            arrival = self._queue.pop(now_s, only_protected=is_reserved)
             if arrival is None:
                 break
             if self._is_hopeless(arrival, now_s):
@@ -201,6 +211,7 @@
                 continue
             self._meter.advance(len(self._running), now_s)
             self._running[arrival.call_key] = _Running(arrival, now_s)
+            self._protected_running += arrival.is_protected
             decisions.append(Start(arrival.call_key))
         return decisions
 
@@ -215,17 +226,25 @@
         if now_s - self._meter.start_s < WINDOW_S:
             return
         self._meter.advance(len(self._running), now_s)
+        peak = self._meter.peak
         window = self._meter.take(self.limit, len(self._queue), now_s)
+        self._limit.end_window(peak)
         self._control.end_window(window, self._protected_floor())
         if self._control.capacity_per_s:
             fitting = int(self._control.capacity_per_s * MAX_QUEUE_S)
             fitting = max(MIN_QUEUE_CAPACITY, fitting)
             self._queue.capacity = min(self._queue_capacity, fitting)
 
+    def _reserved(self) -> int:
+        """Return the free slots that are kept for protected classes."""
+        if self._highest_protected < 0:
+            return 0
+        share = math.ceil(RESERVED_RATIO * self.limit)
+        return max(0, share - self._protected_running)
+
     def _protected_floor(self) -> float:
         """Return the level under which only protected classes lie, if they fit."""
-        protected = sum(1 for r in self._running.values() if r.arrival.is_protected)
-        if protected >= PROTECTED_FIT_RATIO * self.limit:
+        if self._protected_running >= PROTECTED_FIT_RATIO * self.limit:
             return 0.0
         return min(self._highest_protected + 1, self._lowest_other) / PRIORITY_COUNT
 
--- a/libs/mimosaloom-policy/mimosaloom_policy/shedding.py
+++ b/libs/mimosaloom-policy/mimosaloom_policy/shedding.py
@@ -76,21 +76,22 @@
         done_per_s = window.done / window.elapsed_s
         self._done_per_s += SMOOTHING * (done_per_s - self._done_per_s)
         self._busy_ratio += SMOOTHING * (window.busy_ratio - self._busy_ratio)
-        if self._done_per_s > 0:
+        if self.capacity_per_s > 0:
             self._follow_capacity(window)
         self.level = max(self.level, floor)
 
     def _follow_capacity(self, window: Window) -> None:
         capacity_per_s = self.capacity_per_s
         wait_s = window.queued / capacity_per_s
-        is_saturated = window.busy_ratio >= SATURATED_RATIO
-        if is_saturated:
+        target_s = max(WAIT_TARGET_S, MIN_WAITING / capacity_per_s)
+        # Calls that wait show saturation also where a reserve keeps slots free.
+        is_late = wait_s > target_s
+        if is_late or window.busy_ratio >= SATURATED_RATIO:
             self._raise_factor = 1.0
         elif window.busy_ratio < UNUSED_RATIO:
             grown = self._raise_factor * RAISE_GROWTH
             self._raise_factor = min(MAX_RAISE_FACTOR, grown)
-        target_s = max(WAIT_TARGET_S, MIN_WAITING / capacity_per_s)
-        if is_saturated and wait_s > target_s:
+        if is_late:
             excess = (wait_s - target_s) / DRAIN_S
             ratio = max(MIN_ADMITTED_RATIO, 1 - excess)
             level = self._histogram.level_for(capacity_per_s * ratio)
