--- a/libs/mimosaloom-cli/mimosaloom_cli/cli/definition.py
+++ b/libs/mimosaloom-cli/mimosaloom_cli/cli/definition.py
@@ -5,15 +5,54 @@
 
 import typer
 
-__all__ = ["build_app"]
+from mimosaloom_model import Invalid
+
+from ..check import check_files, check_settings
+from ..errors import exit_with_error, exit_with_faults
+from ..exit_codes import ExitCode
+from .constants import (
+    APP_EPILOG,
+    APPLY_EPILOG,
+    CHECK_EPILOG,
+    COMMANDS_GROUP,
+    DELETE_EPILOG,
+    DIFF_EPILOG,
+    GET_EPILOG,
+    NODE_EPILOG,
+)
+from .parsing import (
+    AuthorOption,
+    ChangedFilesOption,
+    FilesArgument,
+    KindArgument,
+    LogUrlOption,
+    NameArgument,
+    OutputFormat,
+    OutputOption,
+    RequiredNameArgument,
+    RevisionOption,
+    SettingsOption,
+)
 
-COMMANDS_GROUP = "mimosaloom.commands"
+__all__ = ["build_app"]
 
 
 def build_app() -> typer.Typer:
     """Return the command line with the commands of all installed packages."""
-    app = typer.Typer(name="mimosaloom", no_args_is_help=True)
-    app.callback()(_print_version_on_request)
+    app = typer.Typer(
+        name="mimosaloom",
+        no_args_is_help=True,
+        add_completion=False,
+        rich_markup_mode=None,
+        pretty_exceptions_enable=False,
+    )
+    app.callback(epilog=APP_EPILOG)(_print_version_on_request)
+    app.command(epilog=NODE_EPILOG)(node)
+    app.command(epilog=CHECK_EPILOG)(check)
+    app.command(epilog=DIFF_EPILOG)(diff)
+    app.command(epilog=APPLY_EPILOG)(apply)
+    app.command(epilog=GET_EPILOG)(get)
+    app.command(epilog=DELETE_EPILOG)(delete)
     for entry_point in entry_points(group=COMMANDS_GROUP):
         entry_point.load()(app)
     return app
@@ -27,7 +66,101 @@
 
 def _print_version_on_request(
     show_version: Annotated[
-        bool, typer.Option("--version", callback=_show_version, is_eager=True)
+        bool,
+        typer.Option(
+            "--version",
+            callback=_show_version,
+            is_eager=True,
+            help="Show the version and exit.",
+        ),
     ] = False,
 ) -> None:
     """Overload control for service call graphs."""
+
+
+def node(settings: SettingsOption) -> None:
+    """Run the node beside one target.
+
+    The node logs JSON lines on stderr; the first one holds its ports. On SIGTERM it
+    drains, finishes the calls in flight and stops.
+    """
+    checked = check_settings(settings)
+    if isinstance(checked, Invalid):
+        exit_with_faults(checked.faults)
+    # The daemon's libraries take longer to load than the other commands run.
+    from mimosaloom_node import run_node
+
+    try:
+        code = run_node(checked)
+    except OSError as error:
+        exit_with_error(
+            f"the node can't start: {error}",
+            f"Correct the addresses under listen in {settings}, or stop the process "
+            "that uses them",
+            ExitCode.ERROR,
+        )
+    raise typer.Exit(code)
+
+
+def check(files: FilesArgument) -> None:
+    """Check settings and resource files.
+
+    The files are told apart by their content. All resource files together form one
+    configuration; the resources that a settings file names are checked with it.
+    """
+    checked = check_files(files)
+    if checked.faults:
+        exit_with_faults(checked.faults)
+    count = len(checked.files)
+    typer.echo("1 file is valid" if count == 1 else f"{count} files are valid")
+
+
+def diff(filename: ChangedFilesOption, log_url: LogUrlOption) -> None:
+    """Show what apply would change.
+
+    Resources that no file declares are left alone by apply and not shown.
+    """
+    from ..operations import show_differences
+
+    show_differences(filename, log_url)
+
+
+def apply(
+    filename: ChangedFilesOption, log_url: LogUrlOption, author: AuthorOption = ""
+) -> None:
+    """Put the resources of files in force.
+
+    A resource with a revision is accepted only if that revision is in force; 0 stands
+    for a resource that must be new. Repeating the command after a failure is safe.
+    """
+    from ..operations import apply_files
+
+    apply_files(filename, log_url, author)
+
+
+def get(
+    kind: KindArgument,
+    log_url: LogUrlOption,
+    name: NameArgument = None,
+    output: OutputOption = OutputFormat.TABLE,
+) -> None:
+    """Show the resources in force of one kind."""
+    from ..operations import show_resources
+
+    show_resources(kind.value, name, log_url, is_json=output is OutputFormat.JSON)
+
+
+def delete(
+    kind: KindArgument,
+    name: RequiredNameArgument,
+    log_url: LogUrlOption,
+    revision: RevisionOption = None,
+    author: AuthorOption = "",
+) -> None:
+    """Take a resource out of force.
+
+    It is refused while another resource in force names it.
+    """
+    from ..operations import delete_resource
+
+    delete_resource(kind.value, name, revision, log_url, author)
