Drive libcurl's timers from the event loop directly

Cause: tornado's timer costs two wrapped calls, and libcurl sets one at almost every event; a new request waited for the next turn of the loop. Change: the loop's own timers, and a request is sent at once.

--- a/libs/mimosaloom-mesh/mimosaloom_mesh/curl_client.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/curl_client.py
@@ -79,6 +79,7 @@
             max_clients: Handles; exchanges over this number wait.
             max_body_size: Largest response body in bytes.
         """
+        self._timer: asyncio.Handle | None = None
         super().initialize(max_clients=max_clients, max_body_size=max_body_size)
         self._active: dict[Exchange, pycurl.Curl] = {}
 
@@ -95,6 +96,27 @@
         self.fetch_impl(exchange, finish)
         await future
 
+    def fetch_impl(self, request, callback):
+        self._requests.append((request, callback, self.io_loop.time()))
+        self._process_queue()
+        # Sends now rather than in the next turn of the loop.
+        self._handle_timeout()
+
+    def _set_timeout(self, msecs):
+        # The loop's own timers cost less than tornado's; libcurl sets one for almost
+        # every event.
+        self._stop_timer()
+        loop = self.io_loop.asyncio_loop
+        if msecs == 0:
+            self._timer = loop.call_soon(self._handle_timeout)
+        elif msecs > 0:
+            self._timer = loop.call_later(msecs / 1000, self._handle_timeout)
+
+    def _stop_timer(self):
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
     def abort(self, exchange: Exchange) -> None:
         """End an exchange at once and close its connection."""
         curl = self._active.get(exchange)
@@ -105,7 +127,9 @@
     def close(self) -> None:
         """Close all handles; exchanges in progress never end."""
         self._active.clear()
+        self._stop_timer()
         super().close()
+        self._stop_timer()
 
     def _curl_setup_request(self, curl, request, buffer, headers):
         exchange = request
