--- a/libs/mimosaloom-mesh/mimosaloom_mesh/curl_client.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/curl_client.py
@@ -97,6 +97,7 @@
         await future
 
     def fetch_impl(self, request, callback):
+        """Start an exchange; tornado's name for it."""
         self._requests.append((request, callback, self.io_loop.time()))
         self._process_queue()
         # Sends now rather than in the next turn of the loop.
