--- a/tests/mesh/fakes.py
+++ b/tests/mesh/fakes.py
@@ -68,6 +68,7 @@
         self.name = name
         self.runs = Counter()
         self.contexts = []
+        self.context_values = []
         self.cancelled = []
         self.egress = None
         self.next_service = None
@@ -94,7 +95,9 @@
             self.on_cancel.set()
             return Response(200)
         self.runs[request.body] += 1
-        self.contexts.append(decode_context(request.header(CONTEXT_HEADER)))
+        value = request.header(CONTEXT_HEADER)
+        self.context_values.append(value)
+        self.contexts.append(decode_context(value))
         self.started.set()
         await self.release.wait()
         if self.reply is not None:
@@ -118,7 +121,14 @@
 
 
 def build_node(
-    service, upstream, target_url, catalog, membership, ingress=ANY_PORT, **limits
+    service,
+    upstream,
+    target_url,
+    catalog,
+    membership,
+    ingress=ANY_PORT,
+    node_options=None,
+    **limits,
 ):
     """Return a node, by default on ephemeral loopback ports."""
     settings = NodeSettings(
@@ -129,7 +139,14 @@
         limits=LimitSettings(**limits),
     )
     rng = random.Random(upstream)
-    return Node(settings, catalog, membership, clock=SystemClock(), rng=rng)
+    return Node(
+        settings,
+        catalog,
+        membership,
+        clock=SystemClock(),
+        rng=rng,
+        **(node_options or {}),
+    )
 
 
 def candidate_of(node):
@@ -167,6 +184,7 @@
                 self._target_urls.get(upstream.name, target.url),
                 self.catalog,
                 self.membership,
+                node_options=self.node_options(upstream),
                 **self._limits,
             )
             await node.start()
@@ -186,6 +204,15 @@
             )
         return self
 
+    def node_options(self, upstream):
+        """Return more arguments for the node of an upstream."""
+        return {}
+
+    @staticmethod
+    def rng(upstream):
+        """Return the source of choices of an upstream's node."""
+        return random.Random(upstream.name)
+
     async def __aexit__(self, *exception):
         self.client.close()
         for node in self.nodes.values():
