--- a/tests/mesh/test_readme_example.py
+++ b/tests/mesh/test_readme_example.py
@@ -1,6 +1,7 @@
 """Guards the embedding example of README.md, which is the text of EXAMPLE."""
 
 import random
+from pathlib import Path
 
 import pytest
 from mesh.fakes import ANY_PORT, LOOKUP, build_chain_catalog, run
@@ -30,8 +31,12 @@
 async def serve_and_call(application, directory, address):
     transport = Transport()
     caller = build_caller(
-        "files", "z1", directory,
-        clock=SystemClock(), rng=random.SystemRandom(), transport=transport,
+        "files",
+        "z1",
+        directory,
+        clock=SystemClock(),
+        rng=random.SystemRandom(),
+        transport=transport,
     )
     place = Place("files", "z1", "files", "files-0", INCARNATION, slots=16)
     admitted = admit(application, place, caller, transport)
@@ -51,6 +56,12 @@
         raise RuntimeError("the file is damaged")
 
 
+def test_example_is_the_one_in_the_readme():
+    """An example that is tested in another form than printed proves nothing."""
+    readme = Path(__file__).parents[2] / "README.md"
+    assert f"```python{EXAMPLE}```" in readme.read_text(encoding="utf-8")
+
+
 def test_readme_example_calls_its_own_application():
     """An embedder who copies the example must get the application's answer."""
 
