--- a/libs/mimosaloom-bench/mimosaloom_bench/demo.py
+++ b/libs/mimosaloom-bench/mimosaloom_bench/demo.py
@@ -60,7 +60,7 @@
     try:
         report = run_demo(MESHES[mesh], seed=seed, duration_s=duration_s)
     except StartFailed as error:
-        typer.echo(f"the demo could not start: {error}", err=True)
+        typer.echo(f"the demo failed: {error}", err=True)
         return ExitCode.ERROR
     typer.echo(format_report(report))
     if is_json:
@@ -90,20 +90,22 @@
         ProcessGroup(Path(name)) as group,
     ):
         deployment = start_deployment(plan, group, Path(name), seed=seed)
-        report = asyncio.run(_run_load(deployment, seed, duration_s))
+        report = asyncio.run(_run_load(deployment, group, seed, duration_s))
         ended = group.ended_early()
         if ended:
             raise StartFailed(ended[0].describe("ended during the run"))
         return report
 
 
-async def _run_load(deployment: Deployment, seed: int, duration_s: float) -> DemoReport:
+async def _run_load(
+    deployment: Deployment, group: ProcessGroup, seed: int, duration_s: float
+) -> DemoReport:
     plan = deployment.plan
     phases = plan_phases(plan, duration_s)
     rng = random.Random(seed)
     sender = OrderSender(deployment, random.Random(rng.random()))
     try:
-        await _warm_up(plan, sender)
+        await _warm_up(plan, sender, group)
         orders = plan_orders(plan, phases, rng)
         start_s = time.monotonic()
         async with asyncio.TaskGroup() as group:
@@ -131,7 +133,7 @@
     )
 
 
-async def _warm_up(plan: MeshPlan, sender: OrderSender) -> None:
+async def _warm_up(plan: MeshPlan, sender: OrderSender, group: ProcessGroup) -> None:
     """Wait until each class is answered whole a few times in a row."""
     give_up_s = time.monotonic() + WARM_UP_TIMEOUT_S
     number = 0
@@ -143,9 +145,11 @@
             last = (await sender.send(order, retries=0)).judgement
             answered = answered + 1 if last.verdict is Verdict.WHOLE else 0
             if time.monotonic() > give_up_s:
+                entry_node = f"node-{request_class.path[0]}-1"
                 raise StartFailed(
                     f"no whole answer to {request_class.name} in "
-                    f"{WARM_UP_TIMEOUT_S:g} s; the last one was {last}"
+                    f"{WARM_UP_TIMEOUT_S:g} s; the last one was {last}; "
+                    f"{group.describe(entry_node)}"
                 )
             await asyncio.sleep(WARM_UP_INTERVAL_S)
 
--- a/libs/mimosaloom-bench/mimosaloom_bench/processes.py
+++ b/libs/mimosaloom-bench/mimosaloom_bench/processes.py
@@ -150,6 +150,11 @@
         """Return the ids of all processes."""
         return [child.pid for child in self._children]
 
+    def describe(self, name: str) -> str:
+        """Return the end of the output of the process of a name."""
+        child = next(child for child in self._children if child.name == name)
+        return child.describe("wrote last")
+
     def cpu_s(self) -> float:
         """Return the processor time that all processes have used, in seconds."""
         return sum(_read_cpu_s(child.pid) for child in self._children)
