--- a/libs/mimosaloom-mesh/mimosaloom_mesh/caller.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/caller.py
@@ -18,6 +18,7 @@
     Outcome,
     Refused,
     RequestClass,
+    RetryAllowance,
     new_request_id,
 )
 from mimosaloom_policy import (
@@ -106,7 +107,7 @@
             name, failure_domain, directory, self.levels, clock=clock, rng=rng
         )
         self._remote = RemoteHop(clock, transport)
-        self._budgets: dict[tuple[str, str], RetryBudget] = {}
+        self._budgets: dict[tuple[str, str], tuple[RetryAllowance, RetryBudget]] = {}
 
     def open_root(
         self, class_name: str, timeout: timedelta | None = None
@@ -370,13 +371,15 @@
             self._routes.mark_draining(call.service, answer.incarnation)
 
     def _budget(self, service: str, class_name: str) -> RetryBudget:
-        budget = self._budgets.get((service, class_name))
-        if budget is None:
-            allowance = self.directory.catalog().allowance_of(class_name)
-            budget = RetryBudget(
-                allowance.budget_ratio,
-                allowance.min_retries_per_s,
-                self.clock.monotonic_s(),
-            )
-            self._budgets[service, class_name] = budget
+        allowance = self.directory.catalog().allowance_of(class_name)
+        known = self._budgets.get((service, class_name))
+        # A changed allowance holds from the next call on.
+        if known is not None and known[0] == allowance:
+            return known[1]
+        budget = RetryBudget(
+            allowance.budget_ratio,
+            allowance.min_retries_per_s,
+            self.clock.monotonic_s(),
+        )
+        self._budgets[service, class_name] = (allowance, budget)
         return budget
