Watch for silent connections with a timer in place of a task

Cause: each remote attempt created a task and a wait only to notice silence after a second. Change: a timer starts the question, and the request is ended through a control handle.

--- a/libs/mimosaloom-mesh/mimosaloom_mesh/remote.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/remote.py
@@ -10,7 +10,6 @@
     CallContext,
     Clock,
     Failed,
-    Kind,
     Outcome,
     Ran,
     Refused,
@@ -34,15 +33,11 @@
     ResolveRequest,
     read_resolved,
 )
-from .transport import Broken, Endpoint, Transport
+from .silence import Silence
+from .transport import Broken, Endpoint, SendControl, Transport
 
 __all__ = ["RemoteHop"]
 
-# Time without an answer after which the state of the call is asked for over a new
-# connection: a connection that went silent must not hold a call until its deadline.
-SILENCE_BOUND_S = 1.0
-# An answer that is on its way may still arrive after its node says "done".
-ANSWER_GRACE_S = 0.2
 RESOLVE_TIMEOUT_S = 0.5
 PING_TIMEOUT_S = 0.5
 RESOLVE_TRIES = 3
@@ -88,22 +83,21 @@
         )
         if stamp is not None:
             headers = (*headers, (STAMP_HEADER, format_stamp(stamp)))
-        sent = self._transport.send(
-            _endpoint(candidate),
-            request._replace(headers=headers),
-            timeout_s=deadline_s - self._clock.monotonic_s(),
+        control = SendControl()
+        silence = Silence(
+            lambda: self.ask(candidate, context.call_id, stamp, tries=1), control
         )
-        task = asyncio.ensure_future(sent)
         try:
-            early = await self._watch(task, candidate, context.call_id, stamp)
+            response = await self._transport.send(
+                _endpoint(candidate),
+                request._replace(headers=headers),
+                timeout_s=deadline_s - self._clock.monotonic_s(),
+                control=control,
+            )
         finally:
-            if not task.done():
-                task.cancel()
-        if early is not None:
-            return HopAnswer(early)
-        response = task.result()
+            silence.stop()
         if isinstance(response, Broken):
-            return HopAnswer(_broken_outcome(response))
+            return HopAnswer(silence.early or _broken_outcome(response))
         has_body = request.method != "HEAD"
         answer = read_hop_answer(
             response, context.call_id, context.attempt, has_body=has_body
@@ -165,31 +159,6 @@
                 return read_resolved(answer, candidate.incarnation)
         return Resolved(ResolveState.NO_ANSWER)
 
-    async def _watch(
-        self,
-        task: asyncio.Future,
-        candidate: Candidate,
-        call_id: str,
-        stamp: Stamp | None,
-    ) -> Outcome | None:
-        """Wait for the answer; return an outcome if it must be learned otherwise."""
-        while True:
-            done, _ = await asyncio.wait({task}, timeout=SILENCE_BOUND_S)
-            if done:
-                return None
-            resolved = await self.ask(candidate, call_id, stamp, tries=1)
-            if task.done():
-                return None
-            if resolved.state is ResolveState.RUNNING:
-                continue
-            if resolved.state is ResolveState.DONE:
-                done, _ = await asyncio.wait({task}, timeout=ANSWER_GRACE_S)
-                return None if done else resolved.result
-            # A node that can't be asked, or knows nothing of the call, will not
-            # answer it on this connection either.
-            detail = f"no answer, and the node says {resolved.state}"
-            return Failed(Kind.CONNECTION_LOST, detail)
-
 
 def _endpoint(candidate: Candidate) -> Endpoint:
     url = f"http://{candidate.host}:{candidate.port}"
--- a/libs/mimosaloom-mesh/mimosaloom_mesh/transport.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/transport.py
@@ -2,6 +2,8 @@
 
 import asyncio
 from collections import Counter
+from collections.abc import Callable
+from functools import partial
 from typing import NamedTuple
 
 import pycurl
@@ -11,7 +13,7 @@
 from .curl_client import CurlClient, Exchange
 from .messages import Request, Response
 
-__all__ = ["Broken", "Endpoint", "Transport"]
+__all__ = ["Broken", "Endpoint", "SendControl", "Transport"]
 
 DEFAULT_MAX_CLIENTS = 512
 CONNECT_TIMEOUT_S = 0.5
@@ -54,6 +56,19 @@
     detail: str
 
 
+class SendControl:
+    """Lets others end a request that is sent.
+
+    Attributes:
+        abort: Closes the connection; the request ends as `CONNECTION_LOST`.
+    """
+
+    abort: Callable[[], None]
+
+    def __init__(self):
+        self.abort = lambda: None
+
+
 class Transport:
     """Sends requests to nodes and targets.
 
@@ -85,6 +100,7 @@
         *,
         timeout_s: float,
         is_fresh: bool = False,
+        control: SendControl | None = None,
     ) -> Response | Broken:
         """Send a request and wait for its whole response.
 
@@ -96,6 +112,7 @@
             timeout_s: Longest wait for the whole response.
             is_fresh: Whether a new connection is opened. A request on a new
                 connection is never sent twice by libcurl.
+            control: Ends the request early.
         """
         if timeout_s <= 0:
             return Broken(Kind.DEADLINE_TOO_SHORT, "no time is left to send the call")
@@ -108,6 +125,8 @@
             return Broken(Kind.CONNECTION_LIMIT, "all connections are in use")
         exchange = Exchange(endpoint.url + request.path, request, timeout_s, is_fresh)
         exchange.connect_timeout_s = min(CONNECT_TIMEOUT_S, timeout_s)
+        if control is not None:
+            control.abort = partial(self._client.abort, exchange)
         self._in_flight[endpoint.name] += 1
         try:
             await self._client.exchange(exchange)
