--- a/libs/mimosaloom-mesh/mimosaloom_mesh/curl_client.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/curl_client.py
@@ -87,8 +87,9 @@
         """Send a request and fill in what came of it."""
         future = asyncio.get_running_loop().create_future()
 
-        def finish(response: HTTPResponse) -> None:
-            if not (exchange.status or exchange.errno):
+        def finish(response: HTTPResponse | None) -> None:
+            if response is not None:
+                # Tornado reports so that the request could not be set up.
                 exchange.setup_error = str(response.error)
             if not future.done():
                 future.set_result(None)
@@ -161,7 +162,8 @@
         return write
 
     def _finish(self, curl, curl_error=None, curl_message=None):
-        exchange = curl.info["request"]
+        info, curl.info = curl.info, None
+        exchange = info["request"]
         self._active.pop(exchange, None)
         # libcurl sends a request again on its own when a reused connection closes
         # before the first byte of an answer, and then reports only the second
@@ -172,8 +174,12 @@
             exchange.error = curl_message
         else:
             exchange.status = curl.getinfo(pycurl.HTTP_CODE)
-            exchange.body = curl.info["buffer"].getvalue()
-        super()._finish(curl, curl_error, curl_message)
+            exchange.body = info["buffer"].getvalue()
+        # Tornado's own form also reads eight times and builds a response object.
+        self._multi.remove_handle(curl)
+        curl.reset()
+        self._free_list.append(curl)
+        info["callback"](None)
 
 
 def _encode_headers(headers: Headers) -> list[bytes]:
