Keep no more calls waiting than a small target can run

Cause: at least 8 places in the queue of a target of 4 slots hold 12 calls' slots at the services above it, so that a class that never reaches the slow target is refused. Change: the least capacity of the queue is at most the limit on calls in flight.

--- a/libs/mimosaloom-policy/mimosaloom_policy/admission.py
+++ b/libs/mimosaloom-policy/mimosaloom_policy/admission.py
@@ -233,7 +233,10 @@
         self._control.end_window(window, self._protected_floor())
         if self._control.capacity_per_s:
             fitting = int(self._control.capacity_per_s * MAX_QUEUE_S)
-            fitting = max(MIN_QUEUE_CAPACITY, fitting)
+            # A small target never has more calls waiting than running: those that wait
+            # hold slots of their callers, which other classes need.
+            places = min(MIN_QUEUE_CAPACITY, self.limit)
+            fitting = max(places, fitting)
             self._queue.capacity = min(self._queue_capacity, fitting)
 
     def _reserved(self) -> int:
