--- a/libs/mimosaloom-bench/mimosaloom_bench/overload/client.py
+++ b/libs/mimosaloom-bench/mimosaloom_bench/overload/client.py
@@ -1,6 +1,7 @@
 """The client: sends requests and retries hard."""
 
 import random
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import NamedTuple, Protocol
@@ -76,6 +77,17 @@
         self._system = system
         self._record = record
         self._rng = rng
+        self._open: deque[tuple[float, _Attempt]] = deque()
+
+    def send_all(self, requests: list[Request], index: int = 0) -> None:
+        """Send requests, which are in order of time, each at its time."""
+        if index < len(requests):
+            at_s = requests[index].at_s
+            self._loop.call_at(at_s, self._send_next, requests, index)
+
+    def _send_next(self, requests: list[Request], index: int) -> None:
+        self.send(requests[index])
+        self.send_all(requests, index + 1)
 
     def send(self, request: Request, root: int = 0) -> None:
         """Send one attempt."""
@@ -87,11 +99,21 @@
         self._loop.call_later(
             self._mesh.client_s, self._system.receive_root, request, root, reply
         )
-        self._loop.call_later(self._mesh.timeout_s, self._expire, attempt)
-
-    def _expire(self, attempt: _Attempt) -> None:
-        if not attempt.is_over:
-            self._end(attempt, self._system.timed_out(attempt.request))
+        # All attempts have the same timeout, so they expire in the order of sending
+        # and one event for the first of them is enough.
+        self._open.append((self._loop.now_s + self._mesh.timeout_s, attempt))
+        if len(self._open) == 1:
+            self._loop.call_at(self._open[0][0], self._expire)
+
+    def _expire(self) -> None:
+        while self._open:
+            expires_s, attempt = self._open[0]
+            if not attempt.is_over and expires_s > self._loop.now_s:
+                self._loop.call_at(expires_s, self._expire)
+                return
+            if not attempt.is_over:
+                self._end(attempt, self._system.timed_out(attempt.request))
+            self._open.popleft()
 
     def _end(self, attempt: _Attempt, result: Result) -> None:
         if attempt.is_over:
--- a/libs/mimosaloom-bench/mimosaloom_bench/overload/runner.py
+++ b/libs/mimosaloom-bench/mimosaloom_bench/overload/runner.py
@@ -78,8 +78,7 @@
     else:
         system = ControlledMesh(loop, mesh, plan.targets, links, record, seed, shedding)
     client = Client(loop, mesh, system, record, random.Random(f"{seed}/client"))
-    for request in requests:
-        loop.call_at(request.at_s, client.send, request)
+    client.send_all(requests)
     _schedule_events(loop, mesh, scenario, system, plan.replacements, seed)
     loop.run(scenario.run_s)
     best = count_best(mesh, scenario, first, plan.replacements, requests)
