--- a/libs/mimosaloom-mesh/mimosaloom_mesh/caller.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/caller.py
@@ -67,6 +67,7 @@
     scope: CallScope
     request_class: RequestClass
     call_id: str
+    rank: float
 
 
 class Caller:
@@ -170,7 +171,8 @@
             classes = self.directory.catalog().classes
             call_id = new_request_id(self.rng)
             request_class = classes[scope.class_name]
-            call = _Call(service, request, scope, request_class, call_id)
+            rank = rank_request(scope.request_id, request_class.priority)
+            call = _Call(service, request, scope, request_class, call_id, rank)
             outcome = await self._attempt_until_final(call)
         kind = kind_of(outcome)
         if kind is None:
@@ -231,6 +233,8 @@
             tried.add(candidate.name)
             stamp = await self._find_stamp(call, candidate)
             outcome = await self._attempt(call, candidate, attempt, stamp)
+            if isinstance(outcome, Answered):
+                return outcome
             has_next = self._pick(call, frozenset(tried)) is not None
             follow = self._follow_up(call, candidate, attempt, has_next, stamp)
             outcome, delay_s = await follow.settle(outcome)
@@ -278,9 +282,8 @@
             return own
         router = self._routes.router(call.service)
         now_s = self.clock.monotonic_s()
-        rank = rank_request(call.scope.request_id, call.request_class.priority)
         refusing = self.levels.refusing(
-            call.service, call.request_class.name, rank, now_s
+            call.service, call.request_class.name, call.rank, now_s
         )
         candidate = router.pick(now_s, tried | refusing) or router.pick(now_s, tried)
         candidate = candidate or own
--- a/libs/mimosaloom-mesh/mimosaloom_mesh/metrics.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/metrics.py
@@ -27,6 +27,8 @@
         self._resolved = self._counter(
             "resolutions", "Unknown outcomes that were resolved", "state"
         )
+        # Looking up a labelled counter costs a lock at each call.
+        self._answers_of: dict[str, Counter] = {}
         self._answers = self._counter("answers", "Whole answers of targets", "service")
         self.limit = self._gauge("limit", "Calls that may run at once")
         self.level = self._gauge("level", "Admission level")
@@ -51,7 +53,10 @@
 
     def count_answer(self, service: str) -> None:
         """Count a whole answer of a target of a service."""
-        self._answers.labels(service).inc()
+        counter = self._answers_of.get(service)
+        if counter is None:
+            counter = self._answers_of[service] = self._answers.labels(service)
+        counter.inc()
 
     def render(self) -> bytes:
         """Return all metrics in the text format of Prometheus."""
