Take a waiting call back only when no copy of it waits

Cause: when a connection broke, a waiting call of a non-idempotent class was taken back although libcurl's second copy had joined it; a call that the run table forbids was answered as outcome_unknown although it never ran. Change: waiters are counted, and such a call is refused as not run.

--- a/libs/mimosaloom-mesh/mimosaloom_mesh/once.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/once.py
@@ -1,6 +1,7 @@
 """Runs each keyed call at most once in this process."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Awaitable, Callable
 
 from mimosaloom_model import Clock, Failed, Kind, Outcome, Refused
@@ -36,6 +37,7 @@
         self._table = table
         self._clock = clock
         self._tasks: dict[str, asyncio.Task] = {}
+        self._waiters: Counter[str] = Counter()
 
     @property
     def tasks(self) -> list[asyncio.Task]:
@@ -61,8 +63,8 @@
             key: Key of the call.
             digest: Digest of what it sends.
             start: Runs the call; returns None if the call was withdrawn.
-            withdraw: Called when the caller is gone; takes the call back if no part
-                of it has run.
+            withdraw: Called when nobody waits any longer; takes the call back if no
+                part of it has run.
             stamp: Stamp that the call carries.
             attempt: Number of the attempt.
         """
@@ -76,18 +78,25 @@
             case Replay(result):
                 return result
             case Blocked():
-                # Whoever had the key forbidden here may have run it elsewhere.
+                # It never runs here, and goes elsewhere only after this is known.
                 detail = "the call was given up before, or carries no stamp"
-                return Failed(Kind.OUTCOME_UNKNOWN, detail)
+                return Refused(Kind.CONNECT_FAILED, detail)
             case Unknown():
                 return Failed(Kind.OUTCOME_UNKNOWN, "the stamp of the call is too old")
             case Conflict():
                 return Refused(Kind.KEY_CONFLICT)
+        self._waiters[key] += 1
         try:
             return await asyncio.shield(task)
         except asyncio.CancelledError:
-            withdraw()
+            # A copy of the call on another connection may still wait.
+            if self._waiters[key] == 1:
+                withdraw()
             raise
+        finally:
+            self._waiters[key] -= 1
+            if not self._waiters[key]:
+                del self._waiters[key]
 
     def stamp(self) -> Stamp | None:
         """Return the stamp that calls to this process carry now."""
--- /dev/null
+++ b/tests/mesh/test_once.py
@@ -0,0 +1,51 @@
+"""Guards runs at most once against connections that break while a call waits."""
+
+import asyncio
+
+from mesh.fakes import run
+
+from mimosaloom_mesh.once import OnceRunner
+from mimosaloom_model import Answered, SystemClock
+from mimosaloom_policy import RunTable
+
+
+def test_call_is_taken_back_only_when_nobody_waits():
+    """A copy on a new connection must not lose the call to the old one's close."""
+
+    async def body():
+        runner = OnceRunner(RunTable(), SystemClock())
+        release = asyncio.Event()
+        withdrawn = []
+
+        async def start():
+            await release.wait()
+            return Answered(200)
+
+        def ask():
+            call = runner.run(
+                "key",
+                "digest",
+                start,
+                lambda: withdrawn.append(True),
+                stamp=None,
+                attempt=1,
+            )
+            return asyncio.ensure_future(call)
+
+        first, copy = ask(), ask()
+        await asyncio.sleep(0)
+        first.cancel()
+        await asyncio.wait({first})
+        assert withdrawn == []
+        last = ask()
+        await asyncio.sleep(0)
+        copy.cancel()
+        await asyncio.wait({copy})
+        assert withdrawn == []
+        last.cancel()
+        await asyncio.wait({last})
+        assert withdrawn == [True]
+        release.set()
+        assert await ask() == Answered(200)
+
+    run(body)
