Let a mesh be steered while it runs

Scenarios need single upstreams that can be started again, callers with keys, other retry allowances, and records that outlive a killed target.

--- a/libs/mimosaloom-bench/mimosaloom_bench/demo.py
+++ b/libs/mimosaloom-bench/mimosaloom_bench/demo.py
@@ -19,7 +19,7 @@
 from .report import OVERLOAD_PHASE, DemoReport, build_report, format_report
 from .verdicts import TargetRecord, Verdict, count_violations
 
-__all__ = ["plan_phases", "run_demo", "show_demo"]
+__all__ = ["WARM_UP_PHASE", "plan_phases", "run_demo", "show_demo", "warm_up"]
 
 # Shares of the run in normal load, overload, and normal load again.
 PHASE_SHARES = (0.3, 0.35, 0.35)
@@ -103,7 +103,7 @@
     rng = random.Random(seed)
     sender = OrderSender(deployment, random.Random(rng.random()))
     try:
-        await _warm_up(plan, sender)
+        await warm_up(plan, sender)
         orders = plan_orders(plan, phases, rng)
         start_s = time.monotonic()
         switching = asyncio.create_task(_switch_phases(deployment, phases, start_s))
@@ -131,7 +131,7 @@
     )
 
 
-async def _warm_up(plan: MeshPlan, sender: OrderSender) -> None:
+async def warm_up(plan: MeshPlan, sender: OrderSender) -> None:
     """Wait until each class is answered whole a few times in a row."""
     give_up_s = time.monotonic() + WARM_UP_TIMEOUT_S
     number = 0
--- a/libs/mimosaloom-bench/mimosaloom_bench/deployment.py
+++ b/libs/mimosaloom-bench/mimosaloom_bench/deployment.py
@@ -14,6 +14,7 @@
     "post_json",
     "start_deployment",
     "start_standin",
+    "start_upstreams",
     "wait_for_url",
 ]
 
@@ -31,6 +32,8 @@
         target_urls: Base URL of each target by upstream.
         ingress_urls: Base URL of each node's ingress by upstream.
         admin_urls: Base URL of each node's admin listener by upstream.
+        targets: Process of each target by upstream.
+        nodes: Process of each node by upstream.
     """
 
     plan: MeshPlan
@@ -38,11 +41,14 @@
     target_urls: dict[str, str]
     ingress_urls: dict[str, str]
     admin_urls: dict[str, str]
+    targets: dict[str, ChildProcess]
+    nodes: dict[str, ChildProcess]
 
     def entries(self, service: str) -> list[str]:
-        """Return the ingress URLs of a service's nodes."""
+        """Return the ingress URLs of a service's nodes that callers know."""
         names = [u.name for u in self.plan.upstreams() if u.service.name == service]
-        return [self.ingress_urls[name] for name in names]
+        urls = self.ingress_urls
+        return [urls[name] for name in names if name in urls]
 
     def deep_targets(self) -> list[str]:
         """Return the URLs of the targets of the deep service."""
@@ -65,39 +71,62 @@
     Raises:
         StartFailed: If a process does not come up.
     """
-    log = start_standin(group, "log", "log", {})
-    upstreams = plan.upstreams()
-    targets = {
-        upstream.name: start_standin(
-            group,
-            f"target-{upstream.name}",
-            "target",
-            _target_options(plan, upstream, seed + number),
+    log_url = wait_for_url(start_standin(group, "log", "log", {}))
+    resources = {"resources": plan.documents()}
+    (directory / "resources.json").write_text(json.dumps(resources))
+    deployment = Deployment(plan, log_url, {}, {}, {}, {}, {})
+    start_upstreams(deployment, plan.upstreams(), group, directory, seed=seed)
+    return deployment
+
+
+def start_upstreams(
+    deployment: Deployment,
+    upstreams: list[UpstreamPlan],
+    group: ProcessGroup,
+    directory: Path,
+    *,
+    seed: int,
+    suffix: str = "",
+) -> None:
+    """Start a target and a node for each upstream, and enter them in a deployment.
+
+    Args:
+        deployment: The running mesh; entries of the same upstreams are replaced.
+        upstreams: What to start.
+        group: Owner of the processes.
+        directory: Where settings and the journals of the targets are written.
+        seed: Seed of the targets' service times.
+        suffix: Tells the processes from earlier ones of the same upstreams.
+
+    Raises:
+        StartFailed: If a process does not come up.
+    """
+    plan = deployment.plan
+    for number, upstream in enumerate(upstreams):
+        name = f"target-{upstream.name}{suffix}"
+        options = _target_options(plan, upstream, seed + number)
+        options["journal"] = str(directory / f"{name}.journal")
+        deployment.targets[upstream.name] = start_standin(
+            group, name, "target", options
         )
-        for number, upstream in enumerate(upstreams)
-    }
-    log_url = wait_for_url(log)
-    target_urls = {name: wait_for_url(child) for name, child in targets.items()}
-    resources_file = directory / "resources.json"
-    resources_file.write_text(json.dumps({"resources": plan.documents()}))
-    nodes = {}
     for upstream in upstreams:
-        settings = _node_settings(plan, upstream, log_url, target_urls[upstream.name])
-        path = directory / f"node-{upstream.name}.json"
+        target_url = wait_for_url(deployment.targets[upstream.name])
+        deployment.target_urls[upstream.name] = target_url
+        settings = _node_settings(plan, upstream, deployment.log_url, target_url)
+        name = f"node-{upstream.name}{suffix}"
+        path = directory / f"{name}.json"
         path.write_text(json.dumps(settings))
-        name = f"node-{upstream.name}"
-        nodes[upstream.name] = group.start(name, "mimosaloom_node", str(path))
-    ports = {name: _wait_for_ports(child) for name, child in nodes.items()}
-    for name, url in target_urls.items():
-        egress_url = f"http://127.0.0.1:{ports[name]['egress']}"
-        post_json(f"{url}/.target/control", {"egress_url": egress_url})
-    return Deployment(
-        plan,
-        log_url,
-        target_urls,
-        {name: f"http://127.0.0.1:{found['ingress']}" for name, found in ports.items()},
-        {name: f"http://127.0.0.1:{found['admin']}" for name, found in ports.items()},
-    )
+        deployment.nodes[upstream.name] = group.start(
+            name, "mimosaloom_node", str(path)
+        )
+    for upstream in upstreams:
+        name = upstream.name
+        ports = _wait_for_ports(deployment.nodes[name])
+        deployment.ingress_urls[name] = f"http://127.0.0.1:{ports['ingress']}"
+        deployment.admin_urls[name] = f"http://127.0.0.1:{ports['admin']}"
+        egress_url = f"http://127.0.0.1:{ports['egress']}"
+        control_url = f"{deployment.target_urls[name]}/.target/control"
+        post_json(control_url, {"egress_url": egress_url})
 
 
 def start_standin(
--- a/libs/mimosaloom-bench/mimosaloom_bench/load.py
+++ b/libs/mimosaloom-bench/mimosaloom_bench/load.py
@@ -14,7 +14,14 @@
 from .meshes import ClassPlan, MeshPlan
 from .verdicts import Attempt, Judgement, Verdict, judge_answer
 
-__all__ = ["LoadPhase", "Order", "OrderSender", "plan_orders", "run_orders"]
+__all__ = [
+    "CallerHabits",
+    "LoadPhase",
+    "Order",
+    "OrderSender",
+    "plan_orders",
+    "run_orders",
+]
 
 MAX_CLIENT_RETRIES = 2
 # Callers come back early and ignore `Retry-After`, as callers under stress do.
@@ -74,6 +81,23 @@
     return orders
 
 
+class CallerHabits(NamedTuple):
+    """What callers do besides sending each order.
+
+    Attributes:
+        key: Returns the idempotency key for a call of an order, by its number from
+            1; without it, no key is sent.
+        repeats_unclear: Whether an order whose outcome is open is repeated even if
+            its class is not idempotent.
+    """
+
+    key: Callable[[Order, int], str] | None = None
+    repeats_unclear: bool = False
+
+
+NO_HABITS = CallerHabits()
+
+
 class OrderSender:
     """Sends orders to entry nodes and keeps every call and its verdict.
 
@@ -82,9 +106,16 @@
     Args:
         deployment: Where the orders go.
         rng: Chooses entry nodes and the delays of client retries.
+        habits: What the callers do besides.
     """
 
-    def __init__(self, deployment: Deployment, rng: random.Random):
+    def __init__(
+        self,
+        deployment: Deployment,
+        rng: random.Random,
+        habits: CallerHabits = NO_HABITS,
+    ):
+        self.habits = habits
         self.attempts: list[Attempt] = []
         self._deployment = deployment
         self._rng = rng
@@ -97,7 +128,7 @@
             if number > 1:
                 await asyncio.sleep(self._rng.uniform(*CLIENT_RETRY_DELAY_S))
             start_s = time.monotonic()
-            judgement = await self._call(order)
+            judgement = await self._call(order, number)
             attempt = Attempt(
                 token=order.token,
                 class_name=order.plan.name,
@@ -109,7 +140,7 @@
                 judgement=judgement,
             )
             self.attempts.append(attempt)
-            if not _may_repeat(order, judgement):
+            if not _may_repeat(order, judgement, self.habits):
                 break
         return attempt
 
@@ -117,16 +148,19 @@
         """Close all connections."""
         self._client.close()
 
-    async def _call(self, order: Order) -> Judgement:
+    async def _call(self, order: Order, number: int) -> Judgement:
         entry_url = self._rng.choice(self._deployment.entries(order.plan.path[0]))
         timeout_s = order.plan.timeout_s + CLIENT_EXTRA_TIME_S
+        headers = {
+            "Mimosaloom-Class": order.plan.name,
+            "Content-Type": "application/json",
+        }
+        if self.habits.key is not None:
+            headers["Idempotency-Key"] = self.habits.key(order, number)
         request = HTTPRequest(
             f"{entry_url}/call",
             method="POST",
-            headers={
-                "Mimosaloom-Class": order.plan.name,
-                "Content-Type": "application/json",
-            },
+            headers=headers,
             body=json.dumps({"token": order.token}),
             connect_timeout=timeout_s,
             request_timeout=timeout_s,
@@ -139,11 +173,11 @@
         return judge_answer(order.token, order.plan.path, status, body)
 
 
-def _may_repeat(order: Order, judgement: Judgement) -> bool:
+def _may_repeat(order: Order, judgement: Judgement, habits: CallerHabits) -> bool:
     if judgement.verdict is Verdict.REFUSED_NOT_RUN:
         return True
     is_open = judgement.verdict in (Verdict.FAILED, Verdict.UNKNOWN)
-    return is_open and order.plan.is_idempotent
+    return is_open and (order.plan.is_idempotent or habits.repeats_unclear)
 
 
 async def run_orders(
--- a/libs/mimosaloom-bench/mimosaloom_bench/meshes.py
+++ b/libs/mimosaloom-bench/mimosaloom_bench/meshes.py
@@ -5,11 +5,27 @@
 
 from mimosaloom_model import ResourceDocument
 
-__all__ = ["MESHES", "ClassPlan", "MeshName", "MeshPlan", "ServicePlan", "UpstreamPlan"]
+__all__ = [
+    "MESHES",
+    "AllowancePlan",
+    "ClassPlan",
+    "MeshName",
+    "MeshPlan",
+    "ServicePlan",
+    "UpstreamPlan",
+]
 
 RETRIES_PER_REQUEST = 3
 
 
+class AllowancePlan(NamedTuple):
+    """The retry allowance of all classes; see `RetryAllowance`."""
+
+    retries_per_request: int = RETRIES_PER_REQUEST
+    budget_ratio: float = 0.1
+    min_retries_per_s: float = 1.0
+
+
 class MeshName(StrEnum):
     """Names of the meshes."""
 
@@ -76,6 +92,7 @@
         classes: Its request classes.
         deep_service: The service that slows down under overload.
         normal_per_s: Requests a second at normal load.
+        allowance: Retry allowance of all classes.
     """
 
     name: str
@@ -85,6 +102,7 @@
     classes: tuple[ClassPlan, ...]
     deep_service: str
     normal_per_s: float
+    allowance: AllowancePlan = AllowancePlan()
 
     def service(self, name: str) -> ServicePlan:
         """Return the service of a name."""
@@ -117,13 +135,7 @@
             *(self._service_document(service) for service in self.services),
             *(_upstream_document(upstream) for upstream in self.upstreams()),
             *(_class_document(request_class) for request_class in self.classes),
-            _document(
-                "RetryAllowance",
-                "default",
-                retries_per_request=RETRIES_PER_REQUEST,
-                budget_ratio=0.1,
-                min_retries_per_s=1.0,
-            ),
+            _document("RetryAllowance", "default", **self.allowance._asdict()),
         ]
 
     def _service_document(self, service: ServicePlan) -> ResourceDocument:
--- a/libs/mimosaloom-bench/mimosaloom_bench/processes.py
+++ b/libs/mimosaloom-bench/mimosaloom_bench/processes.py
@@ -85,6 +85,14 @@
         state = "" if code is None else f" with exit code {code}"
         return f"process {self.name} ({self.pid}) {what}{state}:\n{tail}"
 
+    def kill(self) -> None:
+        """End the process at once, and wait for its end."""
+        self.wait_or_kill(0.0)
+
+    def send_signal(self, number: signal.Signals) -> None:
+        """Send a signal; nothing happens if the process has ended."""
+        self._popen.send_signal(number)
+
     def terminate(self) -> None:
         """Ask the process to stop."""
         if self.is_running:
--- a/libs/mimosaloom-standins/mimosaloom_standins/__init__.py
+++ b/libs/mimosaloom-standins/mimosaloom_standins/__init__.py
@@ -1,7 +1,7 @@
 """Small stand-ins for the platform's log service and for targets."""
 
 from .log_service import LogOptions, LogStore, build_log_application
-from .record import Run, RunRecord
+from .record import Run, RunRecord, read_journal
 from .target import Target, TargetOptions
 from .target_server import build_target_application
 
@@ -14,4 +14,5 @@
     "TargetOptions",
     "build_log_application",
     "build_target_application",
+    "read_journal",
 ]
--- a/libs/mimosaloom-standins/mimosaloom_standins/record.py
+++ b/libs/mimosaloom-standins/mimosaloom_standins/record.py
@@ -1,10 +1,12 @@
 """Record of what really ran on a target."""
 
+import json
 import time
 from dataclasses import asdict, dataclass
+from pathlib import Path
 from typing import NamedTuple
 
-__all__ = ["CallMark", "Run", "RunRecord"]
+__all__ = ["CallMark", "Run", "RunRecord", "read_journal"]
 
 
 class CallMark(NamedTuple):
@@ -69,9 +71,13 @@
     Args:
         service: Service of the target.
         upstream: Name of the target.
+        journal: File that receives each entry at once, so that the record outlives
+            a killed process; empty for none. See `read_journal`.
     """
 
-    def __init__(self, service: str, upstream: str):
+    def __init__(self, service: str, upstream: str, journal: str = ""):
+        # It stays open as long as the process runs.
+        self._journal = Path(journal).open("a", buffering=1) if journal else None  # noqa: SIM115
         self._service = service
         self._upstream = upstream
         self._runs: list[Run] = []
@@ -90,16 +96,19 @@
             start_s=time.monotonic(),
         )
         self._runs.append(run)
+        self._write({"run": asdict(run)})
         return run
 
     def finish(self, run: Run, end: str) -> None:
         """Record the end of a run; see `Run.end` for the values."""
         run.end_s = time.monotonic()
         run.end = end
+        self._write({"run": asdict(run)})
 
     def refuse(self, mark: CallMark) -> None:
         """Record a call of which no part ran."""
         self._refused.append(mark)
+        self._write({"refused": mark._asdict()})
 
     def read_refused(self) -> list[dict]:
         """Return the calls that were refused as plain objects."""
@@ -108,3 +117,23 @@
     def read(self, start: int = 0) -> list[dict]:
         """Return the runs from a position on as plain objects, with `is_whole`."""
         return [{**asdict(run), "is_whole": run.is_whole} for run in self._runs[start:]]
+
+    def _write(self, entry: dict) -> None:
+        if self._journal is not None:
+            self._journal.write(json.dumps(entry) + "\n")
+
+
+def read_journal(path: Path) -> tuple[list[dict], list[dict]]:
+    """Return what `read` and `read_refused` returned last, from a journal."""
+    runs: dict[tuple, dict] = {}
+    refused = []
+    for line in path.read_text(encoding="utf-8").splitlines(keepends=True):
+        # A line without its end is still being written.
+        entry = json.loads(line) if line.endswith("\n") else {}
+        if "refused" in entry:
+            refused.append(entry["refused"])
+        if "run" in entry:
+            run = entry["run"]
+            key = (run["start_s"], run["call_id"], run["attempt"])
+            runs[key] = {**run, "is_whole": run["end"] == "whole"}
+    return list(runs.values()), refused
--- a/libs/mimosaloom-standins/mimosaloom_standins/target.py
+++ b/libs/mimosaloom-standins/mimosaloom_standins/target.py
@@ -41,6 +41,7 @@
         load_lag_s: Age of the load that `/load` reports.
         cut_answers: Number of coming answers that are cut off half-way.
         seed: Seed of the service times.
+        journal: File to which the record is written as well; empty for none.
     """
 
     service: str = "service"
@@ -62,6 +63,7 @@
     load_lag_s: float = 0.0
     cut_answers: int = 0
     seed: int = 0
+    journal: str = ""
 
 
 class Result(NamedTuple):
@@ -110,7 +112,7 @@
 
     def __init__(self, options: TargetOptions):
         self.options = options
-        self.record = RunRecord(options.service, options.upstream)
+        self.record = RunRecord(options.service, options.upstream, options.journal)
         self._rng = random.Random(options.seed)
         self._started_s = time.monotonic()
         self._running = 0
