Add scripted scenarios for the eight guarantees

Scenarios in Gherkin now drive a mesh through faults, two at once where that matters, and check counts from the journals of the targets and the answers of the callers.

--- a/libs/mimosaloom-bench/mimosaloom_bench/commands.py
+++ b/libs/mimosaloom-bench/mimosaloom_bench/commands.py
@@ -8,6 +8,7 @@
 from .latency import LoadPlan, show_latency
 from .meshes import MeshName
 from .overload import overload
+from .scenarios.command import build_scenario_app
 
 __all__ = ["register"]
 
@@ -22,6 +23,7 @@
     bench.command("overload")(overload)
     bench.command(name="latency")(_latency)
     app.add_typer(bench, name="bench")
+    app.add_typer(build_scenario_app(), name="scenario")
 
 
 def _demo(
--- /dev/null
+++ b/libs/mimosaloom-bench/mimosaloom_bench/scenarios/command.py
@@ -0,0 +1,33 @@
+"""Adds `mimosaloom scenario` to the command line."""
+
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+__all__ = ["build_scenario_app"]
+
+
+def build_scenario_app() -> typer.Typer:
+    """Return the commands on scenarios."""
+    app = typer.Typer(no_args_is_help=True, help="Run scripted scenarios.")
+    # Without a callback typer would make the only command that of the group.
+    app.callback()(_group)
+    app.command(name="run")(_run)
+    return app
+
+
+def _group() -> None:
+    """Run scripted scenarios."""
+
+
+def _run(
+    files: Annotated[
+        list[Path], typer.Argument(metavar="FILE", help="Scenario files.")
+    ],
+) -> None:
+    """Run scenarios; exit code 0, 7 if a check is not met, 3 if a file has faults."""
+    # The parsers are loaded for this command only.
+    from .runner import show_scenarios
+
+    raise typer.Exit(show_scenarios(files))
--- /dev/null
+++ b/scenarios/p8-config.feature
@@ -0,0 +1,37 @@
+Feature: P8 config
+
+  Scenario: two operators change one resource at once
+    Given the water mesh runs
+    And the resources of the mesh are applied
+    When two operators change the budget ratio at once
+    Then one change is accepted and the other conflicts
+    And the budget ratio in force is that of the accepted change
+
+  Scenario: two operators at once and lost append answers
+    Given the water mesh runs
+    And the resources of the mesh are applied
+    When the next 2 append answers are lost
+    And two operators change the budget ratio at once
+    Then one change is accepted and the other conflicts
+    And the log holds the change 2 times at least
+    And no append answer is left to lose
+    And the budget ratio in force is that of the accepted change
+
+  Scenario: a change during a long outage of the log does not hold, and one before does
+    Given the cooperative mesh runs
+    And the resources of the mesh are applied
+    When an operator changes the budget ratio to 0.15
+    Then the change is accepted
+    When the log service goes down
+    And 30 look-up-die a second arrive for 3 s
+    And an operator changes the budget ratio to 0.25
+    Then the change is refused because the log service is down
+    And at least 60 answers are whole
+    When the log service comes back
+    Then the budget ratio in force is 0.15
+    When operators note the revision in force
+    And the next 1 append answers are lost
+    And an operator changes the budget ratio to 0.35
+    Then the change is accepted
+    And the budget ratio in force is 0.35
+    And no append answer is left to lose
