--- a/libs/mimosaloom-bench/mimosaloom_bench/scenarios/steps_load.py
+++ b/libs/mimosaloom-bench/mimosaloom_bench/scenarios/steps_load.py
@@ -50,7 +50,7 @@
     )
     sender = OrderSender(deployment, random.Random(world.rng.random()))
     world.enter(deployment, sender)
-    await warm_up(plan, sender)
+    await warm_up(plan, sender, world.group)
     sender.habits = world.habits
 
 
