--- a/libs/mimosaloom-bench/mimosaloom_bench/scenarios/steps_faults.py
+++ b/libs/mimosaloom-bench/mimosaloom_bench/scenarios/steps_faults.py
@@ -105,12 +105,16 @@
     await _plan_stop(world, upstream, "drain")
 
 
-@step("node {upstream:name} is drained although callers still know it")
-async def drain_unnoticed(world: World, upstream: str) -> None:
-    """Ask a node to leave while callers go on to use its address."""
-    url = world.deployment.ingress_urls[world.check_upstream(upstream)]
-    await _plan_stop(world, upstream, "drain")
-    world.deployment.ingress_urls[upstream] = url
+@step("node {upstream:name} receives SIGTERM")
+async def stop_by_signal(world: World, upstream: str) -> None:
+    """Stop a node as the platform does; callers no longer send orders to it."""
+    await _plan_stop(world, upstream, "signal")
+
+
+@step("node {upstream:name} is reported as drained but not told to")
+async def forget_drain(world: World, upstream: str) -> None:
+    """Do a drain wrongly: the node goes on as before."""
+    await _plan_stop(world, upstream, "none")
 
 
 @step("target {upstream:name} is killed in place of a drain")
@@ -125,12 +129,17 @@
     stop = PlannedStop(upstream, world.journal(upstream), time.monotonic())
     world.stops.append(stop)
     deployment.ingress_urls.pop(upstream, None)
-    if way == "kill":
-        await _kill(world, deployment.targets[upstream])
-        return
-    world.may_end.add(deployment.nodes[upstream].name)
-    url = f"{deployment.admin_urls[upstream]}/drain"
-    await asyncio.to_thread(post_json, url, {})
+    node = deployment.nodes[upstream]
+    match way:
+        case "kill":
+            await _kill(world, deployment.targets[upstream])
+        case "signal":
+            world.may_end.add(node.name)
+            node.terminate()
+        case "drain":
+            world.may_end.add(node.name)
+            url = f"{deployment.admin_urls[upstream]}/drain"
+            await asyncio.to_thread(post_json, url, {})
 
 
 @step("node {upstream:name} has ended")
--- a/libs/mimosaloom-bench/mimosaloom_bench/scenarios/steps_load.py
+++ b/libs/mimosaloom-bench/mimosaloom_bench/scenarios/steps_load.py
@@ -38,6 +38,14 @@
     await _start(world, _find_mesh(mesh)._replace(allowance=allowance))
 
 
+@step("the {mesh:name} mesh runs with all classes equally important")
+async def start_without_priorities(world: World, mesh: str) -> None:
+    """Start a mesh in which no class is refused last."""
+    plan = _find_mesh(mesh)
+    equal = tuple(c._replace(priority=4, is_protected=False) for c in plan.classes)
+    await _start(world, plan._replace(classes=equal))
+
+
 def _find_mesh(name: str) -> MeshPlan:
     if name not in MESHES:
         raise NotMet(f"there is no mesh {name}; there are {', '.join(MESHES)}")
--- a/libs/mimosaloom-bench/mimosaloom_bench/scenarios/steps_operators.py
+++ b/libs/mimosaloom-bench/mimosaloom_bench/scenarios/steps_operators.py
@@ -56,6 +56,15 @@
     )
 
 
+@step("two operators change the budget ratio without the revision that they saw")
+async def change_unseen(world: World) -> None:
+    """Apply two changes one after the other; the second one overwrites the first."""
+    world.commands = [
+        await _apply(world, _write_change(world, ratio, author, None), author)
+        for ratio, author in ((0.2, "first"), (0.3, "second"))
+    ]
+
+
 def _write_change(
     world: World, ratio: float, author: str, revision: int | None
 ) -> Path:
--- /dev/null
+++ b/scenarios/broken/overwritten-change.feature
@@ -0,0 +1,7 @@
+Feature: Must fail: operators who overwrite each other
+
+  Scenario: config is broken by changes that name no revision
+    Given the water mesh runs
+    And the resources of the mesh are applied
+    When two operators change the budget ratio without the revision that they saw
+    Then one change is accepted and the other conflicts
--- a/scenarios/p4-not-run-is-true.feature
+++ b/scenarios/p4-not-run-is-true.feature
@@ -7,6 +7,8 @@
     And all orders have their last answer
     Then at least 50 orders are refused as not run
     And no order that was said not to have run ran
+    And at least 50 answers are overloaded
+    And no answer is internal
     And no answer is wrong
 
   Scenario: a node is paused past its deadlines while another one dies
--- a/scenarios/p7-graceful-stop.feature
+++ b/scenarios/p7-graceful-stop.feature
@@ -28,3 +28,15 @@
     Then no call was cut by the planned stop of returns-1
     And no order ran twice
     And no answer is wrong
+
+  Scenario: the platform stops a middle node during a surge
+    Given the water mesh runs
+    When the usual mix arrives at 1.2 times the usual rate for 4 s in phase surge
+    And the targets of billing slow down 2 times
+    And 2 calls run on target inspections-1
+    And node inspections-1 receives SIGTERM
+    And all orders have their last answer
+    And node inspections-1 has ended
+    Then no call was cut by the planned stop of inspections-1
+    And no work reached inspections-1 after 3 s of its drain
+    And no order ran twice
--- a/scenarios/p8-config.feature
+++ b/scenarios/p8-config.feature
@@ -35,3 +35,15 @@
     Then the change is accepted
     And the budget ratio in force is 0.35
     And no append answer is left to lose
+
+  Scenario: a change while the log is slow and a node is replaced
+    Given the cooperative mesh runs
+    And the resources of the mesh are applied
+    And operators note the revision in force
+    When the log service answers 0.3 s late
+    And 30 look-up-die a second arrive for 3 s
+    And an operator begins to change the budget ratio to 0.45
+    And upstream regrind-1 is replaced
+    Then the change is accepted
+    And the budget ratio in force is 0.45
+    And no answer is wrong
