Shorten the admission queue to what is served in 0.07 s

Cause: since calls below the root are refused at their caller, a queue of 0.1 s only adds slots held for calls that may still be refused.

--- a/libs/mimosaloom-policy/mimosaloom_policy/admission.py
+++ b/libs/mimosaloom-policy/mimosaloom_policy/admission.py
@@ -19,7 +19,7 @@
 RESERVED_RATIO = 0.03
 PROTECTED_FIT_RATIO = 0.9
 # Calls that wait hold slots of their callers, up to the entry service.
-MAX_QUEUE_S = 0.1
+MAX_QUEUE_S = 0.07
 MIN_QUEUE_CAPACITY = 8
 
 
