--- a/libs/mimosaloom-mesh/mimosaloom_mesh/caller.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/caller.py
@@ -18,6 +18,7 @@
     Outcome,
     Refused,
     RequestClass,
+    RetryAllowance,
     new_request_id,
 )
 from mimosaloom_policy import (
@@ -66,6 +67,7 @@
     scope: CallScope
     request_class: RequestClass
     call_id: str
+    rank: float
 
 
 class Caller:
@@ -106,7 +108,7 @@
             name, failure_domain, directory, self.levels, clock=clock, rng=rng
         )
         self._remote = RemoteHop(clock, transport)
-        self._budgets: dict[tuple[str, str], RetryBudget] = {}
+        self._budgets: dict[tuple[str, str], tuple[RetryAllowance, RetryBudget]] = {}
 
     def open_root(
         self, class_name: str, timeout: timedelta | None = None
@@ -169,7 +171,8 @@
             classes = self.directory.catalog().classes
             call_id = new_request_id(self.rng)
             request_class = classes[scope.class_name]
-            call = _Call(service, request, scope, request_class, call_id)
+            rank = rank_request(scope.request_id, request_class.priority)
+            call = _Call(service, request, scope, request_class, call_id, rank)
             outcome = await self._attempt_until_final(call)
         kind = kind_of(outcome)
         if kind is None:
@@ -230,6 +233,8 @@
             tried.add(candidate.name)
             stamp = await self._find_stamp(call, candidate)
             outcome = await self._attempt(call, candidate, attempt, stamp)
+            if isinstance(outcome, Answered):
+                return outcome
             has_next = self._pick(call, frozenset(tried)) is not None
             follow = self._follow_up(call, candidate, attempt, has_next, stamp)
             outcome, delay_s = await follow.settle(outcome)
@@ -277,9 +282,8 @@
             return own
         router = self._routes.router(call.service)
         now_s = self.clock.monotonic_s()
-        rank = rank_request(call.scope.request_id, call.request_class.priority)
         refusing = self.levels.refusing(
-            call.service, call.request_class.name, rank, now_s
+            call.service, call.request_class.name, call.rank, now_s
         )
         candidate = router.pick(now_s, tried | refusing) or router.pick(now_s, tried)
         candidate = candidate or own
@@ -370,13 +374,15 @@
             self._routes.mark_draining(call.service, answer.incarnation)
 
     def _budget(self, service: str, class_name: str) -> RetryBudget:
-        budget = self._budgets.get((service, class_name))
-        if budget is None:
-            allowance = self.directory.catalog().allowance_of(class_name)
-            budget = RetryBudget(
-                allowance.budget_ratio,
-                allowance.min_retries_per_s,
-                self.clock.monotonic_s(),
-            )
-            self._budgets[service, class_name] = budget
+        allowance = self.directory.catalog().allowance_of(class_name)
+        known = self._budgets.get((service, class_name))
+        # A changed allowance holds from the next call on.
+        if known is not None and known[0] == allowance:
+            return known[1]
+        budget = RetryBudget(
+            allowance.budget_ratio,
+            allowance.min_retries_per_s,
+            self.clock.monotonic_s(),
+        )
+        self._budgets[service, class_name] = (allowance, budget)
         return budget
