Share the connections of an upstream among the nodes that call it

Cause: each caller was allowed max_connections to each upstream, so that n callers could hold n times the bound; the subsets of the router had no user. Change: the routes count the nodes of the calling services and give the number to the router; its connections per upstream bound the transport.

--- a/libs/mimosaloom-mesh/mimosaloom_mesh/caller.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/caller.py
@@ -348,8 +348,9 @@
         if stamp is None and not call.request_class.is_idempotent:
             detail = f"{candidate.name} tells no stamp"
             return HopAnswer(Refused(Kind.CONNECT_FAILED, detail, RETRY_AFTER_S))
+        connections = self._routes.connections_to(call.service)
         return await self._remote.run(
-            candidate,
+            candidate._replace(max_connections=connections),
             context,
             call.request,
             deadline_s=call.scope.deadline_s,
--- a/libs/mimosaloom-mesh/mimosaloom_mesh/routes.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/routes.py
@@ -50,12 +50,29 @@
             return known[1]
         router = known[1] if known else self._new_router(service)
         candidates = self.candidates(service)
-        router.set_candidates(candidates, self._clock.monotonic_s())
+        now_s = self._clock.monotonic_s()
+        router.set_candidates(
+            candidates, now_s, callers=self._count_callers(service, len(candidates))
+        )
         names = frozenset(c.name for c in candidates if not c.is_draining)
         self._levels.keep_upstreams(service, names)
         self._routers[service] = (version, router)
         return router
 
+    def connections_to(self, service: str) -> int:
+        """Return how many connections may be held to each upstream of a service."""
+        return self.router(service).connections_per_upstream
+
+    def _count_callers(self, service: str, upstreams: int) -> int:
+        """Return the nodes that may call a service.
+
+        Nodes of the service itself pass requests on to each other.
+        """
+        services = self._directory.catalog().services.values()
+        calling = [s.name for s in services if service in s.calls]
+        count = sum(len(self._directory.candidates(name)) for name in calling)
+        return count + upstreams
+
     def candidates(self, service: str) -> list[Candidate]:
         """Return the upstreams, marked with what their answers said of leaving."""
         return [
--- a/libs/mimosaloom-policy/mimosaloom_policy/subset.py
+++ b/libs/mimosaloom-policy/mimosaloom_policy/subset.py
@@ -42,6 +42,9 @@
     while size < min(MIN_SIZE, upstreams) and connections > 1:
         connections -= 1
         size = _fitting_size(upstreams, callers, max_connections / connections)
+    if size == upstreams:
+        # Every caller uses every upstream, so the connections can be shared out.
+        connections = max(connections, max_connections // max(1, callers))
     return SubsetPlan(max(1, size), connections)
 
 
--- a/tests/policy/test_routing.py
+++ b/tests/policy/test_routing.py
@@ -175,6 +175,13 @@
     assert max(connections.values()) <= 300
 
 
+def test_few_callers_share_all_connections():
+    """Guards against a small mesh held to the connections of a large one."""
+    plan = plan_subset(3, 4, 300)
+    assert plan.size == 3
+    assert plan.connections == 300 // 4
+
+
 def test_subset_check_finds_callers_that_choose_alike():
     """Shows that the count exceeds the bound when callers don't spread."""
     names = [f"billing-{number}" for number in range(60)]
