Leave the level of the own service to its admission

Cause: a request that begins at a node was also checked against the level learned from earlier answers of the own service, which lags behind the admission's.

--- a/libs/mimosaloom-mesh/mimosaloom_mesh/caller.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/caller.py
@@ -214,6 +214,9 @@
         now_s = self.clock.monotonic_s()
         if scope.deadline_s <= now_s:
             return Refused(Kind.DEADLINE_TOO_SHORT, "the deadline has passed")
+        if self.local is not None and self.local.service == service:
+            # The own admission knows its level now; the learned one lags behind.
+            return None
         rank = rank_request(scope.request_id, request_class.priority)
         is_admitted = self.levels.admits(
             service, scope.class_name, rank, now_s, depth=scope.depth
