--- a/libs/mimosaloom-mesh/mimosaloom_mesh/caller.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/caller.py
@@ -18,12 +18,14 @@
     Outcome,
     Refused,
     RequestClass,
+    RetryAllowance,
     new_request_id,
 )
 from mimosaloom_policy import (
     Candidate,
     LevelTable,
     RetryBudget,
+    Stamp,
     rank_request,
 )
 
@@ -65,6 +67,7 @@
     scope: CallScope
     request_class: RequestClass
     call_id: str
+    rank: float
 
 
 class Caller:
@@ -105,7 +108,7 @@
             name, failure_domain, directory, self.levels, clock=clock, rng=rng
         )
         self._remote = RemoteHop(clock, transport)
-        self._budgets: dict[tuple[str, str], RetryBudget] = {}
+        self._budgets: dict[tuple[str, str], tuple[RetryAllowance, RetryBudget]] = {}
 
     def open_root(
         self, class_name: str, timeout: timedelta | None = None
@@ -168,7 +171,8 @@
             classes = self.directory.catalog().classes
             call_id = new_request_id(self.rng)
             request_class = classes[scope.class_name]
-            call = _Call(service, request, scope, request_class, call_id)
+            rank = rank_request(scope.request_id, request_class.priority)
+            call = _Call(service, request, scope, request_class, call_id, rank)
             outcome = await self._attempt_until_final(call)
         kind = kind_of(outcome)
         if kind is None:
@@ -210,6 +214,9 @@
         now_s = self.clock.monotonic_s()
         if scope.deadline_s <= now_s:
             return Refused(Kind.DEADLINE_TOO_SHORT, "the deadline has passed")
+        if self.local is not None and self.local.service == service:
+            # The own admission knows its level now; the learned one lags behind.
+            return None
         rank = rank_request(scope.request_id, request_class.priority)
         is_admitted = self.levels.admits(
             service, scope.class_name, rank, now_s, depth=scope.depth
@@ -227,9 +234,12 @@
             if candidate is None:
                 break
             tried.add(candidate.name)
-            outcome = await self._attempt(call, candidate, attempt)
+            stamp = await self._find_stamp(call, candidate)
+            outcome = await self._attempt(call, candidate, attempt, stamp)
+            if isinstance(outcome, Answered):
+                return outcome
             has_next = self._pick(call, frozenset(tried)) is not None
-            follow = self._follow_up(call, candidate, attempt, has_next)
+            follow = self._follow_up(call, candidate, attempt, has_next, stamp)
             outcome, delay_s = await follow.settle(outcome)
             last = combine_attempts(last, outcome)
             if delay_s is None:
@@ -237,11 +247,24 @@
             await asyncio.sleep(delay_s)
         return last
 
+    async def _find_stamp(self, call: _Call, candidate: Candidate) -> Stamp | None:
+        if call.request_class.is_idempotent or self._is_local(candidate):
+            return None
+        return await self._remote.find_stamp(candidate)
+
+    def _is_local(self, candidate: Candidate) -> bool:
+        return self.local is not None and candidate.name == self.local.upstream
+
     def _follow_up(
-        self, call: _Call, candidate: Candidate, attempt: int, has_next: bool
+        self,
+        call: _Call,
+        candidate: Candidate,
+        attempt: int,
+        has_next: bool,
+        stamp: Stamp | None,
     ) -> FollowUp:
         def ask() -> Awaitable[Resolved]:
-            return self._remote.ask(candidate, call.call_id)
+            return self._remote.ask(candidate, call.call_id, stamp)
 
         return FollowUp(
             call.scope,
@@ -262,9 +285,8 @@
             return own
         router = self._routes.router(call.service)
         now_s = self.clock.monotonic_s()
-        rank = rank_request(call.scope.request_id, call.request_class.priority)
         refusing = self.levels.refusing(
-            call.service, call.request_class.name, rank, now_s
+            call.service, call.request_class.name, call.rank, now_s
         )
         candidate = router.pick(now_s, tried | refusing) or router.pick(now_s, tried)
         candidate = candidate or own
@@ -281,7 +303,11 @@
         return next((c for c in candidates if c.name == local.upstream), None)
 
     async def _attempt(
-        self, call: _Call, candidate: Candidate, attempt: int
+        self,
+        call: _Call,
+        candidate: Candidate,
+        attempt: int,
+        stamp: Stamp | None,
     ) -> Outcome:
         router = self._routes.router(call.service)
         start_s = self.clock.monotonic_s()
@@ -300,7 +326,7 @@
         router.start(candidate.name, start_s)
         answer = HopAnswer(Failed(Kind.CANCELLED))
         try:
-            answer = await self._send(call, candidate, context)
+            answer = await self._send(call, candidate, context, stamp)
         finally:
             now_s = self.clock.monotonic_s()
             ledger.give_back(call.scope.key, lent, answer.retries_unused, loan_key)
@@ -314,16 +340,24 @@
         return answer.outcome
 
     async def _send(
-        self, call: _Call, candidate: Candidate, context: CallContext
+        self,
+        call: _Call,
+        candidate: Candidate,
+        context: CallContext,
+        stamp: Stamp | None,
     ) -> HopAnswer:
-        if self.local is not None and candidate.name == self.local.upstream:
+        if self._is_local(candidate):
             return await self.local.run(context, call.request)
+        if stamp is None and not call.request_class.is_idempotent:
+            detail = f"{candidate.name} tells no stamp"
+            return HopAnswer(Refused(Kind.CONNECT_FAILED, detail, RETRY_AFTER_S))
+        connections = self._routes.connections_to(call.service)
         return await self._remote.run(
-            candidate,
+            candidate._replace(max_connections=connections),
             context,
             call.request,
             deadline_s=call.scope.deadline_s,
-            is_idempotent=call.request_class.is_idempotent,
+            stamp=stamp,
         )
 
     def _learn(
@@ -344,13 +378,15 @@
             self._routes.mark_draining(call.service, answer.incarnation)
 
     def _budget(self, service: str, class_name: str) -> RetryBudget:
-        budget = self._budgets.get((service, class_name))
-        if budget is None:
-            allowance = self.directory.catalog().allowance_of(class_name)
-            budget = RetryBudget(
-                allowance.budget_ratio,
-                allowance.min_retries_per_s,
-                self.clock.monotonic_s(),
-            )
-            self._budgets[service, class_name] = budget
+        allowance = self.directory.catalog().allowance_of(class_name)
+        known = self._budgets.get((service, class_name))
+        # A changed allowance holds from the next call on.
+        if known is not None and known[0] == allowance:
+            return known[1]
+        budget = RetryBudget(
+            allowance.budget_ratio,
+            allowance.min_retries_per_s,
+            self.clock.monotonic_s(),
+        )
+        self._budgets[service, class_name] = (allowance, budget)
         return budget
--- a/libs/mimosaloom-mesh/mimosaloom_mesh/curl_client.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/curl_client.py
@@ -79,6 +79,7 @@
             max_clients: Handles; exchanges over this number wait.
             max_body_size: Largest response body in bytes.
         """
+        self._timer: asyncio.Handle | None = None
         super().initialize(max_clients=max_clients, max_body_size=max_body_size)
         self._active: dict[Exchange, pycurl.Curl] = {}
 
@@ -86,8 +87,9 @@
         """Send a request and fill in what came of it."""
         future = asyncio.get_running_loop().create_future()
 
-        def finish(response: HTTPResponse) -> None:
-            if not (exchange.status or exchange.errno):
+        def finish(response: HTTPResponse | None) -> None:
+            if response is not None:
+                # Tornado reports so that the request could not be set up.
                 exchange.setup_error = str(response.error)
             if not future.done():
                 future.set_result(None)
@@ -95,6 +97,28 @@
         self.fetch_impl(exchange, finish)
         await future
 
+    def fetch_impl(self, request, callback):
+        """Start an exchange; tornado's name for it."""
+        self._requests.append((request, callback, self.io_loop.time()))
+        self._process_queue()
+        # Sends now rather than in the next turn of the loop.
+        self._handle_timeout()
+
+    def _set_timeout(self, msecs):
+        # The loop's own timers cost less than tornado's; libcurl sets one for almost
+        # every event.
+        self._stop_timer()
+        loop = self.io_loop.asyncio_loop
+        if msecs == 0:
+            self._timer = loop.call_soon(self._handle_timeout)
+        elif msecs > 0:
+            self._timer = loop.call_later(msecs / 1000, self._handle_timeout)
+
+    def _stop_timer(self):
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
     def abort(self, exchange: Exchange) -> None:
         """End an exchange at once and close its connection."""
         curl = self._active.get(exchange)
@@ -105,7 +129,9 @@
     def close(self) -> None:
         """Close all handles; exchanges in progress never end."""
         self._active.clear()
+        self._stop_timer()
         super().close()
+        self._stop_timer()
 
     def _curl_setup_request(self, curl, request, buffer, headers):
         exchange = request
@@ -136,7 +162,8 @@
         return write
 
     def _finish(self, curl, curl_error=None, curl_message=None):
-        exchange = curl.info["request"]
+        info, curl.info = curl.info, None
+        exchange = info["request"]
         self._active.pop(exchange, None)
         # libcurl sends a request again on its own when a reused connection closes
         # before the first byte of an answer, and then reports only the second
@@ -147,8 +174,12 @@
             exchange.error = curl_message
         else:
             exchange.status = curl.getinfo(pycurl.HTTP_CODE)
-            exchange.body = curl.info["buffer"].getvalue()
-        super()._finish(curl, curl_error, curl_message)
+            exchange.body = info["buffer"].getvalue()
+        # Tornado's own form also reads eight times and builds a response object.
+        self._multi.remove_handle(curl)
+        curl.reset()
+        self._free_list.append(curl)
+        info["callback"](None)
 
 
 def _encode_headers(headers: Headers) -> list[bytes]:
--- a/libs/mimosaloom-mesh/mimosaloom_mesh/headers.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/headers.py
@@ -8,6 +8,7 @@
     ANSWER_HEADER,
     ANSWERS,
     CONTEXT_HEADER,
+    MAX_CONTEXT_BYTES,
     Answered,
     AnswerNote,
     CallContext,
@@ -21,21 +22,23 @@
     decode_context,
     digest_bytes,
     encode_answer_note,
+    encode_context,
 )
 
-from .messages import Headers, HopAnswer, Response
+from .messages import Headers, HopAnswer, Request, Response
 
 __all__ = [
     "CLASS_HEADER",
-    "INCARNATION_HEADER",
     "KEY_HEADER",
     "OWNER_HEADER",
     "RAN_HEADER",
+    "STAMP_HEADER",
     "TIMEOUT_HEADER",
     "build_response",
     "forwarded_headers",
     "read_context",
     "read_hop_answer",
+    "write_context",
 ]
 
 CLASS_HEADER = "Mimosaloom-Class"
@@ -43,7 +46,7 @@
 KEY_HEADER = "Idempotency-Key"
 OWNER_HEADER = "Mimosaloom-Owner"
 RAN_HEADER = "Mimosaloom-Ran"
-INCARNATION_HEADER = "Mimosaloom-Incarnation"
+STAMP_HEADER = "Mimosaloom-Stamp"
 
 # Headers that hold for one connection only, and those that each hop writes itself.
 _NOT_FORWARDED = frozenset(
@@ -63,8 +66,8 @@
         "x-http-reason",
         ANSWER_HEADER.lower(),
         CONTEXT_HEADER.lower(),
-        INCARNATION_HEADER.lower(),
         RAN_HEADER.lower(),
+        STAMP_HEADER.lower(),
         TIMEOUT_HEADER.lower(),
     }
 )
@@ -81,6 +84,37 @@
     return decode_context(value)
 
 
+def write_context(context: CallContext, received: Request) -> str:
+    """Return the header value of a context for the next hop.
+
+    Args:
+        context: The context.
+        received: The request that is forwarded. Fields of a newer version in its own
+            context header are kept, unless the value would be too long with them.
+    """
+    more = _read_more_fields(received.header(CONTEXT_HEADER))
+    if not more:
+        return encode_context(context)
+    fields = {**more, **msgspec.structs.asdict(context)}
+    value = msgspec.json.encode(fields).decode()
+    if len(value) > MAX_CONTEXT_BYTES or not value.isascii():
+        return encode_context(context)
+    return value
+
+
+def _read_more_fields(value: str | None) -> dict[str, object]:
+    if value is None:
+        return {}
+    try:
+        fields = msgspec.json.decode(value, type=dict[str, object])
+    except (msgspec.MsgspecError, UnicodeError, RecursionError):
+        return {}
+    return {name: fields[name] for name in fields.keys() - _CONTEXT_FIELDS}
+
+
+_CONTEXT_FIELDS = frozenset(CallContext.__struct_fields__)
+
+
 def forwarded_headers(headers: Headers) -> Headers:
     """Return the headers that travel to the next hop."""
     return tuple(item for item in headers if item[0].lower() not in _NOT_FORWARDED)
@@ -117,7 +151,10 @@
         is_draining=answer.is_draining,
         digest=digest_bytes(body),
     )
-    return Response(status, (*headers, (ANSWER_HEADER, encode_answer_note(note))), body)
+    headers = (*headers, (ANSWER_HEADER, encode_answer_note(note)))
+    if answer.stamp:
+        headers = (*headers, (STAMP_HEADER, answer.stamp))
+    return Response(status, headers, body)
 
 
 def read_hop_answer(
@@ -131,7 +168,8 @@
         attempt: The attempt that was sent.
         has_body: False for the answer to a HEAD request.
     """
-    value = next((v for k, v in response.headers if k == ANSWER_HEADER), None)
+    values = dict(response.headers)
+    value = values.get(ANSWER_HEADER)
     if value is None:
         return _mismatch("the answer carries no Mimosaloom-Answer header")
     try:
@@ -151,6 +189,7 @@
         note.level,
         note.incarnation,
         note.is_draining,
+        values.get(STAMP_HEADER, ""),
     )
 
 
--- a/libs/mimosaloom-mesh/mimosaloom_mesh/once.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/once.py
@@ -1,6 +1,7 @@
 """Runs each keyed call at most once in this process."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Awaitable, Callable
 
 from mimosaloom_model import Clock, Failed, Kind, Outcome, Refused
@@ -15,6 +16,7 @@
     Run,
     Running,
     RunTable,
+    Stamp,
     Unknown,
 )
 
@@ -35,6 +37,7 @@
         self._table = table
         self._clock = clock
         self._tasks: dict[str, asyncio.Task] = {}
+        self._waiters: Counter[str] = Counter()
 
     @property
     def tasks(self) -> list[asyncio.Task]:
@@ -47,6 +50,9 @@
         digest: str,
         start: Callable[[], Awaitable[Outcome | None]],
         withdraw: Callable[[], None],
+        *,
+        stamp: Stamp | None,
+        attempt: int,
     ) -> Outcome:
         """Run a call, or join or repeat the result of the run with its key.
 
@@ -57,10 +63,13 @@
             key: Key of the call.
             digest: Digest of what it sends.
             start: Runs the call; returns None if the call was withdrawn.
-            withdraw: Called when the caller is gone; takes the call back if no part
-                of it has run.
+            withdraw: Called when nobody waits any longer; takes the call back if no
+                part of it has run.
+            stamp: Stamp that the call carries.
+            attempt: Number of the attempt.
         """
-        match self._table.begin(key, digest, self._clock.monotonic_s()):
+        now_s = self._clock.monotonic_s()
+        match self._table.begin(key, digest, now_s, stamp, attempt):
             case Run():
                 task = asyncio.ensure_future(self._run_to_end(key, start))
                 self._tasks[key] = task
@@ -69,21 +78,38 @@
             case Replay(result):
                 return result
             case Blocked():
-                # Whoever had the key forbidden here may have run it elsewhere.
-                return Failed(Kind.OUTCOME_UNKNOWN, "the call was given up before")
+                # It never runs here, and goes elsewhere only after this is known.
+                detail = "the call was given up before, or carries no stamp"
+                return Refused(Kind.CONNECT_FAILED, detail)
             case Unknown():
                 return Failed(Kind.OUTCOME_UNKNOWN, "the stamp of the call is too old")
             case Conflict():
                 return Refused(Kind.KEY_CONFLICT)
+        self._waiters[key] += 1
         try:
             return await asyncio.shield(task)
         except asyncio.CancelledError:
-            withdraw()
+            # A copy of the call on another connection may still wait.
+            if self._waiters[key] == 1:
+                withdraw()
             raise
+        finally:
+            self._waiters[key] -= 1
+            if not self._waiters[key]:
+                del self._waiters[key]
+
+    def stamp(self) -> Stamp | None:
+        """Return the stamp that calls to this process carry now."""
+        return self._table.stamp(self._clock.monotonic_s())
+
+    def resolve(self, key: str, stamp: Stamp | None) -> tuple[str, StoredResult | None]:
+        """Return the state of a key and the result of a run that has ended.
 
-    def resolve(self, key: str) -> tuple[str, StoredResult | None]:
-        """Return the state of a key and the result of a run that has ended."""
-        match self._table.resolve(key, self._clock.monotonic_s()):
+        Args:
+            key: Key of the call.
+            stamp: Stamp that the attempt in question carried.
+        """
+        match self._table.resolve(key, self._clock.monotonic_s(), stamp):
             case Done(result):
                 return ResolveState.DONE, store_result(result)
             case NotRun():
@@ -109,7 +135,7 @@
         if outcome is None:
             # Nothing ran, and a late copy must not run either.
             self._table.abandon(key)
-            self._table.resolve(key, now_s)
+            self._table.resolve(key, now_s, self.stamp())
         elif isinstance(outcome, Refused):
             self._table.abandon(key)
         else:
--- a/libs/mimosaloom-node/mimosaloom_node/startup.py
+++ b/libs/mimosaloom-node/mimosaloom_node/startup.py
@@ -14,6 +14,7 @@
     read_resources,
 )
 
+from .claims_log import LogClaims
 from .control_plane import ControlPlane
 from .daemon import Node, run_until_stopped
 from .log_client import LogClient
@@ -58,6 +59,18 @@
     rng = random.Random()
     client = LogClient(settings.log_service, clock, rng)
     plane = ControlPlane(settings, client, documents, clock=clock, rng=rng)
-    node = Node(settings, build_catalog(documents), plane, clock=clock, rng=rng)
+
+    def build_claims(claimant: str) -> LogClaims:
+        claims_client = LogClient(settings.log_service, clock, rng)
+        return LogClaims(settings.target.service, claimant, claims_client, clock)
+
+    node = Node(
+        settings,
+        build_catalog(documents),
+        plane,
+        clock=clock,
+        rng=rng,
+        build_claims=build_claims,
+    )
     plane.put_in_force = node.directory.set_catalog
     await run_until_stopped(node)
--- a/libs/mimosaloom-policy/mimosaloom_policy/__init__.py
+++ b/libs/mimosaloom-policy/mimosaloom_policy/__init__.py
@@ -3,6 +3,7 @@
 from .admission import Admission, Arrival, Decision, Refuse, Start
 from .allowance import Ledger
 from .budget import RetryBudget
+from .claim_batches import ClaimBatcher, ClaimNews, LearnedVerdicts
 from .claims import (
     AppendFate,
     Claim,
@@ -38,6 +39,7 @@
     Done,
     EpochRule,
     Join,
+    NotAccepted,
     NotRun,
     Replay,
     Resolution,
@@ -59,8 +61,10 @@
     "BroughtKey",
     "Candidate",
     "Claim",
+    "ClaimBatcher",
     "ClaimBook",
     "ClaimLimits",
+    "ClaimNews",
     "ClaimRecord",
     "ClaimReplay",
     "Claimed",
@@ -70,9 +74,11 @@
     "EpochRule",
     "GiveUp",
     "Join",
+    "LearnedVerdicts",
     "Ledger",
     "LevelTable",
     "MintedKey",
+    "NotAccepted",
     "NotRun",
     "Refuse",
     "Replay",
--- a/libs/mimosaloom-policy/mimosaloom_policy/retries.py
+++ b/libs/mimosaloom-policy/mimosaloom_policy/retries.py
@@ -28,6 +28,8 @@
 MAX_DELAY_S = 1.0
 MIN_RETRY_AFTER_S = 1.0
 RESOLVE_S = 0.02
+# Pause between two questions about a call that still runs.
+RUNNING_POLL_S = 0.05
 
 
 class RetryReason(StrEnum):
@@ -49,6 +51,7 @@
     ATTEMPTS_SPENT = "attempts_spent"
     ALLOWANCE_SPENT = "allowance_spent"
     BUDGET_EMPTY = "budget_empty"
+    RETRIED_DEEPER = "retried_deeper"
 
 
 class ResolveState(StrEnum):
@@ -187,7 +190,7 @@
     if attempt.time_left_s < RESOLVE_S:
         return GiveUp(StopReason.MAY_HAVE_RUN, attempt.kind, 0.0)
     is_running = attempt.resolved is ResolveState.RUNNING
-    delay_s = _draw_delay_s(attempt.attempt, rng) if is_running else 0.0
+    delay_s = RUNNING_POLL_S * (1.0 + rng.random()) if is_running else 0.0
     return ResolveFirst(min(delay_s, attempt.time_left_s - RESOLVE_S))
 
 
@@ -195,6 +198,10 @@
     attempt: Attempt, ledger: Ledger, budget: RetryBudget, now_s: float
 ) -> StopReason | None:
     """Return what forbids a safe retry; the budget is taken from if nothing does."""
+    if attempt.kind is Kind.FAILED_DOWNSTREAM:
+        # The hop next to the failure has retried; another retry here would repeat the
+        # work of all hops between.
+        return StopReason.RETRIED_DEEPER
     if attempt.time_left_s <= attempt.needed_s:
         return StopReason.DEADLINE_TOO_SHORT
     if attempt.attempt >= MAX_ATTEMPTS:
--- a/libs/mimosaloom-policy/mimosaloom_policy/shedding.py
+++ b/libs/mimosaloom-policy/mimosaloom_policy/shedding.py
@@ -7,17 +7,23 @@
 __all__ = ["LevelControl", "Window"]
 
 WINDOW_S = 0.1
-SMOOTHING = 0.15
+SMOOTHING = 0.3
 SATURATED_RATIO = 0.95
 # A short queue keeps the slots busy; a longer one only adds delay.
 WAIT_TARGET_S = 0.03
-DRAIN_S = 0.5
+MIN_WAITING = 3
+DRAIN_S = 0.25
 MIN_ADMITTED_RATIO = 0.3
 # Slightly over the capacity, so that a level that is too low rises.
 ADMITTED_RATIO = 1.02
 # Share of the unused capacity by which the level rises in a window. Answers take a
 # few windows to bring more calls, so the whole of it would be added several times.
 RAISE_RATIO = 0.25
+# A rise without effect is made faster with each window, because the remembered rates
+# hold the retries of refused callers, several times the calls that will come.
+UNUSED_RATIO = 0.85
+RAISE_GROWTH = 1.6
+MAX_RAISE_FACTOR = 20.0
 
 
 class Window(NamedTuple):
@@ -44,6 +50,7 @@
         self._histogram = RankHistogram()
         self._done_per_s = 0.0
         self._busy_ratio = 0.0
+        self._raise_factor = 1.0
 
     @property
     def capacity_per_s(self) -> float:
@@ -69,16 +76,23 @@
         done_per_s = window.done / window.elapsed_s
         self._done_per_s += SMOOTHING * (done_per_s - self._done_per_s)
         self._busy_ratio += SMOOTHING * (window.busy_ratio - self._busy_ratio)
-        if self._done_per_s > 0:
+        if self.capacity_per_s > 0:
             self._follow_capacity(window)
         self.level = max(self.level, floor)
 
     def _follow_capacity(self, window: Window) -> None:
         capacity_per_s = self.capacity_per_s
         wait_s = window.queued / capacity_per_s
-        is_saturated = window.busy_ratio >= SATURATED_RATIO
-        if is_saturated and wait_s > WAIT_TARGET_S:
-            excess = (wait_s - WAIT_TARGET_S) / DRAIN_S
+        target_s = max(WAIT_TARGET_S, MIN_WAITING / capacity_per_s)
+        # Calls that wait show saturation also where a reserve keeps slots free.
+        is_late = wait_s > target_s
+        if is_late or window.busy_ratio >= SATURATED_RATIO:
+            self._raise_factor = 1.0
+        elif window.busy_ratio < UNUSED_RATIO:
+            grown = self._raise_factor * RAISE_GROWTH
+            self._raise_factor = min(MAX_RAISE_FACTOR, grown)
+        if is_late:
+            excess = (wait_s - target_s) / DRAIN_S
             ratio = max(MIN_ADMITTED_RATIO, 1 - excess)
             level = self._histogram.level_for(capacity_per_s * ratio)
             self.level = min(self.level, level)
@@ -89,6 +103,6 @@
         # Rates remembered from the overload may be too high; then the rate below
         # the level is more than really arrives, and unused slots show it.
         known = self._histogram.rate_below(self.level)
-        extra = RAISE_RATIO * unused_ratio * capacity_per_s
+        extra = RAISE_RATIO * unused_ratio * capacity_per_s * self._raise_factor
         wanted = max(capacity_per_s * ADMITTED_RATIO, known + extra)
         self.level = max(self.level, self._histogram.level_for(wanted))
--- a/tests/mesh/fakes.py
+++ b/tests/mesh/fakes.py
@@ -12,6 +12,7 @@
     Address,
     Catalog,
     LimitSettings,
+    ListenSettings,
     LogServiceSettings,
     NodeIdentity,
     NodeSettings,
@@ -30,9 +31,10 @@
 FEE = "issue-fee"
 ANY_PORT = Address("127.0.0.1", 0)
 TIMEOUT_S = 10.0
+SLOTS = 16
 
 
-def build_chain_catalog(services, *, retries=3, upstreams_each=1, slots=16):
+def build_chain_catalog(services, *, retries=3, upstreams_each=1, slots=SLOTS):
     """Return a catalog with a chain of services, an idempotent and a once class."""
     path = tuple(services)
     return Catalog(
@@ -66,6 +68,7 @@
         self.name = name
         self.runs = Counter()
         self.contexts = []
+        self.context_values = []
         self.cancelled = []
         self.egress = None
         self.next_service = None
@@ -92,7 +95,9 @@
             self.on_cancel.set()
             return Response(200)
         self.runs[request.body] += 1
-        self.contexts.append(decode_context(request.header(CONTEXT_HEADER)))
+        value = request.header(CONTEXT_HEADER)
+        self.context_values.append(value)
+        self.contexts.append(decode_context(value))
         self.started.set()
         await self.release.wait()
         if self.reply is not None:
@@ -115,16 +120,33 @@
         return Response(200, (), self.name.encode() + b">" + response.body)
 
 
-def build_node(service, upstream, target_url, catalog, membership, **limits):
-    """Return a node on ephemeral loopback ports."""
+def build_node(
+    service,
+    upstream,
+    target_url,
+    catalog,
+    membership,
+    ingress=ANY_PORT,
+    node_options=None,
+    **limits,
+):
+    """Return a node, by default on ephemeral loopback ports."""
     settings = NodeSettings(
         NodeIdentity(f"node-{upstream}", "r1", "z1"),
         TargetSettings(service, upstream, target_url),
         LogServiceSettings("http://127.0.0.1:9"),
+        ListenSettings(ingress=ingress),
         limits=LimitSettings(**limits),
     )
     rng = random.Random(upstream)
-    return Node(settings, catalog, membership, clock=SystemClock(), rng=rng)
+    return Node(
+        settings,
+        catalog,
+        membership,
+        clock=SystemClock(),
+        rng=rng,
+        **(node_options or {}),
+    )
 
 
 def candidate_of(node):
@@ -132,7 +154,7 @@
     address = node.addresses["ingress"]
     upstream = node.settings.target.upstream
     return Candidate(
-        upstream, address.host, address.port, "z1", 16, 200, node.incarnation
+        upstream, address.host, address.port, "z1", SLOTS, 200, node.incarnation
     )
 
 
@@ -162,6 +184,7 @@
                 self._target_urls.get(upstream.name, target.url),
                 self.catalog,
                 self.membership,
+                node_options=self.node_options(upstream),
                 **self._limits,
             )
             await node.start()
@@ -181,6 +204,15 @@
             )
         return self
 
+    def node_options(self, upstream):
+        """Return more arguments for the node of an upstream."""
+        return {}
+
+    @staticmethod
+    def rng(upstream):
+        """Return the source of choices of an upstream's node."""
+        return random.Random(upstream.name)
+
     async def __aexit__(self, *exception):
         self.client.close()
         for node in self.nodes.values():
--- a/tests/model/test_reading.py
+++ b/tests/model/test_reading.py
@@ -8,10 +8,12 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from model.strategies import json_values
 
 from mimosaloom_model import (
     Invalid,
     NodeSettings,
+    check_change,
     check_documents,
     read_resources,
     read_settings,
@@ -135,6 +137,7 @@
     (("limits", "queue_capacity"), 2.0, "$.limits.queue_capacity", "an integer from 1"),
     (("listen", "ingress", "port"), 65536, "$.listen.ingress.port", "from 0 to 65535"),
     (("listen", "ingress", "host"), "web", "$.listen.ingress.host", "an IP address"),
+    (("listen", "ingress", "host"), "0.0.0.0", "$.listen.ingress.host", "announced"),
     (("listen", "egress", "host"), "10.0.0.1", "$.listen.egress.host", "a loopback"),
     (("listen", "admin", "port"), 7004, "$.listen.control.port", "other than that of"),
     (("target", "url"), "http://db:1", "$.target.url", "URL with an IP address"),
@@ -150,9 +153,16 @@
 
 def test_port_of_another_host_is_no_fault(tmp_path):
     """A listener on all addresses says nothing about the ports of other hosts."""
-    changed = change(SETTINGS, ("log_service", "url"), "http://10.0.0.9:7001/log/")
+    everywhere = change(SETTINGS, ("listen", "admin", "host"), "0.0.0.0")
+    changed = change(everywhere, ("log_service", "url"), "http://10.0.0.9:7003/log/")
     read = read_settings(write(tmp_path, changed))
-    assert read.log_service.url == "http://10.0.0.9:7001/log"
+    assert read.log_service.url == "http://10.0.0.9:7003/log"
+    changed = change(everywhere, ("target", "url"), "http://127.0.0.1:7003")
+    (fault,) = read_settings(write(tmp_path, changed)).faults
+    assert "the node's own admin listener" in fault.message
+    changed = change(everywhere, ("listen", "egress", "port"), 7003)
+    (fault,) = read_settings(write(tmp_path, changed)).faults
+    assert fault.message == "expected a port other than that of egress, got 7003"
 
 
 @pytest.mark.parametrize(("keys", "value", "path", "message"), BAD_SETTINGS)
@@ -171,8 +181,13 @@
     ((0, "name"), MISSING, "[0]", 'expected the field "name"'),
     ((0, "spec"), [], "[0].spec", "expected an object, got an array"),
     ((0, "spec", "calls"), ["billing"] * 2, "[0].spec.calls", "each item once"),
-    ((1, "spec", "calls"), ["intake"], "[0].spec.calls[0]", "intake -> billing -> int"),
-    ((1, "spec", "calls"), ["billing"], "[1].spec.calls[0]", "billing -> billing"),
+    (
+        (1, "spec", "calls"),
+        ["intake"],
+        "[0].spec.calls[0]",
+        '"billing" -> "intake"',
+    ),
+    ((1, "spec", "calls"), ["billing"], "[1].spec.calls[0]", '"billing" -> "billing"'),
     ((2, "spec", "service"), "biling", "[2].spec.service", 'did you mean "billing"?'),
     ((2, "spec", "slots"), 0, "[2].spec.slots", "an integer from 1 to 100000, got 0"),
     ((2, "spec", "slots"), 1e400, "[2].spec.slots", "an integer from 1 to 100000"),
@@ -212,6 +227,19 @@
     assert message in read.faults[0].message
 
 
+def test_names_in_faults_are_escaped():
+    """Found by fuzzing: a name with a newline broke a fault into two lines."""
+    caller = change(RESOURCES, (0, "spec", "calls"), ["a\nb", "billing"])
+    resources = change(caller, (3, "spec", "path"), ["intake", "few"])
+    service = {"kind": "Service", "name": "a\nb", "spec": {"calls": ["a\nb"]}}
+    few = {"kind": "Service", "name": "few", "spec": {}}
+    faults = check_documents([*resources, service, few], "log").faults
+    messages = [fault.message for fault in faults]
+    assert 'expected calls without a cycle, got "a\\nb" -> "a\\nb"' in messages
+    assert any('calls ("a\\nb", "billing"), got "few"' in text for text in messages)
+    assert all(str(fault).isprintable() for fault in faults)
+
+
 def test_slots_must_hold_a_share_for_each_protected_class():
     """With one slot per protected class alone, all others would never run."""
     resources = change(RESOURCES, (2, "spec", "slots"), 1)
@@ -266,14 +294,16 @@
     assert fault.path == "$.spec.path[1]"
 
 
-json_values = st.recursive(
-    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
-    lambda below: (
-        st.lists(below, max_size=3)
-        | st.dictionaries(st.text(max_size=8), below, max_size=3)
-    ),
-    max_leaves=6,
-)
+def test_deletion_is_checked_for_what_it_breaks():
+    """A fault that is in force already must not keep operators from a deletion."""
+    in_force = change(RESOURCES, (0, "spec", "calls"), ["billing", "gone"])
+    assert check_change(in_force, in_force[:2] + in_force[3:]) is None
+    broken = check_change(in_force, in_force[:1] + in_force[2:])
+    assert [fault.file for fault in broken.faults] == [
+        "Service/intake in force",
+        "Upstream/billing-1 in force",
+        "RequestClass/issue-fee in force",
+    ]
 
 
 def list_places(value, keys=()):
--- a/tests/policy/test_runs.py
+++ b/tests/policy/test_runs.py
@@ -19,6 +19,7 @@
     Done,
     EpochRule,
     Join,
+    NotAccepted,
     NotRun,
     Replay,
     Run,
@@ -27,6 +28,8 @@
     Stamp,
     StampBook,
     Unknown,
+    format_stamp,
+    parse_stamp,
 )
 
 UPSTREAMS = ("a", "b")
@@ -157,7 +160,7 @@
                 node.queued[key] = attempt
             case Replay(result):
                 self.reply(key, attempt, result)
-            case Blocked():
+            case Blocked() | NotAccepted():
                 self.reply(key, attempt, "refused")
             case Unknown():
                 self.reply(key, attempt, "unknown")
@@ -248,7 +251,8 @@
     for number in range(5):
         assert table.begin(f"k{number}", "", 0.5, Stamp("i", 0), 1) == Run()
         table.finish(f"k{number}", ANSWER, 0.5)
-    assert table.begin("over", "", 0.6, Stamp("i", 0), 1) == Blocked()
+    assert table.begin("over", "", 0.6, Stamp("i", 0), 1) == NotAccepted()
+    assert table.begin("unstamped", "", 0.6) == NotAccepted()
     assert table.resolve("over", 0.6, Stamp("i", 0)) == NotRun()
     assert table.result_bytes == 8
     assert table.resolve("k4", 0.7) == Done(ANSWER)
@@ -266,3 +270,13 @@
     assert table.resolve("k", 3.0, Stamp("i", 0)) == NotRun()
     assert table.begin("k", "", 5.0, Stamp("i", 5), 3) == Blocked()
     assert table.begin("k", "", 7.0, Stamp("i", 5), 3) == Blocked()
+
+
+@pytest.mark.fuzz
+@given(st.text(max_size=50) | st.from_regex(r"[0-9a-f]{13}-[0-9a-f]{8}\.[0-9a-f]{1,9}"))
+def test_a_stamp_is_read_as_it_was_written(text):
+    """A stamp that changes on the way makes a live call look stale or too new."""
+    stamp = parse_stamp(text)
+    assert stamp is None or parse_stamp(format_stamp(stamp)) == stamp
+    own = Stamp("019a0b1c2d3e4-89abcdef", 0xFFFFFFFF)
+    assert parse_stamp(format_stamp(own)) == own
