Check that nodes put a change in force, and lead relays past links

Nodes follow the configuration now, so P8 checks the revision in the status of all of them, also in an outage. Members spread over links, which broke the placing of relays (waited 10 s in vain in P3 and P5): nodes keep the member that compares higher and look for differences by sequence, and a node takes no news of itself.

--- a/libs/mimosaloom-bench/mimosaloom_bench/scenarios/relay.py
+++ b/libs/mimosaloom-bench/mimosaloom_bench/scenarios/relay.py
@@ -6,6 +6,7 @@
 __all__ = ["Relay", "start_relay"]
 
 CHUNK_BYTES = 65_536
+PORT_TRIES = 1_000
 
 
 class Relay:
@@ -32,8 +33,17 @@
         return self._server.sockets[0].getsockname()[1]
 
     async def start(self) -> None:
-        """Listen on a free port."""
-        self._server = await asyncio.start_server(self._relay, "127.0.0.1", 0)
+        """Listen on a free port above the one that is relayed to.
+
+        Raises:
+            OSError: If no such port was found.
+        """
+        for _ in range(PORT_TRIES):
+            self._server = await asyncio.start_server(self._relay, "127.0.0.1", 0)
+            if self.port > self._target_port:
+                return
+            self._server.close()
+        raise OSError(f"no port above {self._target_port} was found")
 
     def silence(self) -> None:
         """Keep the open connections open and forward nothing on them any more."""
--- a/libs/mimosaloom-bench/mimosaloom_bench/scenarios/steps_faults.py
+++ b/libs/mimosaloom-bench/mimosaloom_bench/scenarios/steps_faults.py
@@ -13,8 +13,8 @@
 
 __all__: list[str] = []
 
-# Sorts after the ids of nodes, which are hexadecimal: of two announcements of one
-# incarnation, nodes keep the one with the higher id.
+# Of two announcements of one incarnation, nodes keep the member that compares higher;
+# the port of a relay is above that of its node.
 RELAY_RECORD_ID = "relay"
 
 
@@ -175,13 +175,17 @@
     record = next(
         item["value"]
         for item in page["records"]
-        if item["value"]["member"]["ingress_port"] == port
+        if item["value"].get("member", {}).get("ingress_port") == port
     )
-    record["id"] = RELAY_RECORD_ID
+    # Nodes that don't read the log learn of a difference by the sequence.
+    record["sequence"] += 1
+    record["id"] = f"{RELAY_RECORD_ID}/{upstream}"
     record["member"]["ingress_port"] = relay.port
     await asyncio.to_thread(post_json, stream_url, record)
-    for url in deployment.admin_urls.values():
-        await _wait_for_port(url, upstream, relay.port)
+    for name, url in deployment.admin_urls.items():
+        # The node itself takes no news of itself from others.
+        if name != upstream and deployment.nodes[name].is_running:
+            await _wait_for_port(url, upstream, relay.port)
 
 
 async def _wait_for_port(admin_url: str, upstream: str, port: int) -> None:
--- a/libs/mimosaloom-bench/mimosaloom_bench/scenarios/steps_operators.py
+++ b/libs/mimosaloom-bench/mimosaloom_bench/scenarios/steps_operators.py
@@ -10,7 +10,7 @@
 
 from ..deployment import get_json
 from .registry import check, step
-from .world import CommandResult, NotMet, World
+from .world import CommandResult, NotMet, World, wait_until
 
 __all__: list[str] = []
 
@@ -168,6 +168,36 @@
         raise NotMet(f"accepted were {ratios}, in force is {found['spec']}")
 
 
+@check("every node has that revision in force within seconds")
+async def check_everywhere(world: World) -> None:
+    """Each node that runs puts the noted revision in force; its status says so."""
+
+    def is_everywhere() -> bool:
+        return set(_read_revisions(world).values()) == {world.revision}
+
+    await wait_until(f"revision {world.revision} is in force", is_everywhere)
+    world.note(f"revision {world.revision} at {len(_read_revisions(world))} nodes")
+
+
+@check("every node still has that revision in force")
+async def check_no_way_back(world: World) -> None:
+    """No node has gone back to an earlier revision."""
+    revisions = _read_revisions(world)
+    if set(revisions.values()) != {world.revision}:
+        raise NotMet(f"in force are {revisions}, not {world.revision}")
+
+
+def _read_revisions(world: World) -> dict[str, int]:
+    """Return the revision of the allowance at each node that runs."""
+    name = "/".join(ALLOWANCE)
+    urls = world.deployment.admin_urls
+    return {
+        upstream: get_json(f"{urls[upstream]}/status")["config"]["resources"][name]
+        for upstream, node in world.deployment.nodes.items()
+        if node.is_running
+    }
+
+
 @check("the log holds the change {count:d} times at least")
 async def check_appended(world: World, count: int) -> None:
     """The lost append answer made the command append its change again."""
--- a/scenarios/p8-config.feature
+++ b/scenarios/p8-config.feature
@@ -6,6 +6,12 @@
     When two operators change the budget ratio at once
     Then one change is accepted and the other conflicts
     And the budget ratio in force is that of the accepted change
+    When operators note the revision in force
+    Then every node has that revision in force within seconds
+    When the log service goes down
+    And 30 issue-fee a second arrive for 2 s
+    And all orders have their last answer
+    Then every node still has that revision in force
 
   Scenario: two operators at once and lost append answers
     Given the water mesh runs
@@ -16,6 +22,8 @@
     And the log holds the change 2 times at least
     And no append answer is left to lose
     And the budget ratio in force is that of the accepted change
+    When operators note the revision in force
+    Then every node has that revision in force within seconds
 
   Scenario: a change during a long outage of the log does not hold, and one before does
     Given the cooperative mesh runs
@@ -30,7 +38,8 @@
     When the log service comes back
     Then the budget ratio in force is 0.15
     When operators note the revision in force
-    And the next 1 append answers are lost
+    Then every node has that revision in force within seconds
+    When the next 1 append answers are lost
     And an operator changes the budget ratio to 0.35
     Then the change is accepted
     And the budget ratio in force is 0.35
@@ -47,3 +56,5 @@
     Then the change is accepted
     And the budget ratio in force is 0.45
     And no answer is wrong
+    When operators note the revision in force
+    Then every node has that revision in force within seconds
