--- a/libs/mimosaloom-bench/mimosaloom_bench/commands.py
+++ b/libs/mimosaloom-bench/mimosaloom_bench/commands.py
@@ -4,6 +4,7 @@
 
 import typer
 
+from .decisions import show_decisions
 from .demo import show_demo
 from .latency import LoadPlan, show_latency
 from .meshes import MeshName
@@ -22,6 +23,7 @@
     bench = typer.Typer(no_args_is_help=True, help="Measure mimosaloom.")
     bench.command("overload")(overload)
     bench.command(name="latency")(_latency)
+    bench.command(name="decisions")(_decisions)
     app.add_typer(bench, name="bench")
     app.add_typer(build_scenario_app(), name="scenario")
 
@@ -59,3 +61,15 @@
     """Measure the time that mimosaloom adds to a call."""
     load = LoadPlan(rate_per_s, rounds, round_s, seed)
     raise typer.Exit(show_latency(load, is_json=json_output))
+
+
+def _decisions(
+    calls: Annotated[
+        int, typer.Option(min=1, help="Calls, or entries of the tables.")
+    ] = 20_000,
+    json_output: Annotated[
+        bool, typer.Option("--json", help="Print one JSON object as the last line.")
+    ] = False,
+) -> None:
+    """Measure the processor time and memory of each decision."""
+    show_decisions(calls, is_json=json_output)
