--- a/Makefile
+++ b/Makefile
@@ -11,15 +11,19 @@
 # The tree's own sources come before those that the environment was installed from.
 export PYTHONPATH := $(subst $(space),:,$(abspath $(LIBS)))
 
-.PHONY: help install demo test check format lint imports bench fuzz clean
+.PHONY: help install demo test check format lint imports scenarios measure capacity bench
+.PHONY: fuzz clean
 
 help:
-	@echo "make demo    overload one mesh on loopback and print what its callers saw"
-	@echo "make test    run the tests"
-	@echo "make check   format check, lint, import rules and tests, as in CI"
-	@echo "make format  rewrite the sources in the project's format"
-	@echo "make bench   run the measurements listed in docs/measurements.md"
-	@echo "make fuzz    run the property tests with many more examples"
+	@echo "make demo       overload one mesh on loopback and print what its callers saw"
+	@echo "make test       run the tests"
+	@echo "make check      format check, lint, import rules and tests, as in CI"
+	@echo "make format     rewrite the sources in the project's format"
+	@echo "make scenarios  run the scripted scenarios"
+	@echo "make bench      print latency and overload"
+	@echo "make measure    take the figures of docs/measured, on a quiet machine"
+	@echo "make capacity   write the table of docs/CAPACITY.md from docs/measured"
+	@echo "make fuzz       run the property tests with many more examples"
 
 install: $(STAMP)
 
@@ -49,6 +53,19 @@
 
 check: lint imports test
 
+scenarios: install
+	$(BIN)/mimosaloom scenario run scenarios/*.feature
+
+measure: install
+	mkdir -p docs/measured
+	$(BIN)/mimosaloom bench latency --json | tail -n 1 > docs/measured/latency.json
+	$(BIN)/mimosaloom bench control --json | tail -n 1 > docs/measured/control.json
+	$(BIN)/mimosaloom bench replay --json | tail -n 1 > docs/measured/replay.json
+	$(BIN)/mimosaloom bench decisions --json | tail -n 1 > docs/measured/decisions.json
+
+capacity: install
+	$(BIN)/python -m mimosaloom_bench.capacity docs/CAPACITY.md docs/measured
+
 bench: install
 	$(BIN)/mimosaloom bench latency
 	$(BIN)/mimosaloom bench overload
