--- a/tests/bench/test_capacity.py
+++ b/tests/bench/test_capacity.py
@@ -19,12 +19,17 @@
 }
 CONTROL = {
     "sizes": [
-        {"nodes": 80, "bytes_per_s": 1_800.0, "messages_per_s": 12.0, "cpu_ratio": 0.003}
+        {
+            "nodes": 80,
+            "bytes_per_s": 1_800.0,
+            "messages_per_s": 12.0,
+            "cpu_ratio": 0.003,
+        }
     ],
     "tables": {"member_change_us": 28.0, "settle_ms": 60.0},
     "verdicts": [
         {"figure": "bytes_per_s", "value": 1_024.0, "limit": 4_096.0, "unit": "B/s"}
-    ]
+    ],
 }
 
 
