Take out the member table that nodes no longer use

Cause: since members come over the links, directory.py had no user but its tests, and LogClient.close failed when it was called twice. Change: new_incarnation has a module of its own; the three tests of the table now hold MemberIndex, which the router uses, to the same conditions, and the announcement after an outage is tested at ControlPlane. Bad news are covered in tests/control and tests/node/test_links_membership.py. LogClient.close may be repeated.

--- a/libs/mimosaloom-bench/mimosaloom_bench/control/fleet.py
+++ b/libs/mimosaloom-bench/mimosaloom_bench/control/fleet.py
@@ -19,7 +19,7 @@
     TargetSettings,
 )
 from mimosaloom_node import ControlPlane, Self
-from mimosaloom_node.directory import new_incarnation
+from mimosaloom_node.incarnation import new_incarnation
 from mimosaloom_node.log_client import LogClient
 from mimosaloom_standins import LogOptions, LogStore, build_log_application
 
--- a/libs/mimosaloom-node/mimosaloom_node/daemon.py
+++ b/libs/mimosaloom-node/mimosaloom_node/daemon.py
@@ -24,7 +24,7 @@
 
 from .admin import Admin
 from .claims_log import LogClaims
-from .directory import new_incarnation
+from .incarnation import new_incarnation
 from .logs import log_listening
 from .membership import Membership, NodeDirectory, Self
 from .stopping import drain_data_path, wait_until_quiet
--- a/libs/mimosaloom-node/mimosaloom_node/log_client.py
+++ b/libs/mimosaloom-node/mimosaloom_node/log_client.py
@@ -194,6 +194,7 @@
         self._rng = rng
         self._sleep = sleep
         self._client = CurlAsyncHTTPClient(force_instance=True, max_clients=MAX_CLIENTS)
+        self._is_closed = False
 
     async def append(
         self, stream: str, record: dict, *, give_up_after: timedelta
@@ -270,6 +271,9 @@
 
     def close(self) -> None:
         """Close the connections; requests under way are dropped."""
+        if self._is_closed:
+            return
+        self._is_closed = True
         self._client.close()
 
     async def _append_once(self, stream: str, record: dict) -> AppendOutcome:
--- a/tests/node/test_log_client.py
+++ b/tests/node/test_log_client.py
@@ -3,12 +3,21 @@
 import time
 from datetime import timedelta
 
+import msgspec
 import pytest
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 
-from mimosaloom_model import LogServiceSettings, ManualClock
-from mimosaloom_node.directory import Directory, Member, announce_member
+from mimosaloom_control import MemberNews
+from mimosaloom_model import (
+    Address,
+    LogServiceSettings,
+    ManualClock,
+    NodeIdentity,
+    NodeSettings,
+    TargetSettings,
+)
+from mimosaloom_node.control_plane import MEMBERS_STREAM, ControlPlane
 from mimosaloom_node.log_client import (
     Appended,
     AppendUnknown,
@@ -19,6 +28,8 @@
     Unreadable,
     follow_stream,
 )
+from mimosaloom_node.member_index import MemberIndex
+from mimosaloom_node.membership import Self
 from mimosaloom_standins import LogOptions, LogStore, build_log_application
 
 pytestmark = pytest.mark.sockets
@@ -125,14 +136,25 @@
     """Guards against a target that stays unknown because it started in an outage."""
 
     async def scenario(store, client, delays):
-        member = Member(
-            "n1", "r", "billing", "b1", "d1", "127.0.0.1", 1, 2, 3, 4, 5,
-            "0123456789abc-01234567",
-        )  # fmt: skip
-        await announce_member(client, member)
-        directory = Directory()
-        page = await client.read("members", 0)
-        assert [directory.apply(record.value) for record in page.records] == [True]
-        assert [c.name for c in directory.candidates("billing")] == ["b1"]
+        settings = NodeSettings(
+            NodeIdentity("n1", "r", "d1"),
+            TargetSettings("billing", "b1", "http://127.0.0.1:9"),
+            LogServiceSettings("http://127.0.0.1:9"),
+        )
+        plane = ControlPlane(
+            settings, client, [], clock=ManualClock(), rng=random.Random(1)
+        )
+        own = Self("0123456789abc-01234567", Address("127.0.0.1", 1), Address(), 4, 5)
+        plane.open_listener()
+        await plane.join(own)
+        page = await client.read(MEMBERS_STREAM, 0)
+        while not (isinstance(page, Page) and page.records):
+            await asyncio.sleep(0)
+            page = await client.read(MEMBERS_STREAM, 0)
+        await plane.close()
+        index = MemberIndex("other", "d1")
+        news = msgspec.convert(page.records[0].value, MemberNews)
+        assert index.apply(news, 0.0)
+        assert [c.name for c in index.candidates("billing")] == ["b1"]
 
     run_with_log(scenario, is_down=True)
