--- a/libs/mimosaloom-bench/mimosaloom_bench/commands.py
+++ b/libs/mimosaloom-bench/mimosaloom_bench/commands.py
@@ -14,19 +14,29 @@
 
 __all__ = ["register"]
 
+
+def _example(arguments: str) -> str:
+    # `\b` keeps the lines of the paragraph as they are.
+    return f"\b\nExample:\n  mimosaloom {arguments}\n"
+
+
 DEFAULT_DURATION_S = 10.0
 MIN_DURATION_S = 3.0
 
 
 def register(app: typer.Typer) -> None:
     """Add the commands of this package to the command line."""
-    app.command(name="demo")(_demo)
+    app.command(name="demo", epilog=_example("demo --mesh cooperative --seed 2"))(_demo)
     bench = typer.Typer(no_args_is_help=True, help="Measure mimosaloom.")
-    bench.command("overload")(overload)
-    bench.command("control")(control)
-    bench.command("replay")(replay)
-    bench.command(name="latency")(_latency)
-    bench.command(name="decisions")(_decisions)
+    commands = {
+        "overload": (overload, "--scenario deep-slow"),
+        "control": (control, "--nodes 10 --nodes 40"),
+        "replay": (replay, "--records 20000"),
+        "latency": (_latency, "--rounds 4"),
+        "decisions": (_decisions, "--calls 5000"),
+    }
+    for name, (command, options) in commands.items():
+        bench.command(name, epilog=_example(f"bench {name} {options}"))(command)
     app.add_typer(bench, name="bench")
     app.add_typer(build_scenario_app(), name="scenario")
 
--- a/libs/mimosaloom-bench/mimosaloom_bench/scenarios/command.py
+++ b/libs/mimosaloom-bench/mimosaloom_bench/scenarios/command.py
@@ -8,12 +8,19 @@
 __all__ = ["build_scenario_app"]
 
 
+# `\b` keeps the lines of the paragraph as they are.
+RUN_EPILOG = """\b
+Example:
+  mimosaloom scenario run scenarios/p6-drain.feature
+"""
+
+
 def build_scenario_app() -> typer.Typer:
     """Return the commands on scenarios."""
     app = typer.Typer(no_args_is_help=True, help="Run scripted scenarios.")
     # Without a callback typer would make the only command that of the group.
     app.callback()(_group)
-    app.command(name="run")(_run)
+    app.command(name="run", epilog=RUN_EPILOG)(_run)
     return app
 
 
