--- a/libs/mimosaloom-node/mimosaloom_node/__main__.py
+++ b/libs/mimosaloom-node/mimosaloom_node/__main__.py
@@ -5,16 +5,14 @@
 
 from mimosaloom_model import Invalid, read_settings
 
-from .startup import EXIT_INVALID, run_node
+from .startup import report_faults, run_node
 
 
 def main() -> int:
     """Read the settings named on the command line and run the node."""
     settings = read_settings(Path(sys.argv[1]))
     if isinstance(settings, Invalid):
-        for fault in settings.faults:
-            print(f"{fault.file}: {fault.path}: {fault.message}", file=sys.stderr)
-        return EXIT_INVALID
+        return report_faults(settings)
     return run_node(settings)
 
 
--- a/libs/mimosaloom-node/mimosaloom_node/startup.py
+++ b/libs/mimosaloom-node/mimosaloom_node/startup.py
@@ -20,7 +20,7 @@
 from .log_client import LogClient
 from .logs import start_logging
 
-__all__ = ["run_node"]
+__all__ = ["report_faults", "run_node"]
 
 EXIT_OK = 0
 EXIT_INVALID = 3
@@ -40,14 +40,19 @@
     """
     documents = _read_documents(settings)
     if isinstance(documents, Invalid):
-        for fault in documents.faults:
-            print(f"{fault.file}: {fault.path}: {fault.message}", file=sys.stderr)
-        return EXIT_INVALID
+        return report_faults(documents)
     start_logging(settings.node.name)
     asyncio.run(_run(settings, documents))
     return EXIT_OK
 
 
+def report_faults(invalid: Invalid) -> int:
+    """Print each fault on a line of stderr; return the exit code for them."""
+    for fault in invalid.faults:
+        print(f"{fault.file}: {fault.path}: {fault.message}", file=sys.stderr)
+    return EXIT_INVALID
+
+
 def _read_documents(settings: NodeSettings) -> list[ResourceDocument] | Invalid:
     if not settings.resources_file:
         return []
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -6,38 +6,20 @@
 
 import pytest
 import typer
-from typer.testing import CliRunner
+from command_line import list_commands, run
 
 import mimosaloom_node
 from mimosaloom_cli import ExitCode
 from mimosaloom_cli.__main__ import main
-from mimosaloom_cli.cli.definition import build_app
 from mimosaloom_cli.exit_codes import EXIT_CODE_MEANINGS
 
 EXAMPLES = Path(__file__).parents[2] / "examples"
 NODE_SETTINGS = EXAMPLES / "water" / "node-billing-1.json"
 
 
-def run(*arguments):
-    """Run the command line in this process."""
-    return CliRunner().invoke(build_app(), [str(argument) for argument in arguments])
-
-
-def list_commands(group, above=()):
-    """Return the words of each command that this package defines."""
-    commands = []
-    for name, command in group.commands.items():
-        words = (*above, name)
-        if hasattr(command, "commands"):
-            commands += list_commands(command, words)
-        elif command.callback.__module__.startswith("mimosaloom_cli"):
-            commands.append(words)
-    return commands
-
-
 def test_every_command_shows_an_example_that_it_takes():
     """Help without an example, or with an outdated one, sends operators to the code."""
-    commands = list_commands(typer.main.get_command(build_app()))
+    commands = list_commands("mimosaloom_cli")
     assert {"node", "check"} <= {words[0] for words in commands}
     for words in commands:
         help_text = run(*words, "--help").stdout
