--- a/Makefile
+++ b/Makefile
@@ -2,8 +2,8 @@
 # VENV may name an existing environment, for example one shared by worktrees.
 
 VENV ?= .venv
-LIBS := $(wildcard libs/*)
-STAMP := $(VENV)/.installed-$(shell cat requirements.lock libs/*/pyproject.toml | cksum | cut -d' ' -f1)
+LIBS := $(wildcard libs/*) platform
+STAMP := $(VENV)/.installed-$(shell cat requirements.lock libs/*/pyproject.toml platform/pyproject.toml | cksum | cut -d' ' -f1)
 BIN := $(VENV)/bin
 
 empty :=
--- a/libs/mimosaloom-mesh/mimosaloom_mesh/headers.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/headers.py
@@ -29,6 +29,7 @@
 
 __all__ = [
     "CLASS_HEADER",
+    "CONNECTION_HEADERS",
     "KEY_HEADER",
     "OWNER_HEADER",
     "RAN_HEADER",
@@ -48,13 +49,12 @@
 RAN_HEADER = "Mimosaloom-Ran"
 STAMP_HEADER = "Mimosaloom-Stamp"
 
-# Headers that hold for one connection only, and those that each hop writes itself.
-_NOT_FORWARDED = frozenset(
+# Headers that hold for one connection only.
+CONNECTION_HEADERS = frozenset(
     {
         "connection",
         "content-length",
         "expect",
-        "host",
         "keep-alive",
         "proxy-authenticate",
         "proxy-authorization",
@@ -64,13 +64,17 @@
         "transfer-encoding",
         "upgrade",
         "x-http-reason",
-        ANSWER_HEADER.lower(),
-        CONTEXT_HEADER.lower(),
-        RAN_HEADER.lower(),
-        STAMP_HEADER.lower(),
-        TIMEOUT_HEADER.lower(),
     }
 )
+# Those, and the ones that each hop writes itself.
+_NOT_FORWARDED = CONNECTION_HEADERS | {
+    "host",
+    ANSWER_HEADER.lower(),
+    CONTEXT_HEADER.lower(),
+    RAN_HEADER.lower(),
+    STAMP_HEADER.lower(),
+    TIMEOUT_HEADER.lower(),
+}
 
 
 def read_context(value: str, max_bytes: int) -> CallContext:
--- a/libs/mimosaloom-mesh/mimosaloom_mesh/messages.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/messages.py
@@ -4,11 +4,20 @@
 
 from mimosaloom_model import Answered, Failed, Kind, Outcome, Refused
 
-__all__ = ["HopAnswer", "Request", "Response", "kind_of"]
+__all__ = ["HopAnswer", "Request", "Response", "find_header", "kind_of"]
 
 Headers = tuple[tuple[str, str], ...]
 
 
+def find_header(headers: Headers, name: str) -> str | None:
+    """Return the first value of a header, whatever the case of its name."""
+    wanted = name.lower()
+    for key, value in headers:
+        if key.lower() == wanted:
+            return value
+    return None
+
+
 class Request(NamedTuple):
     """A whole HTTP request.
 
@@ -26,11 +35,7 @@
 
     def header(self, name: str) -> str | None:
         """Return the first value of a header, whatever the case of its name."""
-        wanted = name.lower()
-        for key, value in self.headers:
-            if key.lower() == wanted:
-                return value
-        return None
+        return find_header(self.headers, name)
 
 
 class Response(NamedTuple):
@@ -48,6 +53,10 @@
     body: bytes = b""
     is_last: bool = False
 
+    def header(self, name: str) -> str | None:
+        """Return the first value of a header, whatever the case of its name."""
+        return find_header(self.headers, name)
+
 
 class HopAnswer(NamedTuple):
     """What one attempt at one hop gave.
--- a/libs/mimosaloom-model/mimosaloom_model/kinds.py
+++ b/libs/mimosaloom-model/mimosaloom_model/kinds.py
@@ -23,6 +23,11 @@
     DEPTH_EXCEEDED = "depth_exceeded"
     UNKNOWN_CLASS = "unknown_class"
     UNKNOWN_SERVICE = "unknown_service"
+    UNKNOWN_ROUTE = "unknown_route"
+    NOT_CONFIGURED = "not_configured"
+    MISDIRECTED = "misdirected"
+    TARGET_UNAVAILABLE = "target_unavailable"
+    TARGET_REJECTED = "target_rejected"
     BODY_TOO_LARGE = "body_too_large"
     KEY_CONFLICT = "key_conflict"
     OVERLOADED = "overloaded"
@@ -81,6 +86,21 @@
         400, False, Ran.NO, "The request class is not declared."
     ),
     Kind.UNKNOWN_SERVICE: Answer(404, False, Ran.NO, "The service is not declared."),
+    Kind.UNKNOWN_ROUTE: Answer(
+        404, False, Ran.NO, "No route matches the host and path."
+    ),
+    Kind.NOT_CONFIGURED: Answer(
+        503, True, Ran.NO, "The node has not received a configuration yet."
+    ),
+    Kind.MISDIRECTED: Answer(
+        503, True, Ran.NO, "Another service or upstream answers at this address."
+    ),
+    Kind.TARGET_UNAVAILABLE: Answer(
+        503, True, Ran.NO, "The target has not announced itself or can't be reached."
+    ),
+    Kind.TARGET_REJECTED: Answer(
+        503, True, Ran.NO, "The target rejected the call before it began to run."
+    ),
     Kind.BODY_TOO_LARGE: Answer(
         413, False, Ran.NO, "The request body is over the limit of the service."
     ),
--- /dev/null
+++ b/libs/mimosaloom-relay/mimosaloom_relay/__init__.py
@@ -0,0 +1,51 @@
+"""Relay of HTTP requests between nodes, each in front of one target."""
+
+from .decision_log import DecisionLog, log_to_descriptor
+from .hop_messages import HeaderNames, HopContext, HopResult
+from .http_client import Answer, HttpClient
+from .http_server import Incoming, RelayServer
+from .metrics import RelayMetrics
+from .node import Listeners, RelayNode, RelaySettings
+from .own_target import Announcement, OwnTarget, Report, TargetState
+from .peers import PeerRecord, PeerTable
+from .publisher import Publisher
+from .retry_share import RepeatBound, RepeatShare
+from .routes import (
+    Configuration,
+    Limits,
+    Route,
+    ServiceProfile,
+    ShareRotation,
+    match_route,
+)
+
+__all__ = [
+    "Announcement",
+    "Answer",
+    "Configuration",
+    "DecisionLog",
+    "HeaderNames",
+    "HopContext",
+    "HopResult",
+    "HttpClient",
+    "Incoming",
+    "Limits",
+    "Listeners",
+    "OwnTarget",
+    "PeerRecord",
+    "PeerTable",
+    "Publisher",
+    "RelayMetrics",
+    "RelayNode",
+    "RelayServer",
+    "RelaySettings",
+    "RepeatBound",
+    "RepeatShare",
+    "Report",
+    "Route",
+    "ServiceProfile",
+    "ShareRotation",
+    "TargetState",
+    "log_to_descriptor",
+    "match_route",
+]
--- /dev/null
+++ b/libs/mimosaloom-relay/mimosaloom_relay/decision_log.py
@@ -0,0 +1,114 @@
+"""JSON lines on standard output, bounded in volume, that never block the loop."""
+
+import os
+from collections import Counter
+from collections.abc import Callable
+from enum import StrEnum
+
+import msgspec
+from eliot import add_destinations, add_global_fields, log_message
+
+from mimosaloom_model import Clock
+
+__all__ = ["DecisionLog", "Importance", "log_to_descriptor"]
+
+
+class Importance(StrEnum):
+    """Which lines are dropped last."""
+
+    CHANGE = "change"
+    FAILURE = "failure"
+    SUCCESS = "success"
+
+
+# Lines a second and lines at once. Failures and changes of belief explain a complaint;
+# successes are a sample.
+_RATES_PER_S = {Importance.CHANGE: 40.0, Importance.FAILURE: 40.0}
+_RATES_PER_S[Importance.SUCCESS] = 5.0
+_BURST_S = 5.0
+# A pipe takes a line of this size whole or not at all.
+MAX_LINE_BYTES = 4096
+
+
+class _Bucket:
+    def __init__(self, rate_per_s: float, now_s: float):
+        self._rate_per_s = rate_per_s
+        self._tokens = rate_per_s * _BURST_S
+        self._at_s = now_s
+
+    def try_take(self, now_s: float) -> bool:
+        self._tokens += (now_s - self._at_s) * self._rate_per_s
+        self._tokens = min(self._tokens, self._rate_per_s * _BURST_S)
+        self._at_s = now_s
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+
+class DecisionLog:
+    """Logs decisions within a budget for each importance.
+
+    Args:
+        clock: Source of time.
+        count_dropped: Called for each line that is left out.
+    """
+
+    def __init__(self, clock: Clock, count_dropped: Callable[[str], None]):
+        self._clock = clock
+        self._count_dropped = count_dropped
+        now_s = clock.monotonic_s()
+        self._buckets = {i: _Bucket(_RATES_PER_S[i], now_s) for i in Importance}
+        self._dropped: Counter[Importance] = Counter()
+
+    def write(self, importance: Importance, message_type: str, **fields) -> None:
+        """Log a line if the budget of its importance allows it."""
+        if not self._buckets[importance].try_take(self._clock.monotonic_s()):
+            self._dropped[importance] += 1
+            self._count_dropped(importance)
+            return
+        dropped = self._dropped.pop(importance, 0)
+        if dropped:
+            # The next line that passes tells how many before it are missing.
+            fields["dropped_before"] = dropped
+        log_message(message_type=message_type, **fields)
+
+    def change(self, message_type: str, **fields) -> None:
+        """Log that the process believes something new."""
+        self.write(Importance.CHANGE, message_type, **fields)
+
+    def failure(self, message_type: str, **fields) -> None:
+        """Log a decision on a request that got no answer of a target."""
+        self.write(Importance.FAILURE, message_type, **fields)
+
+    def success(self, message_type: str, **fields) -> None:
+        """Log a decision on a request that got its answer."""
+        self.write(Importance.SUCCESS, message_type, **fields)
+
+
+def log_to_descriptor(
+    descriptor: int, count_dropped: Callable[[str], None], **fields: str
+) -> None:
+    """Send all log messages to a descriptor; drop them while nobody reads.
+
+    Args:
+        descriptor: An open file or pipe.
+        count_dropped: Called for each line that could not be written.
+        fields: Added to each message.
+    """
+    os.set_blocking(descriptor, False)
+    encode = msgspec.json.Encoder(enc_hook=str).encode
+
+    def write_line(message: dict) -> None:
+        line = encode(message) + b"\n"
+        if len(line) > MAX_LINE_BYTES:
+            count_dropped("too_long")
+            return
+        try:
+            os.write(descriptor, line)
+        except OSError:
+            # Standard output is full or closed; there is nowhere left to say so.
+            count_dropped("unwritable")
+
+    add_destinations(write_line)
+    add_global_fields(**fields)
--- /dev/null
+++ b/libs/mimosaloom-relay/mimosaloom_relay/incoming_hops.py
@@ -0,0 +1,87 @@
+"""The listener for hops and questions of other nodes."""
+
+from collections.abc import Callable
+
+import msgspec
+
+from mimosaloom_mesh.messages import Response
+from mimosaloom_model import ANSWERS, Kind
+
+from .hop_messages import (
+    HOP_HEADER,
+    HOP_RESULT_HEADER,
+    HeaderNames,
+    HopContext,
+    HopResult,
+    decode_header,
+    encode_header,
+)
+from .http_client import Answer
+from .http_server import Incoming
+from .origin import build_refusal
+from .peers import PeerRecord
+from .target_side import TargetSide
+
+__all__ = ["CONFIGURATION_PATH", "SELF_PATH", "IncomingHops"]
+
+SELF_PATH = "/.mimosaloom/self"
+CONFIGURATION_PATH = "/.mimosaloom/configuration"
+
+
+class IncomingHops:
+    """Answers other nodes.
+
+    Args:
+        names: Header names that callers use.
+        target_side: The own target.
+        own_record: Returns what this node publishes of itself.
+        own_version: Returns the number of the configuration in force; 0 for none.
+        own_document: Returns that configuration as published.
+        on_version_heard: Called with a newer version and the address that has it.
+    """
+
+    def __init__(
+        self,
+        names: HeaderNames,
+        target_side: TargetSide,
+        *,
+        own_record: Callable[[], PeerRecord],
+        own_version: Callable[[], int],
+        own_document: Callable[[], bytes],
+        on_version_heard: Callable[[int, str], None],
+    ):
+        self._names = names
+        self._target_side = target_side
+        self._own_record = own_record
+        self._own_version = own_version
+        self._own_document = own_document
+        self._on_version_heard = on_version_heard
+
+    async def handle(self, incoming: Incoming) -> Answer:
+        """Answer a hop or a question."""
+        request = incoming.request
+        if request.path == SELF_PATH:
+            return Answer(Response(200, (), msgspec.json.encode(self._own_record())))
+        if request.path == CONFIGURATION_PATH:
+            document = self._own_document()
+            return Answer(Response(200 if document else 404, (), document))
+        context = decode_header(request.header(HOP_HEADER), HopContext)
+        if context is None:
+            return Answer(build_refusal(self._names, Kind.BAD_REQUEST, ""))
+        if context.version > self._own_version():
+            self._on_version_heard(context.version, context.origin)
+        reply = await self._target_side.run(context, incoming)
+        result = msgspec.structs.replace(reply.result, version=self._own_version())
+        return self._build_answer(context, reply.answer, result)
+
+    def _build_answer(
+        self, context: HopContext, answer: Answer | None, result: HopResult
+    ) -> Answer:
+        note = (HOP_RESULT_HEADER, encode_header(result))
+        if answer is not None:
+            response = answer.response
+            headers = (*response.headers, note)
+            return answer._replace(response=response._replace(headers=headers))
+        kind = Kind(result.kind)
+        headers = ((self._names.request_id, context.request_id), note)
+        return Answer(Response(ANSWERS[kind].http_status, headers))
--- /dev/null
+++ b/libs/mimosaloom-relay/mimosaloom_relay/metrics.py
@@ -0,0 +1,60 @@
+"""Metrics of a node on the platform, for Prometheus."""
+
+from prometheus_client import CollectorRegistry, Counter, Histogram
+
+from mimosaloom_mesh import MeshMetrics
+
+__all__ = ["RelayMetrics"]
+
+# Upper bounds in seconds, around the aims and timeouts that operators declare.
+LATENCY_BUCKETS_S = (0.01, 0.03, 0.1, 0.2, 0.3, 0.5, 0.75, 1.0, 1.5, 2.0, 3.0, 5.0)
+
+
+class RelayMetrics(MeshMetrics):
+    """Counters, gauges and histograms of one node."""
+
+    def __init__(self, registry: CollectorRegistry | None = None):
+        super().__init__(registry)
+        self._outcomes = Counter(
+            "mimosaloom_requests",
+            "Requests that began here, by class and outcome",
+            ["request_class", "outcome"],
+            registry=self.registry,
+        )
+        self._latency = Histogram(
+            "mimosaloom_request_seconds",
+            "Time to the answer of requests that began here",
+            ["request_class", "outcome"],
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+        self._dropped = self._counter("log_lines_dropped", "Lines left out", "reason")
+        self._ignored = self._counter(
+            "ignored_messages", "Messages that could not be used", "source"
+        )
+        self._connections = self._counter(
+            "connections_opened", "Connections opened by this node", "peer"
+        )
+        self.version = self._gauge("configuration_version", "Version in force")
+        self.peers = self._gauge("known_nodes", "Nodes that are known")
+        self.store_lost = self._gauge(
+            "store_unreachable_readers", "Loops that can't read the store now"
+        )
+        self.ready = self._gauge("ready", "Whether the node takes clients")
+
+    def count_outcome(self, request_class: str, outcome: str, elapsed_s: float) -> None:
+        """Count a request and the time to its answer."""
+        self._outcomes.labels(request_class, outcome).inc()
+        self._latency.labels(request_class, outcome).observe(elapsed_s)
+
+    def count_dropped_line(self, reason: str) -> None:
+        """Count a log line that was left out."""
+        self._dropped.labels(reason).inc()
+
+    def count_ignored(self, source: str) -> None:
+        """Count a message that could not be used."""
+        self._ignored.labels(source).inc()
+
+    def count_connection(self, peer: str) -> None:
+        """Count a connection that was opened to a kind of peer."""
+        self._connections.labels(peer).inc()
--- /dev/null
+++ b/libs/mimosaloom-relay/mimosaloom_relay/node.py
@@ -0,0 +1,410 @@
+"""A node on the platform: its listeners, its parts and its life cycle."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import NamedTuple
+
+import msgspec
+
+from mimosaloom_mesh.messages import Request, Response
+from mimosaloom_mesh.transport import Broken
+from mimosaloom_model import Address, Clock, Kind
+from mimosaloom_policy import Candidate
+
+from .decision_log import DecisionLog
+from .hop_messages import HeaderNames
+from .http_client import Answer, HttpClient
+from .http_server import Handler, Incoming, RelayServer
+from .incoming_hops import CONFIGURATION_PATH, SELF_PATH, IncomingHops
+from .metrics import RelayMetrics
+from .origin import Origin, build_refusal
+from .own_target import Announcement, OwnTarget, Report
+from .peers import PeerRecord, decode_record, encode_record
+from .retry_share import RepeatBound
+from .routes import Configuration
+from .target_side import TargetSide
+from .upstreams import Upstreams
+
+__all__ = ["Listeners", "RelayNode", "RelaySettings"]
+
+METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+METRICS_PATH = "/metrics"
+# Clients leave after two missed questions a second apart; until then they may still
+# send, and each request that is on its way gets its answer.
+MIN_STOP_S = 2.4
+# Hops are still taken this long, since other nodes hear of the stop with a delay.
+HANDOVER_S = 1.0
+# Before the platform kills the process.
+STOP_MARGIN_S = 0.6
+POLL_S = 0.05
+PROBE_FIRST_S = 0.2
+PROBE_LONGEST_S = 2.0
+PROBE_TIMEOUT_S = 0.5
+FETCH_TIMEOUT_S = 1.0
+
+
+class Listeners(NamedTuple):
+    """Addresses of a node.
+
+    Attributes:
+        outbound: Takes requests that begin on this instance.
+        inbound: Takes hops of other nodes.
+        ready: Answers whether clients may be sent here.
+        announcements: Takes what the own target says of itself.
+        metrics: Serves metrics.
+    """
+
+    outbound: Address
+    inbound: Address
+    ready: Address
+    announcements: Address
+    metrics: Address
+
+
+class RelaySettings(NamedTuple):
+    """Settings of a node on the platform.
+
+    Attributes:
+        name: Name of the node.
+        failure_domain: Where it runs.
+        service: Service of its target.
+        target: Where the target listens.
+        listen: Addresses of the node.
+        repeat_bound: Bound on repeated sends over all nodes.
+        grace_s: Time between the signal to stop and the kill.
+    """
+
+    name: str
+    failure_domain: str
+    service: str
+    target: Address
+    listen: Listeners
+    repeat_bound: RepeatBound
+    grace_s: float
+
+
+class RelayNode:
+    """One node.
+
+    Args:
+        settings: Settings of the node.
+        names: Header names that callers and targets use.
+        incarnation: Unique for this process.
+        read_configuration: Reads a published configuration; None if it is not valid.
+        answer_announcement: Answers the own target.
+        clock: Source of time.
+        rng: Source of ids and of choices.
+        metrics: Counts outcomes.
+    """
+
+    def __init__(
+        self,
+        settings: RelaySettings,
+        names: HeaderNames,
+        incarnation: str,
+        read_configuration: Callable[[bytes], Configuration | None],
+        *,
+        clock: Clock,
+        rng: random.Random,
+        metrics: RelayMetrics,
+    ):
+        self.settings = settings
+        self.incarnation = incarnation
+        self.is_stopping = False
+        self.publish: Callable[[bytes | None], None] = lambda record: None
+        self.addresses: Listeners = settings.listen
+        self.metrics = metrics
+        self.log = DecisionLog(clock, metrics.count_dropped_line)
+        self._names = names
+        self._read_configuration = read_configuration
+        self._clock = clock
+        self._tasks: set[asyncio.Task] = set()
+        self._probed: set[str] = set()
+        self._fetching = 0
+        self._published: bytes | None = None
+        self.own_target = OwnTarget(settings.service, settings.target)
+        target_client = HttpClient(clock, lambda: metrics.count_connection("target"))
+        self._hop_client = HttpClient(clock, lambda: metrics.count_connection("node"))
+        self.target_side = TargetSide(
+            self.own_target,
+            incarnation,
+            names,
+            target_client,
+            clock=clock,
+            log=self.log,
+            metrics=metrics,
+        )
+        self.target_side.on_unreachable = self._publish_self
+        self.upstreams = Upstreams(
+            settings.name,
+            settings.failure_domain,
+            settings.service,
+            clock=clock,
+            rng=rng,
+        )
+        self.origin = Origin(
+            settings.name,
+            settings.service,
+            lambda: f"{self.addresses.inbound.host}:{self.addresses.inbound.port}",
+            names,
+            self.upstreams,
+            self.target_side,
+            self._hop_client,
+            settings.repeat_bound,
+            clock=clock,
+            log=self.log,
+            metrics=metrics,
+        )
+        self.origin.on_version_heard = lambda version, candidate: self._fetch_soon(
+            version, Address(candidate.host, candidate.port)
+        )
+        self.origin.on_peer_lost = self._lose_peer
+        self._hops = IncomingHops(
+            names,
+            self.target_side,
+            own_record=self._build_record,
+            own_version=lambda: self.version,
+            own_document=self._own_document,
+            on_version_heard=self._hear_version,
+        )
+        self._servers: dict[str, RelayServer] = {}
+
+    @property
+    def version(self) -> int:
+        """Number of the configuration in force; 0 for none."""
+        configuration = self.origin.configuration
+        return 0 if configuration is None else configuration.version
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether clients may be sent here."""
+        return self.origin.configuration is not None and not self.is_stopping
+
+    def start(self, answer_announcement: Handler) -> None:
+        """Open the listeners."""
+        handlers = {
+            "outbound": self.origin.handle,
+            "inbound": self._hops.handle,
+            "ready": self._answer_ready,
+            "announcements": answer_announcement,
+            "metrics": self._answer_metrics,
+        }
+        opened = {}
+        for name, handle in handlers.items():
+            server = RelayServer(handle, self._answer_crash)
+            self._servers[name] = server
+            opened[name] = server.listen(getattr(self.settings.listen, name))
+        self.addresses = Listeners(**opened)
+        self.metrics.ready.set_function(lambda: self.is_ready)
+        self.metrics.version.set_function(lambda: self.version)
+        self.metrics.peers.set_function(lambda: len(self.upstreams.peers))
+        self.log.change(
+            "started",
+            incarnation=self.incarnation,
+            **{name: f"{a.host}:{a.port}" for name, a in opened.items()},
+        )
+
+    def put_configuration(self, document: bytes, source: str) -> None:
+        """Take in a published configuration; it is in force if it is newer."""
+        configuration = self._read_configuration(document)
+        if configuration is None:
+            self.metrics.count_ignored("configuration")
+            self.log.change("configuration_ignored", source=source, bytes=len(document))
+            return
+        if configuration.version <= self.version:
+            return
+        old_version = self.version
+        self.origin.put_in_force(configuration)
+        self.log.change(
+            "configuration_in_force",
+            version=configuration.version,
+            old_version=old_version,
+            source=source,
+            routes=sum(len(routes) for routes in configuration.routes.values()),
+        )
+
+    def put_record(self, name: str, value: bytes | None) -> None:
+        """Take in what a node has published; None if it has left."""
+        if name == self.settings.name:
+            if value != self._published:
+                # A late write of an earlier incarnation has replaced the own record.
+                self.publish(self._published)
+            return
+        if value is None:
+            if self.upstreams.remove(name):
+                self.log.change("peer_left", peer=name)
+            return
+        record = decode_record(value)
+        if record is None or record.name != name:
+            self.metrics.count_ignored("record")
+            self.log.change("record_ignored", peer=name, bytes=len(value))
+            return
+        if self.upstreams.put(record):
+            self.log.change(
+                "peer_heard",
+                peer=name,
+                incarnation=record.incarnation,
+                target_id=record.target_id,
+                is_available=record.is_available,
+            )
+
+    def report(self, heard: Announcement) -> Report:
+        """Take in a heartbeat of the own target."""
+        report = self.own_target.report(heard)
+        if report is Report.NEW:
+            self.target_side.open_gate(heard.slots)
+        if report in (Report.NEW, Report.CHANGED):
+            self._publish_self()
+        if report is not Report.UNCHANGED:
+            self.log.change(
+                "target_reported",
+                report=report.value,
+                target_id=heard.target_id,
+                born_ms=heard.born_ms,
+                sequence=heard.sequence,
+                state=heard.state.value,
+                cold_left_s=heard.cold_left_s,
+            )
+        return report
+
+    def report_left(self, target_id: str) -> bool:
+        """Take in that the own target is gone; False if it is another one."""
+        is_own = self.own_target.leave(target_id)
+        if is_own:
+            self._publish_self()
+        self.log.change("target_left", target_id=target_id, is_own=is_own)
+        return is_own
+
+    async def stop(self) -> None:
+        """Stop without cutting a request: take less and less, then end."""
+        start_s = self._clock.monotonic_s()
+        self.is_stopping = True
+        self.log.change("stopping", in_flight=self._count_open())
+        self._publish_self()
+        for server in self._servers.values():
+            server.announce_close()
+        while True:
+            await asyncio.sleep(POLL_S)
+            elapsed_s = self._clock.monotonic_s() - start_s
+            if elapsed_s > HANDOVER_S:
+                self.target_side.is_stopping = True
+            is_quiet = elapsed_s > MIN_STOP_S and not self._count_open()
+            if is_quiet or elapsed_s > self.settings.grace_s - STOP_MARGIN_S:
+                break
+        for server in self._servers.values():
+            server.stop_accepting()
+        self.log.change("stopped", in_flight=self._count_open())
+
+    async def close(self) -> None:
+        """End at once and close all connections."""
+        for task in self._tasks:
+            task.cancel()
+        self.target_side.close()
+        for server in self._servers.values():
+            await server.close()
+
+    def _count_open(self) -> int:
+        """Return the requests that still run on either side."""
+        tasks = sum(len(self._servers[name].tasks) for name in ("outbound", "inbound"))
+        return tasks + len(self.target_side.sendings)
+
+    def _build_record(self) -> PeerRecord:
+        announcement = self.own_target.announcement
+        inbound = self.addresses.inbound
+        return PeerRecord(
+            name=self.settings.name,
+            host=inbound.host,
+            port=inbound.port,
+            failure_domain=self.settings.failure_domain,
+            service=self.settings.service,
+            incarnation=self.incarnation,
+            target_id=self.own_target.target_id,
+            slots=announcement.slots if announcement else 0,
+            is_available=self.own_target.is_available and not self.is_stopping,
+        )
+
+    def _publish_self(self) -> None:
+        record = self._build_record()
+        self.upstreams.put(record)
+        self._published = None if self.is_stopping else encode_record(record)
+        self.publish(self._published)
+
+    def _own_document(self) -> bytes:
+        configuration = self.origin.configuration
+        return b"" if configuration is None else configuration.document
+
+    def _hear_version(self, version: int, origin: str) -> None:
+        host, _, port = origin.rpartition(":")
+        if host and port.isdecimal():
+            self._fetch_soon(version, Address(host, int(port)))
+
+    def _fetch_soon(self, version: int, address: Address) -> None:
+        """Ask a node for a newer configuration, once for each version."""
+        if version > max(self.version, self._fetching):
+            self._fetching = version
+            self._spawn(self._fetch_configuration(address))
+
+    async def _fetch_configuration(self, address: Address) -> None:
+        answer = await self._ask(address, CONFIGURATION_PATH, FETCH_TIMEOUT_S)
+        if answer is not None and answer.status == 200:
+            self.put_configuration(answer.body, f"node {address.host}:{address.port}")
+        self._fetching = 0
+
+    def _lose_peer(self, candidate: Candidate) -> None:
+        if not self.upstreams.mark_unreachable(candidate.name):
+            return
+        self.log.change("peer_unreachable", peer=candidate.name)
+        if candidate.name not in self._probed:
+            self._probed.add(candidate.name)
+            self._spawn(self._probe_until_reached(candidate.name))
+
+    async def _probe_until_reached(self, name: str) -> None:
+        delay_s = PROBE_FIRST_S
+        try:
+            while self.upstreams.peers.is_unreachable(name):
+                await asyncio.sleep(delay_s)
+                delay_s = min(PROBE_LONGEST_S, 2 * delay_s)
+                record = self.upstreams.peers.get(name)
+                if record is None:
+                    return
+                answer = await self._ask(record.address, SELF_PATH, PROBE_TIMEOUT_S)
+                if answer is not None and answer.status == 200:
+                    self.put_record(name, answer.body)
+                    self.upstreams.mark_reachable(name)
+                    self.log.change("peer_reachable", peer=name)
+                    return
+        finally:
+            self._probed.discard(name)
+
+    async def _ask(
+        self, address: Address, path: str, timeout_s: float
+    ) -> Response | None:
+        try:
+            async with asyncio.timeout(timeout_s):
+                outcome = await self._hop_client.send(
+                    address, Request("GET", path), must_not_repeat=True
+                )
+        except TimeoutError:
+            return None
+        return None if isinstance(outcome, Broken) else outcome.response
+
+    def _spawn(self, coroutine) -> None:
+        task = asyncio.ensure_future(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _answer_ready(self, incoming: Incoming) -> Answer:
+        status = 200 if self.is_ready else 503
+        body = msgspec.json.encode({"version": self.version})
+        return Answer(Response(status, (), body))
+
+    async def _answer_metrics(self, incoming: Incoming) -> Answer:
+        if incoming.request.path != METRICS_PATH:
+            return Answer(build_refusal(self._names, Kind.BAD_REQUEST, ""))
+        body = self.metrics.render()
+        return Answer(Response(200, (("Content-Type", METRICS_TYPE),), body))
+
+    def _answer_crash(self) -> Response:
+        self.metrics.count_refusal(Kind.INTERNAL)
+        return build_refusal(self._names, Kind.INTERNAL, "")
--- /dev/null
+++ b/libs/mimosaloom-relay/mimosaloom_relay/peers.py
@@ -0,0 +1,131 @@
+"""Nodes that are known, and the upstreams that they stand for."""
+
+import msgspec
+
+from mimosaloom_model import Address
+from mimosaloom_policy import Candidate
+
+__all__ = ["PeerRecord", "PeerTable", "decode_record", "encode_record"]
+
+
+class PeerRecord(msgspec.Struct, frozen=True):
+    """What a node publishes about itself and its target.
+
+    Attributes:
+        name: Name of the node.
+        host: IP address of its listener for hops.
+        port: Port of that listener.
+        failure_domain: Failure domain of the instance.
+        service: Service of its target.
+        incarnation: Incarnation of the node.
+        target_id: Id of its target; empty if none has announced itself.
+        slots: Calls that the target runs at once.
+        is_available: Whether the target takes new calls.
+    """
+
+    name: str
+    host: str
+    port: int
+    failure_domain: str
+    service: str
+    incarnation: str
+    target_id: str
+    slots: int
+    is_available: bool
+
+    @property
+    def address(self) -> Address:
+        """Where the node takes hops."""
+        return Address(self.host, self.port)
+
+
+def encode_record(record: PeerRecord) -> bytes:
+    """Return the published form of a record."""
+    return msgspec.json.encode(record)
+
+
+def decode_record(value: bytes) -> PeerRecord | None:
+    """Return the record in its published form; None if it is not valid."""
+    try:
+        return msgspec.json.decode(value, type=PeerRecord)
+    except (msgspec.MsgspecError, UnicodeError):
+        return None
+
+
+class PeerTable:
+    """All nodes heard of, the own one included.
+
+    Args:
+        max_connections: Default for services without a profile.
+    """
+
+    def __init__(self, max_connections: int = 256):
+        self._records: dict[str, PeerRecord] = {}
+        self._unreachable: set[str] = set()
+        self._max_connections = max_connections
+
+    def __len__(self) -> int:
+        """Return the number of nodes."""
+        return len(self._records)
+
+    @property
+    def services(self) -> set[str]:
+        """Services of all known upstreams."""
+        return {record.service for record in self._records.values()}
+
+    def get(self, name: str) -> PeerRecord | None:
+        """Return the record of a node; None if it is not known."""
+        return self._records.get(name)
+
+    def records(self) -> list[PeerRecord]:
+        """Return the records of all nodes."""
+        return list(self._records.values())
+
+    def put(self, record: PeerRecord) -> set[str]:
+        """Take in a record; return the services whose upstreams may have changed."""
+        known = self._records.get(record.name)
+        if known == record:
+            return set()
+        self._records[record.name] = record
+        if known is None or known.incarnation != record.incarnation:
+            self._unreachable.discard(record.name)
+        return {record.service} | ({known.service} if known else set())
+
+    def remove(self, name: str) -> set[str]:
+        """Forget a node; return the services whose upstreams have changed."""
+        known = self._records.pop(name, None)
+        self._unreachable.discard(name)
+        return {known.service} if known else set()
+
+    def mark_unreachable(self, name: str) -> bool:
+        """Leave a node out of the candidates; False if it is not known or out."""
+        if name not in self._records or name in self._unreachable:
+            return False
+        self._unreachable.add(name)
+        return True
+
+    def mark_reachable(self, name: str) -> None:
+        """Take a node into the candidates again."""
+        self._unreachable.discard(name)
+
+    def is_unreachable(self, name: str) -> bool:
+        """Whether a node is left out because it can't be reached."""
+        return name in self._unreachable
+
+    def candidates(self, service: str, max_connections: int = 0) -> list[Candidate]:
+        """Return the upstreams of a service that take new calls."""
+        return [
+            Candidate(
+                record.name,
+                record.host,
+                record.port,
+                record.failure_domain,
+                record.slots,
+                max_connections or self._max_connections,
+                record.incarnation,
+            )
+            for record in self._records.values()
+            if record.service == service
+            and record.is_available
+            and record.name not in self._unreachable
+        ]
--- /dev/null
+++ b/libs/mimosaloom-relay/mimosaloom_relay/publisher.py
@@ -0,0 +1,58 @@
+"""Publishes what a node says of itself, until the store has taken it."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from .decision_log import DecisionLog
+
+__all__ = ["Publisher"]
+
+Publish = Callable[[bytes | None], Awaitable[bool]]
+
+
+class Publisher:
+    """Writes the newest record of a node; older ones that wait are dropped.
+
+    Args:
+        publish: Writes a record, or removes it if None; False if it has to be repeated.
+        next_delay_s: Returns the delay before a repeat.
+        reset_delay: Called after a success.
+        log: Takes lost and regained access to the store.
+    """
+
+    def __init__(
+        self,
+        publish: Publish,
+        next_delay_s: Callable[[], float],
+        reset_delay: Callable[[], None],
+        log: DecisionLog,
+    ):
+        self._publish = publish
+        self._next_delay_s = next_delay_s
+        self._reset_delay = reset_delay
+        self._log = log
+        self._wanted: bytes | None = None
+        self._has_wanted = asyncio.Event()
+
+    def put(self, record: bytes | None) -> None:
+        """Have a record written as soon as the store takes it."""
+        self._wanted = record
+        self._has_wanted.set()
+
+    async def run(self) -> None:
+        """Write records until cancelled."""
+        is_failing = False
+        while True:
+            await self._has_wanted.wait()
+            self._has_wanted.clear()
+            if await self._publish(self._wanted):
+                self._reset_delay()
+                if is_failing:
+                    self._log.change("record_published_again")
+                is_failing = False
+                continue
+            if not is_failing:
+                self._log.change("record_not_published")
+            is_failing = True
+            self._has_wanted.set()
+            await asyncio.sleep(self._next_delay_s())
--- /dev/null
+++ b/libs/mimosaloom-relay/mimosaloom_relay/routes.py
@@ -0,0 +1,126 @@
+"""Configuration in force: routes by host and path, services and limits."""
+
+from typing import NamedTuple
+
+from mimosaloom_model import RequestClass
+
+__all__ = [
+    "Configuration",
+    "Limits",
+    "Route",
+    "ServiceProfile",
+    "ShareRotation",
+    "match_route",
+]
+
+
+class ServiceProfile(NamedTuple):
+    """A service as its operator declares it.
+
+    Attributes:
+        name: Name of the service.
+        health_path: Path of the health check of its targets.
+        max_connections: Connections that one target accepts.
+    """
+
+    name: str
+    health_path: str
+    max_connections: int
+
+
+class Route(NamedTuple):
+    """Where requests of one host and path prefix go, and how.
+
+    Attributes:
+        host: Host in lower case, without port.
+        path_prefix: Prefix of the path; begins and ends with a slash.
+        request_class: Class of the requests; its timeout is that of the route.
+        shares: Services with the weight of each.
+        max_targets: Targets to which one request may be sent.
+        objective_s: Time within which an answer is of full use.
+    """
+
+    host: str
+    path_prefix: str
+    request_class: RequestClass
+    shares: tuple[tuple[str, int], ...]
+    max_targets: int
+    objective_s: float
+
+
+class Limits(NamedTuple):
+    """What clients may send.
+
+    Attributes:
+        max_body_bytes: Largest body.
+        idle_timeout_s: How long a connection may stay idle.
+    """
+
+    max_body_bytes: int = 64 * 1024 * 1024
+    idle_timeout_s: float = 60.0
+
+
+class Configuration(NamedTuple):
+    """One version of the configuration.
+
+    Attributes:
+        version: Number of the version; higher is newer.
+        routes: Routes by host, those with the longest prefix first.
+        services: Services by name.
+        limits: What clients may send.
+        document: The configuration as published, for nodes that missed it.
+    """
+
+    version: int
+    routes: dict[str, tuple[Route, ...]]
+    services: dict[str, ServiceProfile]
+    limits: Limits
+    document: bytes
+
+
+def match_route(configuration: Configuration, host: str, path: str) -> Route | None:
+    """Return the route with the longest prefix of the path; None if none matches.
+
+    Args:
+        configuration: The configuration in force.
+        host: Value of the Host header.
+        path: Path with the query.
+    """
+    name = host.rpartition(":")[0] if host.rpartition(":")[2].isdecimal() else host
+    bare_path = path.partition("?")[0]
+    for route in configuration.routes.get(name.lower(), ()):
+        if bare_path.startswith(route.path_prefix):
+            return route
+    return None
+
+
+class ShareRotation:
+    """Spreads the requests of a route over its services by their weights.
+
+    Smooth weighted round-robin keeps the shares exact over any few requests, also
+    under overload: a request that does not fit its service is refused, not moved.
+    """
+
+    def __init__(self):
+        self._credits: dict[tuple, list[float]] = {}
+
+    def pick(self, route: Route) -> str:
+        """Return the service for the next request of a route."""
+        if len(route.shares) == 1:
+            return route.shares[0][0]
+        key = (route.request_class.name, route.shares)
+        credits = self._credits.setdefault(key, [0.0] * len(route.shares))
+        for index, (_, weight) in enumerate(route.shares):
+            credits[index] += weight
+        best = max(range(len(credits)), key=credits.__getitem__)
+        credits[best] -= sum(weight for _, weight in route.shares)
+        return route.shares[best][0]
+
+    def forget_old(self, configuration: Configuration) -> None:
+        """Drop the state of routes that are no longer in force."""
+        current = {
+            (route.request_class.name, route.shares)
+            for routes in configuration.routes.values()
+            for route in routes
+        }
+        self._credits = {k: v for k, v in self._credits.items() if k in current}
--- /dev/null
+++ b/libs/mimosaloom-relay/mimosaloom_relay/target_side.py
@@ -0,0 +1,357 @@
+"""The target's side of a hop: admission beside the target, and the call to it."""
+
+import asyncio
+import math
+from typing import NamedTuple
+
+from tornado.httputil import HTTPHeaders
+
+from mimosaloom_mesh import AdmissionGate
+from mimosaloom_mesh.messages import Request, Response
+from mimosaloom_mesh.transport import Broken
+from mimosaloom_model import ANSWERS, Clock, Kind, Ran
+from mimosaloom_policy import (
+    PRIORITY_COUNT,
+    Admission,
+    Arrival,
+    Refuse,
+    rank_request,
+)
+
+from .decision_log import DecisionLog
+from .hop_messages import (
+    HOP_HEADER,
+    HeaderNames,
+    HopContext,
+    HopResult,
+    forwarded_headers,
+)
+from .http_client import Answer, HttpClient
+from .http_server import Incoming
+from .metrics import RelayMetrics
+from .own_target import OwnTarget
+
+__all__ = ["HopReply", "TargetSide"]
+
+# Share of the declared slots that is used. Targets slow down when nearly full.
+USED_SLOTS_RATIO = 0.94
+# The target answers at the deadline itself; its answer is waited for this long.
+DEADLINE_SLACK_S = 0.05
+RETRY_AFTER_S = 0.5
+CALL_SEPARATOR = "."
+# Statuses by which a target promises that it has not run a request; without its own
+# sign for that they are not passed on as a promise.
+_PROMISES = frozenset({408, 421, 429, 503})
+
+
+class HopReply(NamedTuple):
+    """What one attempt gave.
+
+    Attributes:
+        answer: The target's own answer; None if there is none.
+        result: What the node beside the target says of the attempt.
+    """
+
+    answer: Answer | None
+    result: HopResult
+
+
+class TargetSide:
+    """Runs requests on the own target.
+
+    Args:
+        own_target: What is known of the target.
+        incarnation: Incarnation of this process.
+        names: Header names that the target uses.
+        client: Sends requests to the target.
+        clock: Source of time.
+        log: Takes decisions.
+        metrics: Counts outcomes.
+    """
+
+    def __init__(
+        self,
+        own_target: OwnTarget,
+        incarnation: str,
+        names: HeaderNames,
+        client: HttpClient,
+        *,
+        clock: Clock,
+        log: DecisionLog,
+        metrics: RelayMetrics,
+    ):
+        self.own_target = own_target
+        self.incarnation = incarnation
+        self.is_stopping = False
+        self.on_unreachable = lambda: None
+        self._names = names
+        self._client = client
+        self._clock = clock
+        self._log = log
+        self._metrics = metrics
+        self._gate: AdmissionGate | None = None
+        self._ticks: asyncio.Task | None = None
+        self._sendings: set[asyncio.Task] = set()
+        self._running: dict[str, HopContext] = {}
+        # The target must see only the values that this side sets.
+        self._replaced = frozenset(
+            {
+                names.timeout_ms.lower(),
+                names.expected_target.lower(),
+                names.caller_service.lower(),
+                HOP_HEADER.lower(),
+            }
+        )
+
+    @property
+    def sendings(self) -> set[asyncio.Task]:
+        """Requests that run on the target."""
+        return self._sendings
+
+    def find_parent(self, request_id: str) -> HopContext | None:
+        """Return the request on the own target that makes a call; None if none does.
+
+        A target extends the id of the request that it works on for each call.
+        """
+        return self._running.get(request_id.rpartition(CALL_SEPARATOR)[0])
+
+    def open_gate(self, slots: int) -> None:
+        """Begin with a fresh admission for a target that has just started."""
+        used = max(1, math.floor(slots * USED_SLOTS_RATIO))
+        admission = Admission(used, self._clock.monotonic_s())
+        self._gate = AdmissionGate(admission, self._clock, self._metrics)
+        if self._ticks is not None:
+            self._ticks.cancel()
+        self._ticks = asyncio.ensure_future(self._gate.run_ticks())
+
+    def close(self) -> None:
+        """Stop the timer of the admission."""
+        if self._ticks is not None:
+            self._ticks.cancel()
+
+    async def run(self, context: HopContext, incoming: Incoming) -> HopReply:
+        """Run one attempt on the own target.
+
+        Cancelling the awaiting task takes a waiting request out of the queue. A
+        running one is cancelled only if it may run more than once.
+        """
+        refusal = self._check(context)
+        if refusal is not None:
+            return self._refuse(context, refusal)
+        gate = self._gate
+        now_s = self._clock.monotonic_s()
+        deadline_s = now_s + context.remaining_ms / 1000
+        key = f"{context.request_id}/{context.attempt}"
+        decision = await gate.enter(_build_arrival(key, context, deadline_s))
+        if isinstance(decision, Refuse):
+            kind, after_s = decision.kind, decision.retry_after_s
+            return self._refuse(context, kind, retry_after_s=after_s)
+        refusal = self._check(context)
+        if refusal is not None or gate is not self._gate:
+            gate.leave(key, is_success=False)
+            return self._refuse(context, refusal or Kind.TARGET_UNAVAILABLE)
+        sending = asyncio.ensure_future(
+            self._send_and_leave(gate, key, context, incoming, deadline_s)
+        )
+        self._sendings.add(sending)
+        sending.add_done_callback(self._sendings.discard)
+        try:
+            return await asyncio.shield(sending)
+        except asyncio.CancelledError:
+            if context.is_idempotent:
+                sending.cancel()
+            raise
+
+    def _check(self, context: HopContext) -> Kind | None:
+        own = self.own_target
+        if context.service != own.service:
+            return Kind.MISDIRECTED
+        if self.is_stopping or own.is_leaving:
+            return Kind.DRAINING
+        if not own.is_available or self._gate is None:
+            return Kind.TARGET_UNAVAILABLE
+        return None
+
+    def _refuse(
+        self, context: HopContext, kind: Kind, detail: str = "", *, retry_after_s=0.0
+    ) -> HopReply:
+        self._metrics.count_refusal(kind)
+        gate = self._gate
+        self._log.failure(
+            "hop_refused",
+            request_id=context.request_id,
+            attempt=context.attempt,
+            route=context.route,
+            kind=kind.value,
+            detail=detail,
+            origin=context.origin,
+            priority=context.priority,
+            remaining_ms=context.remaining_ms,
+            in_flight=gate.admission.in_flight if gate else 0,
+            queued=gate.admission.queued if gate else 0,
+            limit=gate.admission.limit if gate else 0,
+            level=gate.admission.level if gate else 0.0,
+        )
+        return HopReply(None, self._result(context, kind, detail, retry_after_s))
+
+    def _result(
+        self,
+        context: HopContext,
+        kind: Kind | None = None,
+        detail: str = "",
+        retry_after_s: float = 0.0,
+        *,
+        was_sent: bool = False,
+    ) -> HopResult:
+        level, load = 1.0, 0.0
+        if self._gate is not None:
+            admission = self._gate.admission
+            level = admission.level
+            load = (admission.in_flight + admission.queued) / admission.limit
+        return HopResult(
+            kind="" if kind is None else kind.value,
+            detail=detail,
+            retry_after_s=retry_after_s,
+            was_sent=was_sent,
+            incarnation=self.incarnation,
+            level=level,
+            load=load,
+            is_draining=self.is_stopping or self.own_target.is_leaving,
+        )
+
+    async def _send_and_leave(
+        self,
+        gate: AdmissionGate,
+        key: str,
+        context: HopContext,
+        incoming: Incoming,
+        deadline_s: float,
+    ) -> HopReply:
+        is_success = False
+        self._running[context.request_id] = context
+        try:
+            reply = await self._send(context, incoming, deadline_s)
+            is_success = reply.answer is not None
+            return reply
+        finally:
+            del self._running[context.request_id]
+            gate.leave(key, is_success=is_success)
+
+    async def _send(
+        self, context: HopContext, incoming: Incoming, deadline_s: float
+    ) -> HopReply:
+        start_s = self._clock.monotonic_s()
+        left_s = deadline_s - start_s
+        request = self._build_request(context, incoming.request, left_s)
+        address = self.own_target.address
+        try:
+            async with asyncio.timeout(max(0.0, left_s) + DEADLINE_SLACK_S):
+                outcome = await self._client.send(
+                    address,
+                    request,
+                    incoming.rest,
+                    must_not_repeat=not context.is_idempotent,
+                    is_own=lambda headers: self._is_own(headers, context.request_id),
+                )
+        except TimeoutError:
+            # The connection may have gone silent, and then the idle ones as well.
+            self._client.drop_idle(address)
+            outcome = Broken(Kind.DEADLINE_EXCEEDED, f"no answer in {left_s:.3f} s")
+        if isinstance(outcome, Broken):
+            return self._read_broken(context, outcome, start_s)
+        return self._read_answer(context, outcome, start_s)
+
+    def _build_request(
+        self, context: HopContext, received: Request, left_s: float
+    ) -> Request:
+        headers = (
+            *forwarded_headers(received.headers, without=self._replaced),
+            (self._names.timeout_ms, str(max(1, int(1000 * left_s)))),
+            (self._names.expected_target, self.own_target.target_id),
+            (self._names.caller_service, context.caller_service),
+        )
+        return received._replace(headers=headers)
+
+    def _is_own(self, headers: HTTPHeaders, request_id: str) -> bool:
+        return headers.get(self._names.request_id, request_id) == request_id
+
+    def _read_broken(
+        self, context: HopContext, broken: Broken, start_s: float
+    ) -> HopReply:
+        was_sent = ANSWERS[broken.kind].ran is not Ran.NO
+        if broken.kind is Kind.CONNECT_FAILED and self.own_target.mark_unreachable():
+            self._log.change("target_unreachable", detail=broken.detail)
+            self.on_unreachable()
+        self._metrics.count_refusal(broken.kind)
+        self._log_attempt(context, start_s, broken.kind.value, broken.detail)
+        result = self._result(context, broken.kind, broken.detail, was_sent=was_sent)
+        return HopReply(None, result)
+
+    def _read_answer(
+        self, context: HopContext, answer: Answer, start_s: float
+    ) -> HopReply:
+        response = answer.response
+        problem = self._find_problem(response)
+        if problem is None:
+            self._metrics.count_answer(context.service)
+            self._log.success(
+                "target_answered",
+                request_id=context.request_id,
+                attempt=context.attempt,
+                route=context.route,
+                status=response.status,
+                elapsed_ms=self._elapsed_ms(start_s),
+            )
+            return HopReply(answer, self._result(context, was_sent=True))
+        if answer.rest is not None:
+            answer.rest.abort()
+        kind, detail = problem
+        self._metrics.count_refusal(kind)
+        self._log_attempt(context, start_s, kind.value, detail)
+        after_s = RETRY_AFTER_S if kind is Kind.TARGET_REJECTED else 0.0
+        result = self._result(context, kind, detail, after_s, was_sent=True)
+        return HopReply(None, result)
+
+    def _find_problem(self, response: Response) -> tuple[Kind, str] | None:
+        """Return why an answer is not passed on as it is; None if it is."""
+        is_signed = response.header(self._names.signature) is not None
+        was_rejected = response.header(self._names.not_executed) is not None
+        if was_rejected or response.status == 421:
+            return Kind.TARGET_REJECTED, f"the target rejected with {response.status}"
+        if response.status in _PROMISES:
+            return Kind.TARGET_FAILED, f"status {response.status} without a promise"
+        if response.status < 300 and not is_signed:
+            return Kind.ANSWER_MISMATCH, "a success without the target's signature"
+        return None
+
+    def _log_attempt(
+        self, context: HopContext, start_s: float, kind: str, detail: str
+    ) -> None:
+        self._log.failure(
+            "target_gave_no_answer",
+            request_id=context.request_id,
+            attempt=context.attempt,
+            route=context.route,
+            kind=kind,
+            detail=detail,
+            origin=context.origin,
+            target_id=self.own_target.target_id,
+            remaining_ms=context.remaining_ms,
+            elapsed_ms=self._elapsed_ms(start_s),
+        )
+
+    def _elapsed_ms(self, start_s: float) -> int:
+        return round(1000 * (self._clock.monotonic_s() - start_s))
+
+
+def _build_arrival(key: str, context: HopContext, deadline_s: float) -> Arrival:
+    priority = min(context.priority, PRIORITY_COUNT - 1)
+    return Arrival(
+        call_key=key,
+        class_name=context.route,
+        priority=priority,
+        is_protected=priority == 0,
+        rank=rank_request(context.root_id, priority),
+        deadline_s=deadline_s,
+        depth=context.depth,
+    )
--- /dev/null
+++ b/libs/mimosaloom-relay/mimosaloom_relay/upstreams.py
@@ -0,0 +1,86 @@
+"""Upstreams of each service as this node sees them, and the choice among them."""
+
+import random
+
+from mimosaloom_model import Clock
+from mimosaloom_policy import Candidate, LevelTable, Router
+
+from .peers import PeerRecord, PeerTable
+
+__all__ = ["Upstreams"]
+
+
+class Upstreams:
+    """Keeps one router for each service in step with the known nodes.
+
+    Args:
+        own_name: Name of this node.
+        own_domain: Failure domain of this node.
+        own_service: Service of the own target.
+        clock: Source of time.
+        rng: Chooses among upstreams.
+    """
+
+    def __init__(
+        self,
+        own_name: str,
+        own_domain: str,
+        own_service: str,
+        *,
+        clock: Clock,
+        rng: random.Random,
+    ):
+        self.peers = PeerTable()
+        self.levels = LevelTable(rng, own_service)
+        self._own_name = own_name
+        self._own_domain = own_domain
+        self._clock = clock
+        self.rng = rng
+        self._routers: dict[str, Router] = {}
+
+    def router(self, service: str) -> Router:
+        """Return the router of a service."""
+        router = self._routers.get(service)
+        if router is None:
+            router = Router(service, self._own_name, self._own_domain, self.rng)
+            self._routers[service] = router
+            self._refresh(service)
+        return router
+
+    def put(self, record: PeerRecord) -> bool:
+        """Take in what a node publishes; False if it is known already."""
+        return self._refresh_all(self.peers.put(record))
+
+    def remove(self, name: str) -> bool:
+        """Forget a node; False if it was not known."""
+        return self._refresh_all(self.peers.remove(name))
+
+    def mark_unreachable(self, name: str) -> bool:
+        """Leave a node out until it is reached again; False if it is out already."""
+        record = self.peers.get(name)
+        if record is None or not self.peers.mark_unreachable(name):
+            return False
+        return self._refresh_all({record.service})
+
+    def mark_reachable(self, name: str) -> None:
+        """Take a node in again."""
+        record = self.peers.get(name)
+        self.peers.mark_reachable(name)
+        if record is not None:
+            self._refresh_all({record.service})
+
+    def pick(self, service: str, exclude: frozenset[str]) -> Candidate | None:
+        """Return the upstream for an attempt; None if there is none to try."""
+        return self.router(service).pick(self._clock.monotonic_s(), exclude)
+
+    def _refresh_all(self, services: set[str]) -> bool:
+        for service in services:
+            if service in self._routers:
+                self._refresh(service)
+        return bool(services)
+
+    def _refresh(self, service: str) -> None:
+        candidates = self.peers.candidates(service)
+        names = frozenset(candidate.name for candidate in candidates)
+        self._routers[service].set_candidates(candidates, self._clock.monotonic_s())
+        self.levels.keep_upstreams(service, names)
--- /dev/null
+++ b/tests/platform_adapter/cluster.py
@@ -0,0 +1,185 @@
+"""A few nodes with their targets and one store, in this process, on loopback."""
+
+import asyncio
+import contextlib
+import random
+
+import msgspec
+from platform_adapter.standins import FakeStore, FakeTarget, build_document
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+
+from mimosaloom_mesh.messages import Request, Response
+from mimosaloom_model import Address, SystemClock
+from mimosaloom_node.log_client import Backoff
+from mimosaloom_platform.announcements import build_announcement_handler
+from mimosaloom_platform.configuration import decode_configuration
+from mimosaloom_platform.headers import HEADER_NAMES
+from mimosaloom_platform.program import connect_store
+from mimosaloom_platform.store import StoreClient
+from mimosaloom_relay import (
+    HttpClient,
+    Listeners,
+    RelayMetrics,
+    RelayNode,
+    RelaySettings,
+    RepeatBound,
+)
+
+ANY_PORT = Address("127.0.0.1", 0)
+SETTLE_S = 5.0
+
+
+class Member:
+    """A node with the target beside it."""
+
+    def __init__(self, node: RelayNode, target: FakeTarget, client: HttpClient):
+        self.node = node
+        self.target = target
+        self.sequence = 0
+        self._client = client
+
+    def knows_all(self, members: dict[str, "Member"]) -> bool:
+        """Whether this node knows the targets of all nodes as available."""
+        peers = self.node.upstreams.peers
+        records = [peers.get(name) for name in members]
+        return all(record is not None and record.is_available for record in records)
+
+    async def announce(self, state: str = "ready", **more) -> Response:
+        """Send a heartbeat of the target."""
+        self.sequence += 1
+        settings = self.node.settings
+        body = {
+            "address": f"{settings.target.host}:{settings.target.port}",
+            "info": {"service": settings.service, "zone": "z", "slots": 8},
+            "status": {"state": state, "seq": self.sequence, "coldLeftMs": 0},
+            **more,
+        }
+        path = f"/-/instances/{self.target.target_id}"
+        return await self.call(
+            self.node.addresses.announcements, "PUT", path, msgspec.json.encode(body)
+        )
+
+    async def leave(self) -> Response:
+        """Tell that the target is gone."""
+        path = f"/-/instances/{self.target.target_id}"
+        return await self.call(self.node.addresses.announcements, "DELETE", path)
+
+    async def ask(self, path: str, request_id: str = "id-1", **options) -> Response:
+        """Send a request as a client of this instance."""
+        headers = options.pop("headers", ())
+        headers = (
+            ("Host", options.pop("host", "h.example")),
+            ("Mimosaloom-Attempt-Id", request_id),
+            ("Mimosaloom-Timeout-Ms", str(options.pop("timeout_ms", 3000))),
+            *headers,
+        )
+        method = options.pop("method", "GET")
+        body = options.pop("body", b"")
+        address = self.node.addresses.outbound
+        return await self.call(address, method, path, body, headers)
+
+    async def call(self, address, method, path, body=b"", headers=()) -> Response:
+        """Send a request to an address of the node."""
+        outcome = await self._client.send(
+            address, Request(method, path, headers, body), must_not_repeat=True
+        )
+        if outcome.rest is None:
+            return outcome.response
+        whole = b"".join([piece async for piece in outcome.rest.pieces()])
+        assert outcome.rest.is_complete
+        return outcome.response._replace(body=whole)
+
+
+class Cluster:
+    """Nodes by name, and what they share."""
+
+    def __init__(self):
+        self.store = FakeStore()
+        self.store_url = ""
+        self.members: dict[str, Member] = {}
+        self.client = HttpClient(SystemClock(), lambda: None)
+        self.tasks: list[asyncio.Task] = []
+
+    async def add(self, name: str, service: str, **options) -> Member:
+        """Start a node and its target; the target has not announced itself."""
+        target = FakeTarget(options.get("target_id", f"i-{name}"))
+        port = await target.listen()
+        settings = RelaySettings(
+            name=name,
+            failure_domain="z",
+            service=service,
+            target=Address("127.0.0.1", port),
+            listen=Listeners(ANY_PORT, ANY_PORT, ANY_PORT, ANY_PORT, ANY_PORT),
+            repeat_bound=RepeatBound(0.2, options.get("base", 50.0), 10.0),
+            grace_s=options.get("grace_s", 1.0),
+        )
+        rng = random.Random(len(self.members))
+        node = RelayNode(
+            settings,
+            HEADER_NAMES,
+            f"{name}-{len(self.members)}",
+            decode_configuration,
+            clock=SystemClock(),
+            rng=rng,
+            metrics=RelayMetrics(),
+        )
+        store = StoreClient(self.store_url)
+        backoff = lambda: Backoff(rng, base_s=0.01, cap_s=0.05)  # noqa: E731
+        self.tasks += connect_store(node, store, backoff)
+        handler = build_announcement_handler(
+            node.report, node.report_left, node.metrics.count_ignored
+        )
+        node.start(handler)
+        member = self.members[name] = Member(node, target, self.client)
+        return member
+
+    async def configure(self, version: int, routes: list[dict]) -> None:
+        """Publish a configuration and wait until all nodes have it in force."""
+        services = sorted({m.node.settings.service for m in self.members.values()})
+        document = build_document(version, routes, services)
+        self.store.put("keyed.op", "config", document)
+        for member in self.members.values():
+            await until(lambda m=member: m.node.version >= version)
+
+    async def announce_all(self) -> None:
+        """Announce all targets and wait until all nodes know them."""
+        for member in self.members.values():
+            await member.announce()
+        for member in self.members.values():
+            await until(lambda m=member: m.knows_all(self.members))
+
+    async def close(self) -> None:
+        """End all nodes."""
+        for task in self.tasks:
+            task.cancel()
+        for member in self.members.values():
+            await member.node.close()
+            member.target.close()
+
+
+async def until(condition) -> None:
+    """Wait until a condition holds."""
+    async with asyncio.timeout(SETTLE_S):
+        while not condition():
+            await asyncio.sleep(0.005)
+
+
+def run_cluster(scenario) -> None:
+    """Run a coroutine function with an empty cluster."""
+
+    async def run() -> None:
+        cluster = Cluster()
+        server = HTTPServer(cluster.store.build_application())
+        sockets = bind_sockets(0, "127.0.0.1")
+        server.add_sockets(sockets)
+        cluster.store_url = f"http://127.0.0.1:{sockets[0].getsockname()[1]}"
+        try:
+            await scenario(cluster)
+        finally:
+            await cluster.close()
+            server.stop()
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(server.close_all_connections(), 1)
+
+    asyncio.run(run())
--- a/tests/test_workspace.py
+++ b/tests/test_workspace.py
@@ -5,6 +5,7 @@
 import pytest
 
 PACKAGES = ["model", "policy", "control", "mesh", "node", "cli", "standins", "bench"]
+PACKAGES += ["relay", "platform"]
 
 
 @pytest.mark.parametrize("name", PACKAGES)
