Prefer the own failure domain while there is room, and learn nodes from peers

Change: the router takes a load below which near upstreams are preferred; nodes give each other their records; a node whose record is missing 2 s after the store can be read is dropped. TCP_NODELAY is left alone (two system calls a message). Tests: 11 on control over real sockets.

--- a/libs/mimosaloom-policy/mimosaloom_policy/routing.py
+++ b/libs/mimosaloom-policy/mimosaloom_policy/routing.py
@@ -24,6 +24,8 @@
 RAMP_START_RATIO = 0.4
 HINT_MAX_AGE_S = 3.0
 HINT_COST = 0.2
+# One failure among the last few calls; an upstream with more of them has no room.
+MAX_NEAR_TROUBLE = 0.3
 
 
 class Candidate(NamedTuple):
@@ -69,10 +71,19 @@
         own_name: Name of the caller's node, for the choice of a subset.
         own_domain: Failure domain of the caller.
         rng: Chooses the two candidates that are compared.
+        room_ratio: Reported load below which an upstream of the own failure domain is
+            preferred to all others; 0 for no such preference. Traffic between failure
+            domains costs more than it gains while there is room in the own one.
     """
 
     def __init__(
-        self, service: str, own_name: str, own_domain: str, rng: random.Random
+        self,
+        service: str,
+        own_name: str,
+        own_domain: str,
+        rng: random.Random,
+        *,
+        room_ratio: float = 0.0,
     ):
         self.service = service
         self._own_name = own_name
@@ -82,6 +93,7 @@
         self._names: list[str] = []
         self._stats: dict[str, _Stats] = {}
         self._connections = CONNECTIONS_PER_UPSTREAM
+        self._room_ratio = room_ratio
 
     @property
     def connections_per_upstream(self) -> int:
@@ -133,6 +145,8 @@
         names = self._names
         if exclude:
             names = [name for name in names if name not in exclude]
+        if self._room_ratio:
+            names = [name for name in names if self._has_room(name, now_s)] or names
         if not names:
             return None
         if len(names) == 1:
@@ -192,6 +206,18 @@
             cost *= 1 + HINT_COST * stats.load_ratio
         return cost / self._ramp(stats, now_s)
 
+    def _has_room(self, name: str, now_s: float) -> bool:
+        """Tell whether an upstream is near and neither busy nor failing."""
+        if self._candidates[name].failure_domain != self._own_domain:
+            return False
+        stats = self._stats[name]
+        is_fresh = now_s - stats.load_at_s < HINT_MAX_AGE_S
+        load_ratio = stats.load_ratio if is_fresh else 0.0
+        return (
+            load_ratio < self._room_ratio
+            and self._trouble(stats, now_s) < MAX_NEAR_TROUBLE
+        )
+
     def _choose_names(self, usable: list[Candidate], callers: int) -> list[str]:
         if not usable:
             return []
--- a/libs/mimosaloom-relay/mimosaloom_relay/hop_messages.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/hop_messages.py
@@ -88,7 +88,7 @@
         incarnation: Incarnation of the node.
         version: Configuration in force at the node.
         level: Admission level for the class of the request.
-        load: Calls that run or wait, as a share of the limit.
+        load: Calls that run or wait, as a share of the slots.
         is_draining: Whether the target is leaving.
     """
 
--- a/libs/mimosaloom-relay/mimosaloom_relay/http_client.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/http_client.py
@@ -71,6 +71,12 @@
         """Whether bytes arrived that no request asked for."""
         return self._read_buffer_size > 0
 
+    def set_nodelay(self, value: bool) -> None:
+        """Leave the option as `keep_alive_socket` sets it.
+
+        Tornado switches it twice in each message, which costs two system calls.
+        """
+
     @property
     def sent_bytes(self) -> int:
         """Bytes handed to the system since the connection was opened."""
--- a/libs/mimosaloom-relay/mimosaloom_relay/http_server.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/http_server.py
@@ -59,7 +59,7 @@
         self.answer_crash = answer_crash
         self.is_closing = False
         self.tasks: set[asyncio.Task] = set()
-        self._server = HTTPServer(
+        self._server = _Server(
             _ConnectionDelegate(self),
             max_body_size=MAX_BODY_BYTES,
             max_header_size=MAX_HEADER_BYTES,
@@ -89,6 +89,14 @@
         await self._server.close_all_connections()
 
 
+class _Server(HTTPServer):
+    def handle_stream(self, stream, address):
+        # Tornado switches the option twice in each message; accepted connections
+        # have it from the listening socket.
+        stream.set_nodelay = lambda value: None
+        super().handle_stream(stream, address)
+
+
 class _ConnectionDelegate(HTTPServerConnectionDelegate):
     def __init__(self, server: RelayServer):
         self._server = server
--- a/libs/mimosaloom-relay/mimosaloom_relay/incoming_hops.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/incoming_hops.py
@@ -22,10 +22,11 @@
 from .peers import PeerRecord
 from .target_side import TargetSide
 
-__all__ = ["CONFIGURATION_PATH", "SELF_PATH", "IncomingHops"]
+__all__ = ["CONFIGURATION_PATH", "NODES_PATH", "SELF_PATH", "IncomingHops"]
 
 SELF_PATH = "/.mimosaloom/self"
 CONFIGURATION_PATH = "/.mimosaloom/configuration"
+NODES_PATH = "/.mimosaloom/nodes"
 
 
 class IncomingHops:
@@ -35,6 +36,7 @@
         names: Header names that callers use.
         target_side: The own target.
         own_record: Returns what this node publishes of itself.
+        records: Returns what this node knows of all nodes.
         own_version: Returns the number of the configuration in force; 0 for none.
         own_document: Returns that configuration as published.
         on_version_heard: Called with a newer version and the address that has it.
@@ -46,6 +48,7 @@
         target_side: TargetSide,
         *,
         own_record: Callable[[], PeerRecord],
+        records: Callable[[], list[PeerRecord]],
         own_version: Callable[[], int],
         own_document: Callable[[], bytes],
         on_version_heard: Callable[[int, str], None],
@@ -53,6 +56,7 @@
         self._names = names
         self._target_side = target_side
         self._own_record = own_record
+        self._records = records
         self._own_version = own_version
         self._own_document = own_document
         self._on_version_heard = on_version_heard
@@ -62,6 +66,8 @@
         request = incoming.request
         if request.path == SELF_PATH:
             return Answer(Response(200, (), msgspec.json.encode(self._own_record())))
+        if request.path == NODES_PATH:
+            return Answer(Response(200, (), msgspec.json.encode(self._records())))
         if request.path == CONFIGURATION_PATH:
             document = self._own_document()
             return Answer(Response(200 if document else 404, (), document))
--- a/libs/mimosaloom-relay/mimosaloom_relay/node.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/node.py
@@ -16,11 +16,16 @@
 from .hop_messages import HeaderNames
 from .http_client import Answer, HttpClient
 from .http_server import Handler, Incoming, RelayServer
-from .incoming_hops import CONFIGURATION_PATH, SELF_PATH, IncomingHops
+from .incoming_hops import (
+    CONFIGURATION_PATH,
+    NODES_PATH,
+    SELF_PATH,
+    IncomingHops,
+)
 from .metrics import RelayMetrics
 from .origin import Origin, build_refusal
 from .own_target import Announcement, OwnTarget, Report
-from .peers import PeerRecord, decode_record, encode_record
+from .peers import PeerRecord, decode_record, decode_records, encode_record
 from .retry_share import RepeatBound
 from .routes import Configuration
 from .target_side import TargetSide
@@ -42,6 +47,8 @@
 PROBE_LONGEST_S = 2.0
 PROBE_TIMEOUT_S = 0.5
 FETCH_TIMEOUT_S = 1.0
+# A node whose record is still missing this long after the store can be read is gone.
+MISSING_GRACE_S = 2.0
 
 
 class Listeners(NamedTuple):
@@ -123,6 +130,7 @@
         self._probed: set[str] = set()
         self._fetching = 0
         self._published: bytes | None = None
+        self._missing: set[str] = set()
         self.own_target = OwnTarget(settings.service, settings.target)
         target_client = HttpClient(clock, lambda: metrics.count_connection("target"))
         self._hop_client = HttpClient(clock, lambda: metrics.count_connection("node"))
@@ -164,6 +172,7 @@
             names,
             self.target_side,
             own_record=self._build_record,
+            records=self.upstreams.peers.records,
             own_version=lambda: self.version,
             own_document=self._own_document,
             on_version_heard=self._hear_version,
@@ -226,6 +235,7 @@
 
     def put_record(self, name: str, value: bytes | None) -> None:
         """Take in what a node has published; None if it has left."""
+        self._missing.discard(name)
         if name == self.settings.name:
             if value != self._published:
                 # A late write of an earlier incarnation has replaced the own record.
@@ -249,6 +259,14 @@
                 is_available=record.is_available,
             )
 
+    def put_record_names(self, names: set[str]) -> None:
+        """Take in the names of all published records; others are gone soon."""
+        known = {record.name for record in self.upstreams.peers.records()}
+        missing = known - names - {self.settings.name}
+        self._missing |= missing
+        if missing:
+            self._spawn(self._drop_missing(missing))
+
     def report(self, heard: Announcement) -> Report:
         """Take in a heartbeat of the own target."""
         report = self.own_target.report(heard)
@@ -350,6 +368,23 @@
         if answer is not None and answer.status == 200:
             self.put_configuration(answer.body, f"node {address.host}:{address.port}")
         self._fetching = 0
+        if len(self.upstreams.peers) < 2:
+            # Only a node that can't read the store knows no other node.
+            await self._fetch_nodes(address)
+
+    async def _fetch_nodes(self, address: Address) -> None:
+        answer = await self._ask(address, NODES_PATH, FETCH_TIMEOUT_S)
+        if answer is None or answer.status != 200:
+            return
+        for record in decode_records(answer.body):
+            if self.upstreams.peers.get(record.name) is None:
+                self.put_record(record.name, encode_record(record))
+
+    async def _drop_missing(self, names: set[str]) -> None:
+        await asyncio.sleep(MISSING_GRACE_S)
+        for name in names & self._missing:
+            self._missing.discard(name)
+            self.put_record(name, None)
 
     def _lose_peer(self, candidate: Candidate) -> None:
         if not self.upstreams.mark_unreachable(candidate.name):
--- a/libs/mimosaloom-relay/mimosaloom_relay/peers.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/peers.py
@@ -5,7 +5,13 @@
 from mimosaloom_model import Address
 from mimosaloom_policy import Candidate
 
-__all__ = ["PeerRecord", "PeerTable", "decode_record", "encode_record"]
+__all__ = [
+    "PeerRecord",
+    "PeerTable",
+    "decode_record",
+    "decode_records",
+    "encode_record",
+]
 
 
 class PeerRecord(msgspec.Struct, frozen=True):
@@ -52,6 +58,14 @@
         return None
 
 
+def decode_records(value: bytes) -> list[PeerRecord]:
+    """Return the records in a list of them; none if it is not valid."""
+    try:
+        return msgspec.json.decode(value, type=list[PeerRecord])
+    except (msgspec.MsgspecError, UnicodeError):
+        return []
+
+
 class PeerTable:
     """All nodes heard of, the own one included.
 
--- a/libs/mimosaloom-relay/mimosaloom_relay/target_side.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/target_side.py
@@ -90,6 +90,7 @@
         self._log = log
         self._metrics = metrics
         self._gate: AdmissionGate | None = None
+        self._used_slots = 1
         self._ticks: asyncio.Task | None = None
         self._sendings: set[asyncio.Task] = set()
         self._running: dict[str, HopContext] = {}
@@ -117,8 +118,8 @@
 
     def open_gate(self, slots: int) -> None:
         """Begin with a fresh admission for a target that has just started."""
-        used = max(1, math.floor(slots * USED_SLOTS_RATIO))
-        admission = Admission(used, self._clock.monotonic_s())
+        self._used_slots = max(1, math.floor(slots * USED_SLOTS_RATIO))
+        admission = Admission(self._used_slots, self._clock.monotonic_s())
         self._gate = AdmissionGate(admission, self._clock, self._metrics)
         if self._ticks is not None:
             self._ticks.cancel()
@@ -207,7 +208,7 @@
         if self._gate is not None:
             admission = self._gate.admission
             level = admission.level
-            load = (admission.in_flight + admission.queued) / admission.limit
+            load = (admission.in_flight + admission.queued) / self._used_slots
         return HopResult(
             kind="" if kind is None else kind.value,
             detail=detail,
--- a/libs/mimosaloom-relay/mimosaloom_relay/upstreams.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/upstreams.py
@@ -9,6 +9,10 @@
 
 __all__ = ["Upstreams"]
 
+# Load up to which the own failure domain is preferred. Above it, calls begin to wait
+# where the load of all callers swings by a third.
+ROOM_RATIO = 0.7
+
 
 class Upstreams:
     """Keeps one router for each service in step with the known nodes.
@@ -42,7 +46,13 @@
         """Return the router of a service."""
         router = self._routers.get(service)
         if router is None:
-            router = Router(service, self._own_name, self._own_domain, self.rng)
+            router = Router(
+                service,
+                self._own_name,
+                self._own_domain,
+                self.rng,
+                room_ratio=ROOM_RATIO,
+            )
             self._routers[service] = router
             self._refresh(service)
         return router
--- a/tests/platform_adapter/cluster.py
+++ b/tests/platform_adapter/cluster.py
@@ -136,8 +136,9 @@
 
     async def configure(self, version: int, routes: list[dict]) -> None:
         """Publish a configuration and wait until all nodes have it in force."""
-        services = sorted({m.node.settings.service for m in self.members.values()})
-        document = build_document(version, routes, services)
+        services = {m.node.settings.service for m in self.members.values()}
+        services |= {route["service"] for route in routes if "service" in route}
+        document = build_document(version, routes, sorted(services))
         self.store.put("keyed.op", "config", document)
         for member in self.members.values():
             await until(lambda m=member: m.node.version >= version)
--- /dev/null
+++ b/tests/platform_adapter/test_control.py
@@ -0,0 +1,214 @@
+"""Configuration, announcements and membership over real sockets."""
+
+import asyncio
+
+import pytest
+
+from platform_adapter.cluster import run_cluster, until
+from platform_adapter.standins import build_document
+
+pytestmark = pytest.mark.sockets
+
+FRONT_ROUTE = {"pathPrefix": "/f/", "service": "front"}
+
+
+def test_configuration_never_goes_back():
+    """Guards against an older or invalid version that replaces a newer one."""
+
+    async def scenario(cluster):
+        front = await cluster.add("front-1", "front")
+        await cluster.configure(7, [FRONT_ROUTE])
+        bad = [
+            build_document(3, [{"pathPrefix": "/old/", "service": "front"}], ["front"]),
+            build_document(9, [{"pathPrefix": "/x/", "service": "none"}], ["front"]),
+            build_document(9, [{"pathPrefix": "/x", "service": "front"}], ["front"]),
+            b"not json",
+            b"",
+        ]
+        for document in bad:
+            cluster.store.put("keyed.op", "config", document)
+        cluster.store.put("keyed.op", "other", build_document(11, [], ["front"]))
+        await cluster.configure(12, [FRONT_ROUTE])
+        assert front.node.version == 12
+
+    run_cluster(scenario)
+
+
+def test_dropped_history_is_read_anew():
+    """Guards against a node that misses a version because its history is gone."""
+
+    async def scenario(cluster):
+        front = await cluster.add("front-1", "front")
+        await cluster.configure(1, [FRONT_ROUTE])
+        cluster.store.is_down = True
+        cluster.store.put("keyed.op", "config", b"x")
+        await until(lambda: front.node.metrics.store_lost._value.get() == 2)
+        document = build_document(2, [FRONT_ROUTE], ["front"])
+        cluster.store.put("keyed.op", "config", document)
+        cluster.store.drop_history("keyed.op")
+        cluster.store.is_down = False
+        await until(lambda: front.node.version == 2)
+
+    run_cluster(scenario)
+
+
+def test_newer_version_spreads_with_requests_while_the_store_is_away():
+    """Guards against nodes that miss a change because the store turns them away."""
+
+    async def scenario(cluster):
+        front = await cluster.add("front-1", "front")
+        back = await cluster.add("back-1", "back")
+        await cluster.configure(1, [{"pathPrefix": "/b/", "service": "back"}])
+        await cluster.announce_all()
+        cluster.store.is_down = True
+        routes = [{"pathPrefix": "/b/", "service": "back"}, FRONT_ROUTE]
+        document = build_document(2, routes, ["back", "front"])
+        back.node.put_configuration(document, "store")
+        assert (await front.ask("/b/x")).status == 200
+        await until(lambda: front.node.version == 2)
+
+    run_cluster(scenario)
+
+
+def test_node_that_starts_while_the_store_is_away_learns_from_its_peers():
+    """Guards against a restarted node that serves nobody until the store is back."""
+
+    async def scenario(cluster):
+        front = await cluster.add("front-1", "front")
+        await cluster.configure(1, [{"pathPrefix": "/b/", "service": "back"}])
+        await front.announce()
+        cluster.store.is_down = True
+        late = await cluster.add("back-1", "back")
+        await late.announce()
+        front.node.put_record("back-1", late.node._published)
+        assert (await front.ask("/b/x")).status == 200
+        await until(lambda: late.node.version == 1)
+        await until(lambda: late.node.upstreams.peers.get("front-1") is not None)
+
+    run_cluster(scenario)
+
+
+def test_lost_answer_of_an_append_is_repeated():
+    """Guards against a target that stays unknown because one answer was lost."""
+
+    async def scenario(cluster):
+        front = await cluster.add("front-1", "front")
+        cluster.store.loses_answers = True
+        await front.announce()
+        await until(lambda: cluster.store.calls.count("/-/log-append") >= 2)
+        cluster.store.loses_answers = False
+        assert "front-1" in cluster.store.newest("keyed.nodes")
+
+    run_cluster(scenario)
+
+
+def test_late_record_of_an_earlier_incarnation_is_replaced():
+    """Guards against an old record that hides the node that lives."""
+
+    async def scenario(cluster):
+        front = await cluster.add("front-1", "front")
+        await front.announce()
+        await until(lambda: "front-1" in cluster.store.newest("keyed.nodes"))
+        current = cluster.store.newest("keyed.nodes")["front-1"]
+        cluster.store.put("keyed.nodes", "front-1", b"")
+        await until(lambda: cluster.store.newest("keyed.nodes").get("front-1"))
+        assert cluster.store.newest("keyed.nodes")["front-1"] == current
+
+    run_cluster(scenario)
+
+
+def test_draining_target_gets_no_new_request():
+    """Guards against work for a target that has said that it leaves."""
+
+    async def scenario(cluster):
+        front = await cluster.add("front-1", "front")
+        back = await cluster.add("back-1", "back")
+        other = await cluster.add("back-2", "back")
+        await cluster.configure(1, [{"pathPrefix": "/b/", "service": "back"}])
+        await cluster.announce_all()
+        assert (await back.announce("draining")).status == 200
+        for number in range(8):
+            assert (await front.ask("/b/x", f"id-{number}")).status == 200
+        assert back.target.runs == []
+        assert len(other.target.runs) == 8
+        assert (await back.leave()).status == 200
+
+    run_cluster(scenario)
+
+
+def test_leave_without_draining_ends_new_work():
+    """Guards against targets that leave at once and are still sent requests."""
+
+    async def scenario(cluster):
+        back = await cluster.add("back-1", "back")
+        await cluster.configure(1, [{"pathPrefix": "/b/", "service": "back"}])
+        await cluster.announce_all()
+        await back.leave()
+        assert (await back.ask("/b/x")).status == 503
+        assert back.target.runs == []
+
+    run_cluster(scenario)
+
+
+def test_forged_and_broken_heartbeats_name_no_target():
+    """Guards against heartbeats of another writer that change what is known."""
+
+    async def scenario(cluster):
+        front = await cluster.add("front-1", "front")
+        await front.announce()
+        known = front.node.own_target.announcement
+        info = {"service": "other", "zone": "z", "slots": 8}
+        assert (await front.announce(info=info)).status == 400
+        assert (await front.announce(info={"service": "front"})).status == 400
+        assert (await front.announce(address="10.9.9.9:1")).status == 400
+        assert (await front.announce(address=7)).status == 400
+        assert (await front.announce(born="soon")).status == 400
+        assert (await front.announce("sleeping")).status == 400
+        path = "/-/instances/i-x"
+        address = front.node.addresses.announcements
+        assert (await front.call(address, "PUT", path, b"\xff\x00")).status == 400
+        assert front.node.own_target.announcement == known
+
+    run_cluster(scenario)
+
+
+def test_target_that_starts_again_takes_requests():
+    """Guards against a target that is left out after a crash under the same id."""
+
+    async def scenario(cluster):
+        front = await cluster.add("front-1", "front")
+        await cluster.configure(1, [FRONT_ROUTE])
+        await front.announce("draining", born=1000)
+        assert (await front.ask("/f/x", "id-1")).status == 503
+        front.sequence = 0
+        await front.announce(born=2000)
+        assert (await front.ask("/f/x", "id-2")).status == 200
+        await front.announce("draining", born=1000)
+        assert (await front.ask("/f/x", "id-3")).status == 200
+
+    run_cluster(scenario)
+
+
+def test_stop_cuts_no_request():
+    """Guards against a planned stop that cuts a request in flight."""
+
+    async def scenario(cluster):
+        front = await cluster.add("front-1", "front", grace_s=6.0)
+        back = await cluster.add("back-1", "back", grace_s=6.0)
+        await cluster.configure(1, [{"pathPrefix": "/b/", "service": "back"}])
+        await cluster.announce_all()
+        back.target.modes = ["hold"]
+        asking = asyncio.ensure_future(front.ask("/b/x", method="POST", body=b"1"))
+        await until(lambda: back.target.runs)
+        stops = [asyncio.ensure_future(m.node.stop()) for m in (front, back)]
+        await asyncio.sleep(0)
+        ready = await front.call(front.node.addresses.ready, "GET", "/-/readyz")
+        assert ready.status == 503
+        back.target.released.set()
+        response = await asking
+        assert (response.status, response.body) == (200, b"done:1")
+        assert response.header("Connection") == "close"
+        for stop in stops:
+            await stop
+
+    run_cluster(scenario)
