Parse hops with httptools, and shed at the root by the level of the deepest service

Profile of the path: tornado's connection class is two thirds of it (headers, tasks, two setsockopt a message). Ruled out: the collector's thresholds (0.1 ms of 1.7), the two switches of TCP_NODELAY. Change: client and server of the relay on httptools and the loop's own transports, same interface. Answers carry the level of the services below, learned from the calls themselves, so that the origin refuses what a deep service can't serve.

--- a/libs/mimosaloom-relay/mimosaloom_relay/http_client.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/http_client.py
@@ -1,4 +1,4 @@
-"""HTTP/1.1 client over tornado's connection class, for hops and for the own target.
+"""HTTP/1.1 client for hops and for the own target.
 
 libcurl, which the rest of the product uses, sends a request again on its own when a
 reused connection closes before the first byte of an answer. The target may have run
@@ -6,27 +6,25 @@
 """
 
 import asyncio
-import socket
 from collections import deque
 from collections.abc import Callable
 from typing import NamedTuple
 
-from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
-from tornado.httputil import (
-    HTTPHeaders,
-    HTTPMessageDelegate,
-    RequestStartLine,
-    ResponseStartLine,
-)
-from tornado.iostream import IOStream, StreamClosedError
+import httptools
 
-from mimosaloom_mesh.messages import Request, Response
+from mimosaloom_mesh.messages import Headers, Request, Response, find_header
 from mimosaloom_mesh.transport import Broken
 from mimosaloom_model import Address, Clock, Kind
 
 from .bodies import Body
+from .connections import (
+    FlowControl,
+    encode_head,
+    find_connection_options,
+    keep_alive_socket,
+)
 
-__all__ = ["Answer", "HttpClient", "keep_alive_socket"]
+__all__ = ["Answer", "HttpClient"]
 
 CONNECT_TIMEOUT_S = 0.5
 # Below the shortest idle time that targets announce, and below what silently dropping
@@ -36,16 +34,13 @@
 FRESH_IDLE_S = 1.0
 # Share of an announced idle time after which a connection is not used any more.
 IDLE_SHARE = 0.6
-# A silent connection is given up after idle + interval * count seconds.
-KEEP_ALIVE_IDLE_S = 1
-KEEP_ALIVE_INTERVAL_S = 1
-KEEP_ALIVE_COUNT = 2
-USER_TIMEOUT_MS = 2000
 # Answers to other requests that are read over before the own one.
 MAX_FOREIGN_ANSWERS = 2
-_PARAMETERS = HTTP1ConnectionParameters(
-    chunk_size=65536, max_header_size=65536, max_body_size=1 << 40
-)
+MAX_HEAD_BYTES = 65536
+_BODYLESS_METHODS = frozenset({"GET", "HEAD", "DELETE", "OPTIONS"})
+_NO_BODY_STATUSES = frozenset({204, 304})
+
+IsOwn = Callable[[Headers], bool]
 
 
 class Answer(NamedTuple):
@@ -60,78 +55,127 @@
     rest: Body | None = None
 
 
-class _Stream(IOStream):
-    """A connection with what the pool needs to know of it."""
-
-    idle_since_s = 0.0
-    idle_limit_s = MAX_IDLE_S
+class _Reader:
+    """One response on its way."""
 
-    @property
-    def has_unread_bytes(self) -> bool:
-        """Whether bytes arrived that no request asked for."""
-        return self._read_buffer_size > 0
-
-    def set_nodelay(self, value: bool) -> None:
-        """Leave the option as `keep_alive_socket` sets it.
-
-        Tornado switches it twice in each message, which costs two system calls.
-        """
+    def __init__(self, is_head_request: bool, is_own: IsOwn, abort: Callable):
+        self.ready = asyncio.get_running_loop().create_future()
+        self.body = Body(self._set_ready, abort)
+        self.status = 0
+        self.headers: Headers = ()
+        self.is_head_request = is_head_request
+        self.is_own = is_own
+        self.foreign_answers = 0
 
     @property
-    def sent_bytes(self) -> int:
-        """Bytes handed to the system since the connection was opened."""
-        return self._total_write_done_index
-
-
-def keep_alive_socket(sock: socket.socket) -> None:
-    """Let the system find connections that have gone silent."""
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_INTERVAL_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEP_ALIVE_COUNT)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
-
-
-class _ResponseReader(HTTPMessageDelegate):
-    """Collects one response."""
-
-    def __init__(self, stream: _Stream):
-        self.ready = asyncio.get_running_loop().create_future()
-        self.body = Body(self._set_ready, stream.close)
-        self.start_line: ResponseStartLine | None = None
-        self.headers = HTTPHeaders()
-        self._stream = stream
+    def has_length(self) -> bool:
+        """Whether the end of the body can be told without the end of the connection."""
+        return (
+            self.is_head_request
+            or self.status in _NO_BODY_STATUSES
+            or find_header(self.headers, "Content-Length") is not None
+            or find_header(self.headers, "Transfer-Encoding") is not None
+        )
 
-    def headers_received(self, start_line, headers):
-        self.start_line = start_line
-        self.headers = headers
+    def _set_ready(self) -> None:
+        if not self.ready.done():
+            self.ready.set_result(None)
 
-    def data_received(self, chunk):
-        return self.body.feed(chunk)
 
-    def finish(self):
-        has_length = "Content-Length" in self.headers or (
-            "Transfer-Encoding" in self.headers
-        )
-        if not has_length and isinstance(self._stream.error, OSError):
-            # A body without length ends with its connection; a reset cuts it short.
-            self.body.fail(str(self._stream.error))
+class _Connection(FlowControl):
+    """One connection; httptools calls its `on_` methods."""
+
+    def __init__(self):
+        super().__init__()
+        self.idle_since_s = 0.0
+        self.idle_limit_s = MAX_IDLE_S
+        self.is_reusable = True
+        self._parser = httptools.HttpResponseParser(self)
+        self._reader: _Reader | None = None
+        self._headers: list[tuple[str, str]] = []
+        self._is_skipping = False
+
+    def connection_made(self, transport):
+        self.transport = transport
+        keep_alive_socket(transport.get_extra_info("socket"))
+
+    def connection_lost(self, exc):
+        self.is_reusable = False
+        self.resume_writing()
+        reader, self._reader = self._reader, None
+        if reader is None:
+            return
+        if reader.status and not reader.has_length and exc is None:
+            reader.body.finish()
         else:
-            self.body.finish()
+            reader.body.fail(str(exc or "connection closed"))
 
-    def on_connection_close(self):
-        self.body.fail(str(self._stream.error or "connection closed"))
+    def data_received(self, data):
+        if self._reader is None:
+            # Bytes that no request asked for; the next answer would be in doubt.
+            self.drop()
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            reader, self._reader = self._reader, None
+            if reader is not None:
+                reader.body.fail(f"unreadable answer: {error}")
+            self.drop()
+
+    def begin(self, is_head_request: bool, is_own: IsOwn) -> _Reader:
+        """Expect the response to a request that is about to be written."""
+        self._reader = _Reader(is_head_request, is_own, self.drop)
+        return self._reader
+
+    def drop(self) -> None:
+        """Close at once."""
+        self.is_reusable = False
+        self.transport.abort()
+
+    def on_message_begin(self):
+        self._headers = []
+        if self._reader is None:
+            self.is_reusable = False
+
+    def on_header(self, name, value):
+        self._headers.append((name.decode("latin-1"), value.decode("latin-1")))
+
+    def on_headers_complete(self):
+        reader = self._reader
+        if reader is None:
+            return
+        status = self._parser.get_status_code()
+        headers = tuple(self._headers)
+        is_interim = 100 <= status < 200
+        self._is_skipping = is_interim or not reader.is_own(headers)
+        if self._is_skipping:
+            reader.foreign_answers += not is_interim
+            if reader.foreign_answers > MAX_FOREIGN_ANSWERS:
+                reader.body.fail("answers to other requests came")
+                self.drop()
+            return
+        reader.status, reader.headers = status, headers
+        options = find_connection_options(headers)
+        if "close" in options or not reader.has_length or reader.foreign_answers:
+            self.is_reusable = False
+        if reader.is_head_request:
+            # The parser would wait for the body that the length announces.
+            self.is_reusable = False
+            self._end()
 
-    def end_read(self, reading: asyncio.Future) -> None:
-        """Take the end of the read; tornado tells no delegate of a missing head."""
-        if not reading.cancelled():
-            reading.exception()
-        self.on_connection_close()
+    def on_body(self, body):
+        if self._reader is not None and not self._is_skipping:
+            self.feed_with_backpressure(self._reader.body.feed, body)
 
-    def _set_ready(self):
-        if not self.ready.done():
-            self.ready.set_result(None)
+    def on_message_complete(self):
+        if not self._is_skipping:
+            self._end()
+
+    def _end(self) -> None:
+        reader, self._reader = self._reader, None
+        if reader is not None:
+            reader.body.finish()
 
 
 class HttpClient:
@@ -145,7 +189,7 @@
     def __init__(self, clock: Clock, count_connection: Callable[[], None]):
         self._clock = clock
         self._count_connection = count_connection
-        self._idle: dict[Address, deque[_Stream]] = {}
+        self._idle: dict[Address, deque[_Connection]] = {}
 
     async def send(
         self,
@@ -154,7 +198,7 @@
         rest: Body | None = None,
         *,
         must_not_repeat: bool = False,
-        is_own: Callable[[HTTPHeaders], bool] = lambda headers: True,
+        is_own: IsOwn = lambda headers: True,
     ) -> Answer | Broken:
         """Send a request once and wait for its response.
 
@@ -171,32 +215,27 @@
             The response, or `CONNECT_FAILED` if no byte of the request was sent, or
             another kind after which it may have run.
         """
-        stream = self._take_idle(address, must_not_repeat)
-        if stream is None:
-            stream = await self._connect(address)
-            if stream is None:
+        connection = self._take_idle(address, must_not_repeat)
+        if connection is None:
+            connection = await self._connect(address)
+            if connection is None:
                 return Broken(Kind.CONNECT_FAILED, f"no connection to {address}")
-        sent_before = stream.sent_bytes
         is_kept = False
         try:
-            outcome = await self._exchange(stream, request, rest, is_own)
-            if isinstance(outcome, Broken):
-                if stream.sent_bytes == sent_before:
-                    return Broken(Kind.CONNECT_FAILED, outcome.detail)
-                return outcome
-            answer, is_reusable = outcome
-            is_kept = is_reusable or answer.rest is not None
-            if is_reusable:
-                self._give_back(address, stream, answer.response)
-            return answer
+            outcome = await self._exchange(connection, request, rest, is_own)
+            if isinstance(outcome, Answer):
+                is_kept = connection.is_reusable or outcome.rest is not None
+                if connection.is_reusable and outcome.rest is None:
+                    self._give_back(address, connection, outcome.response)
+            return outcome
         finally:
             if not is_kept:
-                stream.close()
+                connection.drop()
 
     def drop_idle(self, address: Address) -> None:
         """Close idle connections, for example after one of them proved silent."""
-        for stream in self._idle.pop(address, ()):
-            stream.close()
+        for connection in self._idle.pop(address, ()):
+            connection.drop()
 
     def close(self) -> None:
         """Close all idle connections."""
@@ -205,126 +244,91 @@
 
     async def _exchange(
         self,
-        stream: _Stream,
+        connection: _Connection,
         request: Request,
         rest: Body | None,
-        is_own: Callable[[HTTPHeaders], bool],
-    ) -> tuple[Answer, bool] | Broken:
-        connection = HTTP1Connection(stream, True, _PARAMETERS)
-        _write_head(connection, request, has_rest=rest is not None)
+        is_own: IsOwn,
+    ) -> Answer | Broken:
+        reader = connection.begin(request.method == "HEAD", is_own)
+        connection.transport.write(_encode_request(request, has_rest=rest is not None))
+        if connection.transport.is_closing():
+            # The first write of an idle connection failed at once.
+            return Broken(Kind.CONNECT_FAILED, "the connection had been closed")
         writing = None
-        if rest is None:
-            connection.finish()
-        else:
-            writing = asyncio.ensure_future(_write_rest(connection, stream, rest))
+        if rest is not None:
+            writing = asyncio.ensure_future(_write_rest(connection, request, rest))
         try:
-            reader = None
-            for _ in range(MAX_FOREIGN_ANSWERS + 1):
-                reader = _ResponseReader(stream)
-                reading = asyncio.ensure_future(connection.read_response(reader))
-                reading.add_done_callback(reader.end_read)
-                await reader.ready
-                if reader.start_line is None or is_own(reader.headers):
-                    break
-                connection = HTTP1Connection(stream, True, _PARAMETERS)
-                connection.finish()
-            else:
-                return Broken(Kind.ANSWER_MISMATCH, "answers to other requests came")
+            await reader.ready
         finally:
             if writing is not None and not writing.done():
                 # The answer came before the end of the request; what is left of it
                 # would be read as the next request.
                 writing.cancel()
-        if reader.start_line is None:
-            return Broken(Kind.CONNECTION_LOST, reader.body.failure)
-        if reader.body.failure:
-            return Broken(Kind.ANSWER_TRUNCATED, reader.body.failure)
-        is_reusable = (
-            reader.body.is_complete
-            and (writing is None or (writing.done() and not writing.cancelled()))
-            and not stream.closed()
-            and not stream.has_unread_bytes
-            and reader.headers.get("Connection", "").lower() != "close"
-        )
-        headers = tuple(reader.headers.get_all())
-        if reader.body.is_complete:
-            whole = reader.body.take_whole()
-            return Answer(Response(reader.start_line.code, headers, whole)), is_reusable
-        return Answer(Response(reader.start_line.code, headers), reader.body), False
-
-    async def _connect(self, address: Address) -> _Stream | None:
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        keep_alive_socket(sock)
-        stream = _Stream(sock, max_write_buffer_size=None)
+                connection.is_reusable = False
+        body = reader.body
+        if not reader.status:
+            return Broken(Kind.CONNECTION_LOST, body.failure)
+        if body.failure:
+            return Broken(Kind.ANSWER_TRUNCATED, body.failure)
+        if body.is_complete:
+            whole = body.take_whole()
+            return Answer(Response(reader.status, reader.headers, whole))
+        connection.is_reusable = False
+        return Answer(Response(reader.status, reader.headers), body)
+
+    async def _connect(self, address: Address) -> _Connection | None:
         self._count_connection()
+        loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                await stream.connect((address.host, address.port))
-        except (StreamClosedError, OSError, TimeoutError):
-            stream.close()
+                _, connection = await loop.create_connection(
+                    _Connection, address.host, address.port
+                )
+        except (OSError, TimeoutError):
             return None
-        except asyncio.CancelledError:
-            stream.close()
-            raise
-        return stream
+        return connection
 
-    def _take_idle(self, address: Address, must_not_repeat: bool) -> _Stream | None:
+    def _take_idle(self, address: Address, must_not_repeat: bool) -> _Connection | None:
         idle = self._idle.get(address)
         while idle:
-            stream = idle.pop()
-            idle_s = self._clock.monotonic_s() - stream.idle_since_s
-            limit_s = stream.idle_limit_s
+            connection = idle.pop()
+            idle_s = self._clock.monotonic_s() - connection.idle_since_s
+            limit_s = connection.idle_limit_s
             if must_not_repeat:
                 limit_s = min(limit_s, FRESH_IDLE_S)
-            if not stream.closed() and not stream.has_unread_bytes and idle_s < limit_s:
-                return stream
-            stream.close()
+            is_open = connection.is_reusable and not connection.transport.is_closing()
+            if is_open and idle_s < limit_s:
+                return connection
+            connection.drop()
         return None
 
-    def _give_back(self, address: Address, stream: _Stream, response: Response) -> None:
-        stream.idle_since_s = self._clock.monotonic_s()
+    def _give_back(
+        self, address: Address, connection: _Connection, response: Response
+    ) -> None:
+        connection.idle_since_s = self._clock.monotonic_s()
         announced_s = _read_idle_timeout_s(response.header("Keep-Alive"))
         if announced_s is not None:
-            stream.idle_limit_s = min(MAX_IDLE_S, IDLE_SHARE * announced_s)
-        # A close callback makes the stream notice that the peer closes it.
-        stream.set_close_callback(lambda: None)
-        self._idle.setdefault(address, deque()).append(stream)
+            connection.idle_limit_s = min(MAX_IDLE_S, IDLE_SHARE * announced_s)
+        self._idle.setdefault(address, deque()).append(connection)
 
 
-def _write_head(connection: HTTP1Connection, request: Request, *, has_rest: bool):
-    headers = HTTPHeaders()
-    for name, value in request.headers:
-        headers.add(name, value)
+def _encode_request(request: Request, *, has_rest: bool) -> bytes:
+    """Return the head, and the body of a request that is held whole."""
+    headers = list(request.headers)
     if not has_rest:
-        if request.body or request.method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
-            headers["Content-Length"] = str(len(request.body))
-    elif "Content-Length" not in headers:
-        # Tornado frames in chunks only the methods of which it expects a body.
-        headers["Transfer-Encoding"] = "chunked"
-    start_line = RequestStartLine(request.method, request.path, "HTTP/1.1")
-    written = connection.write_headers(start_line, headers, request.body or None)
-    if has_rest and "Transfer-Encoding" in headers:
-        connection._chunking_output = True
-    written.add_done_callback(_collect_error)
-
-
-async def _write_rest(connection: HTTP1Connection, stream: _Stream, rest: Body) -> None:
-    async for piece in rest.pieces():
-        try:
-            await connection.write(piece)
-        except StreamClosedError:
-            return
-    if rest.is_complete:
-        connection.finish()
-    else:
-        # Closing is the only way to tell the receiver that the request is cut short.
-        stream.close()
+        if request.body or request.method not in _BODYLESS_METHODS:
+            headers.append(("Content-Length", str(len(request.body))))
+    elif find_header(request.headers, "Content-Length") is None:
+        headers.append(("Transfer-Encoding", "chunked"))
+    head = encode_head(f"{request.method} {request.path} HTTP/1.1", headers)
+    return head + request.body
 
 
-def _collect_error(future: asyncio.Future) -> None:
-    """Take the error of a write or read whose result another path reports."""
-    if not future.cancelled():
-        future.exception()
+async def _write_rest(connection: _Connection, request: Request, rest: Body) -> None:
+    is_chunked = find_header(request.headers, "Content-Length") is None
+    if not await connection.write_pieces(rest, is_chunked=is_chunked):
+        # Closing is the only way to tell the receiver that the request is cut short.
+        connection.drop()
 
 
 def _read_idle_timeout_s(value: str | None) -> float | None:
--- a/libs/mimosaloom-relay/mimosaloom_relay/http_server.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/http_server.py
@@ -1,34 +1,36 @@
 """HTTP server that hands requests of any size to a coroutine."""
 
 import asyncio
+import socket
+from collections import deque
 from collections.abc import Awaitable, Callable
+from http import HTTPStatus
 from typing import NamedTuple
 
-from eliot import log_message, write_traceback
-from tornado.httpserver import HTTPServer
-from tornado.httputil import (
-    HTTPHeaders,
-    HTTPMessageDelegate,
-    HTTPServerConnectionDelegate,
-    ResponseStartLine,
-    responses,
-)
-from tornado.iostream import StreamClosedError
-from tornado.netutil import bind_sockets
+import httptools
+from eliot import write_traceback
 
-from mimosaloom_mesh.messages import Request, Response
+from mimosaloom_mesh.messages import Request, Response, find_header
 from mimosaloom_model import Address
 
 from .bodies import Body
+from .connections import FlowControl, encode_head, keep_alive_socket
 from .hop_messages import forwarded_headers
-from .http_client import Answer, keep_alive_socket
+from .http_client import Answer
 
 __all__ = ["Handler", "Incoming", "RelayServer"]
 
 LISTEN_BACKLOG = 1024
-# Larger than the limits of any deployment; the route table holds the one in force.
-MAX_BODY_BYTES = 1 << 40
-MAX_HEADER_BYTES = 65536
+# Above the limits that operators declare for what clients send.
+MAX_HEAD_BYTES = 65536
+# How long the rest of a request is read after an early answer. A connection that closes
+# with unread bytes is reset, and the client would lose the answer.
+LINGER_S = 0.5
+BAD_REQUEST = (
+    b"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+)
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+_REASONS = {status.value: status.phrase for status in HTTPStatus}
 
 
 class Incoming(NamedTuple):
@@ -59,20 +61,21 @@
         self.answer_crash = answer_crash
         self.is_closing = False
         self.tasks: set[asyncio.Task] = set()
-        self._server = _Server(
-            _ConnectionDelegate(self),
-            max_body_size=MAX_BODY_BYTES,
-            max_header_size=MAX_HEADER_BYTES,
-        )
+        self.connections: set[_Connection] = set()
+        self._server: asyncio.Server | None = None
 
-    def listen(self, address: Address) -> Address:
+    async def listen(self, address: Address) -> Address:
         """Start to listen; return the address with the port in use."""
-        sockets = bind_sockets(address.port, address.host, backlog=LISTEN_BACKLOG)
-        for sock in sockets:
-            # Accepted connections inherit the options.
-            keep_alive_socket(sock)
-        self._server.add_sockets(sockets)
-        return Address(address.host, sockets[0].getsockname()[1])
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        # Accepted connections inherit the options.
+        keep_alive_socket(sock)
+        sock.bind((address.host, address.port))
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: _Connection(self), sock=sock, backlog=LISTEN_BACKLOG
+        )
+        return Address(address.host, sock.getsockname()[1])
 
     def announce_close(self) -> None:
         """Close each connection after its next answer; new ones are still accepted."""
@@ -81,71 +84,136 @@
     def stop_accepting(self) -> None:
         """Accept no more connections."""
         self.is_closing = True
-        self._server.stop()
+        if self._server is not None:
+            self._server.close()
 
-    async def close(self) -> None:
+    def close(self) -> None:
         """Close all connections."""
-        self._server.stop()
-        await self._server.close_all_connections()
+        self.stop_accepting()
+        for connection in list(self.connections):
+            connection.transport.abort()
+
+
+class _Exchange:
+    """One request on its way in, and what is needed to answer it."""
+
+    def __init__(self, connection: "_Connection"):
+        self.path = b""
+        self.headers: list[tuple[str, str]] = []
+        self.method = ""
+        self.is_kept_alive = True
+        self.is_old_version = False
+        self.task: asyncio.Task | None = None
+        self.body = Body(
+            lambda: connection.make_ready(self), lambda: connection.transport.abort()
+        )
 
 
-class _Server(HTTPServer):
-    def handle_stream(self, stream, address):
-        # Tornado switches the option twice in each message; accepted connections
-        # have it from the listening socket.
-        stream.set_nodelay = lambda value: None
-        super().handle_stream(stream, address)
+class _Connection(FlowControl):
+    """One connection of a client; httptools calls its `on_` methods.
 
+    Requests are answered one after the other, also where a client sends several
+    without waiting.
+    """
 
-class _ConnectionDelegate(HTTPServerConnectionDelegate):
     def __init__(self, server: RelayServer):
+        super().__init__()
         self._server = server
-
-    def start_request(self, server_conn, request_conn):
-        return _Exchange(self._server, request_conn)
-
-
-class _Exchange(HTTPMessageDelegate):
-    """Collects one request and writes its response."""
-
-    def __init__(self, server: RelayServer, connection):
-        self._server = server
-        self._connection = connection
-        self._body = Body(self._start, connection.close)
-        self._task: asyncio.Task | None = None
-
-    def headers_received(self, start_line, headers):
-        self._start_line = start_line
-        self._headers = headers
-
-    def data_received(self, chunk):
-        return self._body.feed(chunk)
-
-    def finish(self):
-        self._connection.set_close_callback(self.on_connection_close)
-        self._body.finish()
-
-    def on_connection_close(self):
-        self._body.fail("the client closed its connection")
-        if self._task is not None:
-            self._task.cancel()
-
-    def _start(self) -> None:
-        if self._body.failure:
+        self._parser = httptools.HttpRequestParser(self)
+        self._incoming: _Exchange | None = None
+        self._waiting: deque[_Exchange] = deque()
+        self._current: _Exchange | None = None
+        self._head_bytes = 0
+        self._is_refused = False
+
+    def connection_made(self, transport):
+        self.transport = transport
+        self._server.connections.add(self)
+
+    def connection_lost(self, exc):
+        self._server.connections.discard(self)
+        self.resume_writing()
+        if self._incoming is not None:
+            self._incoming.body.fail("the client closed its connection")
+        self._waiting.clear()
+        if self._current is not None and self._current.task is not None:
+            self._current.task.cancel()
+
+    def data_received(self, data):
+        if self._is_refused:
             return
-        is_whole = self._body.is_complete
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._refuse()
+
+    def on_message_begin(self):
+        self._incoming = _Exchange(self)
+        self._head_bytes = 0
+
+    def on_url(self, url):
+        self._incoming.path += url
+        self._count_head(len(url))
+
+    def on_header(self, name, value):
+        self._count_head(len(name) + len(value))
+        header = (name.decode("latin-1"), value.decode("latin-1"))
+        self._incoming.headers.append(header)
+
+    def on_headers_complete(self):
+        exchange = self._incoming
+        exchange.method = self._parser.get_method().decode("latin-1")
+        exchange.is_kept_alive = self._parser.should_keep_alive()
+        exchange.is_old_version = self._parser.get_http_version() != "1.1"
+        if find_header(exchange.headers, "Expect") is not None:
+            self.transport.write(CONTINUE)
+
+    def on_body(self, body):
+        self.feed_with_backpressure(self._incoming.body.feed, body)
+
+    def on_message_complete(self):
+        exchange, self._incoming = self._incoming, None
+        exchange.body.finish()
+
+    def make_ready(self, exchange: _Exchange) -> None:
+        """Answer a request that is complete, or too large to be held."""
+        if exchange.body.failure:
+            if exchange.task is not None:
+                exchange.task.cancel()
+            return
+        self._waiting.append(exchange)
+        if self._current is None:
+            self._start_next()
+
+    def _count_head(self, size: int) -> None:
+        self._head_bytes += size
+        if self._head_bytes > MAX_HEAD_BYTES:
+            raise ValueError("the head of the request is too large")
+
+    def _refuse(self) -> None:
+        """Answer a request whose framing is in doubt and close the connection."""
+        self._is_refused = True
+        if self._incoming is not None:
+            self._incoming.body.fail("the request can't be read")
+        if self._current is None:
+            self.transport.write(BAD_REQUEST)
+            self.transport.close()
+
+    def _start_next(self) -> None:
+        exchange = self._current = self._waiting.popleft()
+        is_whole = exchange.body.is_complete
         request = Request(
-            self._start_line.method,
-            self._start_line.path,
-            tuple(self._headers.get_all()),
-            self._body.take_whole() if is_whole else b"",
+            exchange.method,
+            exchange.path.decode("latin-1"),
+            tuple(exchange.headers),
+            exchange.body.take_whole() if is_whole else b"",
         )
-        incoming = Incoming(request, None if is_whole else self._body)
-        self._task = asyncio.ensure_future(self._answer(incoming))
-        self._server.tasks.add(self._task)
-        self._task.add_done_callback(self._server.tasks.discard)
+        incoming = Incoming(request, None if is_whole else exchange.body)
+        exchange.task = asyncio.ensure_future(self._answer(exchange, incoming))
+        self._server.tasks.add(exchange.task)
+        exchange.task.add_done_callback(self._server.tasks.discard)
 
-    async def _answer(self, incoming: Incoming) -> None:
+    async def _answer(self, exchange: _Exchange, incoming: Incoming) -> None:
         try:
             answer = await self._server.handle(incoming)
         except asyncio.CancelledError:
@@ -153,46 +221,76 @@
         except Exception:
             write_traceback()
             answer = Answer(self._server.answer_crash())
-        try:
-            await self._write(answer)
-        except StreamClosedError as error:
-            log_message(message_type="answer_not_written", detail=str(error))
-        finally:
-            self._body.discard()
-
-    async def _write(self, answer: Answer) -> None:
-        response = answer.response
-        headers = HTTPHeaders()
-        for name, value in forwarded_headers(response.headers):
-            headers.add(name, value)
-        length = response.header("Content-Length")
-        if answer.rest is not None and length is not None:
-            headers["Content-Length"] = length
-        has_no_body = response.status in (204, 304)
-        if answer.rest is None and not has_no_body:
-            is_head = self._start_line.method == "HEAD"
-            # The length in an answer to HEAD is that of the body it leaves out.
-            own_length = str(len(response.body))
-            headers["Content-Length"] = length or own_length if is_head else own_length
-        if response.is_last or self._server.is_closing or not self._body.is_complete:
-            headers["Connection"] = "close"
-        reason = responses.get(response.status, "Unknown")
-        start_line = ResponseStartLine("", response.status, reason)
-        body = b"" if self._start_line.method == "HEAD" else response.body
-        written = self._connection.write_headers(start_line, headers, body)
-        if answer.rest is None:
-            self._connection.finish()
-            await written
+        await self._write(exchange, answer)
+        exchange.body.discard()
+        self._current = None
+        if self.transport.is_closing():
             return
-        await written
+        if self._waiting:
+            self._start_next()
+        elif self._is_refused:
+            self.transport.write(BAD_REQUEST)
+            self.transport.close()
+
+    async def _write(self, exchange: _Exchange, answer: Answer) -> None:
+        response, rest = answer
+        headers = list(forwarded_headers(response.headers))
+        is_chunked = _frame(exchange, response, rest, headers)
+        must_close = (
+            response.is_last
+            or self._server.is_closing
+            or not exchange.is_kept_alive
+            or not exchange.body.is_complete
+            or (rest is not None and not is_chunked and exchange.is_old_version)
+        )
+        if must_close:
+            headers.append(("Connection", "close"))
+        reason = _REASONS.get(response.status, "Unknown")
+        head = encode_head(f"HTTP/1.1 {response.status} {reason}", headers)
+        is_head_request = exchange.method == "HEAD"
+        self.transport.write(head if is_head_request else head + response.body)
+        if rest is not None and not is_head_request:
+            await self._write_rest(rest, is_chunked=is_chunked)
+        await self.drain()
+        if must_close:
+            self._close(exchange)
+
+    async def _write_rest(self, rest: Body, *, is_chunked: bool) -> None:
+        is_complete = False
         try:
-            async for piece in answer.rest.pieces():
-                await self._connection.write(piece)
+            is_complete = await self.write_pieces(rest, is_chunked=is_chunked)
         finally:
-            if not answer.rest.is_complete:
-                answer.rest.abort()
-        if answer.rest.is_complete:
-            self._connection.finish()
+            if not is_complete:
+                # Without its end the answer can't be taken for a complete one.
+                rest.abort()
+                self.transport.abort()
+
+    def _close(self, exchange: _Exchange) -> None:
+        if exchange.body.is_complete:
+            self.transport.close()
         else:
-            # Without its end the answer can't be taken for a complete one.
-            self._connection.close()
+            loop = asyncio.get_running_loop()
+            loop.call_later(LINGER_S, self.transport.close)
+
+
+def _frame(
+    exchange: _Exchange, response: Response, rest: Body | None, headers: list
+) -> bool:
+    """Add the headers that tell the length; return whether chunks are used."""
+    length = response.header("Content-Length")
+    if response.status in (204, 304):
+        return False
+    if rest is None:
+        # The length in an answer to HEAD is that of the body it leaves out.
+        own_length = str(len(response.body))
+        is_head = exchange.method == "HEAD"
+        value = length or own_length if is_head else own_length
+        headers.append(("Content-Length", value))
+        return False
+    if length is not None:
+        headers.append(("Content-Length", length))
+        return False
+    if exchange.is_old_version:
+        return False
+    headers.append(("Transfer-Encoding", "chunked"))
+    return True
--- a/libs/mimosaloom-relay/mimosaloom_relay/node.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/node.py
@@ -151,6 +151,9 @@
             clock=clock,
             rng=rng,
         )
+        self.target_side.level_below = lambda class_name: (
+            self.upstreams.calls.level_below(class_name, clock.monotonic_s())
+        )
         self.origin = Origin(
             settings.name,
             settings.service,
@@ -190,7 +193,7 @@
         """Whether clients may be sent here."""
         return self.origin.configuration is not None and not self.is_stopping
 
-    def start(self, answer_announcement: Handler) -> None:
+    async def start(self, answer_announcement: Handler) -> None:
         """Open the listeners."""
         handlers = {
             "outbound": self.origin.handle,
@@ -203,7 +206,7 @@
         for name, handle in handlers.items():
             server = RelayServer(handle, self._answer_crash)
             self._servers[name] = server
-            opened[name] = server.listen(getattr(self.settings.listen, name))
+            opened[name] = await server.listen(getattr(self.settings.listen, name))
         self.addresses = Listeners(**opened)
         self.metrics.ready.set_function(lambda: self.is_ready)
         self.metrics.version.set_function(lambda: self.version)
@@ -320,7 +323,7 @@
             task.cancel()
         self.target_side.close()
         for server in self._servers.values():
-            await server.close()
+            server.close()
 
     def _count_open(self) -> int:
         """Return the requests that still run on either side."""
--- a/libs/mimosaloom-relay/mimosaloom_relay/origin.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/origin.py
@@ -6,10 +6,10 @@
 
 import msgspec
 
-from mimosaloom_mesh.messages import Response
+from mimosaloom_mesh.messages import Response, find_header
 from mimosaloom_mesh.transport import Broken
 from mimosaloom_model import ANSWERS, Address, Clock, Kind, Ran, new_request_id
-from mimosaloom_policy import Candidate
+from mimosaloom_policy import Candidate, rank_request
 
 from .decision_log import DecisionLog
 from .hop_messages import (
@@ -166,6 +166,11 @@
     async def _answer_call(self, call: _Call) -> Answer:
         self._share(call.service).record_request(call.start_s)
         progress = _Progress()
+        if not self._is_admitted(call):
+            progress.last = HopResult(
+                Kind.OVERLOADED.value, "the level of the path is below its rank"
+            )
+            return self._give_up(call, progress)
         left_s = call.deadline_s - self._clock.monotonic_s() + DEADLINE_SLACK_S
         answer = None
         try:
@@ -185,6 +190,25 @@
             return answer
         return self._give_up(call, progress)
 
+    def _is_admitted(self, call: _Call) -> bool:
+        """Tell whether the path has room; the calls of a running request pass.
+
+        This answers overload of a deep service: the root is the one place where a
+        refusal costs no work.
+        """
+        parent = call.parent
+        if parent is not None:
+            self._upstreams.calls.record_call(
+                parent.route, call.service, call.route.request_class.name, call.start_s
+            )
+            return True
+        return self._upstreams.levels.admits(
+            call.service,
+            call.route.request_class.name,
+            rank_request(call.request_id, call.route.request_class.priority),
+            call.start_s,
+        )
+
     async def _attempt_until_final(
         self, call: _Call, progress: _Progress
     ) -> Answer | None:
@@ -288,8 +312,7 @@
             incoming.rest,
             must_not_repeat=not context.is_idempotent,
             is_own=lambda found: (
-                found.get(self._names.request_id, context.request_id)
-                == context.request_id
+                find_header(found, self._names.request_id) in (None, context.request_id)
             ),
         )
         if isinstance(outcome, Broken):
--- a/libs/mimosaloom-relay/mimosaloom_relay/target_side.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/target_side.py
@@ -2,16 +2,14 @@
 
 import asyncio
 import math
+from collections.abc import Callable
 from typing import NamedTuple
 
-from tornado.httputil import HTTPHeaders
-
 from mimosaloom_mesh import AdmissionGate
-from mimosaloom_mesh.messages import Request, Response
+from mimosaloom_mesh.messages import Headers, Request, Response, find_header
 from mimosaloom_mesh.transport import Broken
 from mimosaloom_model import ANSWERS, Clock, Kind, Ran
 from mimosaloom_policy import (
-    PRIORITY_COUNT,
     Admission,
     Arrival,
     Refuse,
@@ -84,6 +82,7 @@
         self.incarnation = incarnation
         self.is_stopping = False
         self.on_unreachable = lambda: None
+        self.level_below: Callable[[str], float] = lambda class_name: 1.0
         self._names = names
         self._client = client
         self._clock = clock
@@ -207,7 +206,7 @@
         level, load = 1.0, 0.0
         if self._gate is not None:
             admission = self._gate.admission
-            level = admission.level
+            level = min(admission.level, self.level_below(context.route))
             load = (admission.in_flight + admission.queued) / self._used_slots
         return HopResult(
             kind="" if kind is None else kind.value,
@@ -273,8 +272,8 @@
         )
         return received._replace(headers=headers)
 
-    def _is_own(self, headers: HTTPHeaders, request_id: str) -> bool:
-        return headers.get(self._names.request_id, request_id) == request_id
+    def _is_own(self, headers: Headers, request_id: str) -> bool:
+        return find_header(headers, self._names.request_id) in (None, request_id)
 
     def _read_broken(
         self, context: HopContext, broken: Broken, start_s: float
@@ -346,7 +345,7 @@
 
 
 def _build_arrival(key: str, context: HopContext, deadline_s: float) -> Arrival:
-    priority = min(context.priority, PRIORITY_COUNT - 1)
+    priority = context.priority
     return Arrival(
         call_key=key,
         class_name=context.route,
--- a/libs/mimosaloom-relay/mimosaloom_relay/upstreams.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/upstreams.py
@@ -5,6 +5,7 @@
 from mimosaloom_model import Clock
 from mimosaloom_policy import Candidate, LevelTable, Router
 
+from .call_graph import CallGraph
 from .peers import PeerRecord, PeerTable
 
 __all__ = ["Upstreams"]
@@ -36,6 +37,7 @@
     ):
         self.peers = PeerTable()
         self.levels = LevelTable(rng, own_service)
+        self.calls = CallGraph(self.levels)
         self._own_name = own_name
         self._own_domain = own_domain
         self._clock = clock
--- a/tests/platform_adapter/cluster.py
+++ b/tests/platform_adapter/cluster.py
@@ -130,7 +130,7 @@
         handler = build_announcement_handler(
             node.report, node.report_left, node.metrics.count_ignored
         )
-        node.start(handler)
+        await node.start(handler)
         member = self.members[name] = Member(node, target, self.client)
         return member
 
--- a/tests/platform_adapter/test_control.py
+++ b/tests/platform_adapter/test_control.py
@@ -3,7 +3,6 @@
 import asyncio
 
 import pytest
-
 from platform_adapter.cluster import run_cluster, until
 from platform_adapter.standins import build_document
 
