--- a/libs/mimosaloom-relay/mimosaloom_relay/target_side.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/target_side.py
@@ -105,7 +105,7 @@
 
     @property
     def sendings(self) -> set[asyncio.Task]:
-        """Requests that run on the target."""
+        """Requests that run on the target whether or not their client waits."""
         return self._sendings
 
     def find_parent(self, request_id: str) -> HopContext | None:
@@ -150,17 +150,14 @@
         if refusal is not None or gate is not self._gate:
             gate.leave(key, is_success=False)
             return self._refuse(context, refusal or Kind.TARGET_UNAVAILABLE)
-        sending = asyncio.ensure_future(
-            self._send_and_leave(gate, key, context, incoming, deadline_s)
-        )
-        self._sendings.add(sending)
-        sending.add_done_callback(self._sendings.discard)
-        try:
-            return await asyncio.shield(sending)
-        except asyncio.CancelledError:
-            if context.is_idempotent:
-                sending.cancel()
-            raise
+        sending = self._send_and_leave(gate, key, context, incoming, deadline_s)
+        if context.is_idempotent:
+            return await sending
+        # What must not run twice is not cut either when its client leaves.
+        task = asyncio.ensure_future(sending)
+        self._sendings.add(task)
+        task.add_done_callback(self._sendings.discard)
+        return await asyncio.shield(task)
 
     def _check(self, context: HopContext) -> Kind | None:
         own = self.own_target
--- /dev/null
+++ b/tests/relay/test_routes.py
@@ -0,0 +1,86 @@
+"""Routes, shares and the level of the services below."""
+
+import random
+
+import pytest
+from platform_adapter.standins import build_document
+
+from mimosaloom_model import Kind, RequestClass
+from mimosaloom_platform.configuration import decode_configuration
+from mimosaloom_policy import Candidate, LevelTable, Router
+from mimosaloom_relay import Route, ShareRotation, match_route
+from mimosaloom_relay.call_graph import CallGraph
+
+
+def build_configuration(*prefixes):
+    """Return a configuration with routes of one host."""
+    routes = [{"pathPrefix": prefix, "service": "s"} for prefix in prefixes]
+    return decode_configuration(build_document(1, routes, ["s"]))
+
+
+@pytest.mark.parametrize(
+    ("host", "path", "prefix"),
+    [
+        ("h.example", "/a/b/c?x=/a/b/c/", "/a/b/"),
+        ("H.Example:80", "/a/x", "/a/"),
+        ("h.example", "/a", None),
+        ("h.example", "/?/a/", "/"),
+        ("other", "/a/x", None),
+    ],
+)
+def test_longest_prefix_wins(host, path, prefix):
+    """Guards against a request that goes to the wrong route."""
+    prefixes = ["/a/", "/a/b/"] + (["/"] if prefix == "/" else [])
+    route = match_route(build_configuration(*prefixes), host, path)
+    assert (route.path_prefix if route else None) == prefix
+
+
+def test_shares_follow_the_weights_over_few_requests():
+    """Guards against shares that only hold over many requests."""
+    request_class = RequestClass("c", "a", 2, True)
+    route = Route("h", "/", request_class, (("a", 90), ("b", 10)), 2, 1.0)
+    rotation = ShareRotation()
+    picked = [rotation.pick(route) for _ in range(40)]
+    for start in range(0, 40, 10):
+        assert picked[start : start + 10].count("b") == 1
+
+
+def test_level_below_is_that_of_the_deepest_service():
+    """Guards against requests that are admitted and fail half-way."""
+    levels = LevelTable(random.Random(1))
+    graph = CallGraph(levels)
+    graph.record_call("root", "middle", "call", 0.0)
+    levels.observe("middle", "call", "m-1", 0.3, 0.0)
+    levels.observe("other", "call", "o-1", 0.1, 0.0)
+    assert graph.level_below("root", 0.1) == 0.3
+    assert graph.level_below("unrelated", 0.1) == 1.0
+    assert graph.level_below("root", 10.0) == 1.0
+
+
+def build_router():
+    """Return a router in domain `near` with one upstream there and one elsewhere."""
+    router = Router("s", "me", "near", random.Random(1), room_ratio=0.7)
+    candidates = [
+        Candidate(name, "10.0.0.1", 1, name, 10, 100, "i") for name in ("near", "far")
+    ]
+    router.set_candidates(candidates, 0.0)
+    return router
+
+
+def test_near_upstream_is_preferred_while_it_has_room():
+    """Guards against bytes between failure domains that nothing is gained by."""
+    router = build_router()
+    assert {router.pick(0.0).name for _ in range(20)} == {"near"}
+    router.suggest("near", 0.9, 0.0)
+    for _ in range(5):
+        router.start("near", 0.0)
+    assert router.pick(0.1).name == "far"
+
+
+def test_failing_near_upstream_is_left():
+    """Guards against a preference that holds on to an upstream that refuses."""
+    router = build_router()
+    for _ in range(4):
+        router.start("near", 0.0)
+        router.finish("near", 0.0, elapsed_s=0.01, kind=Kind.TARGET_REJECTED)
+    assert router.pick(0.0).name == "far"
