--- a/libs/mimosaloom-relay/mimosaloom_relay/__init__.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/__init__.py
@@ -1,6 +1,7 @@
 """Relay of HTTP requests between nodes, each in front of one target."""
 
 from .decision_log import DecisionLog, log_to_descriptor
+from .event_loop import new_event_loop
 from .hop_messages import HeaderNames, HopContext, HopResult
 from .http_client import Answer, HttpClient
 from .http_server import Incoming, RelayServer
@@ -48,4 +49,5 @@
     "TargetState",
     "log_to_descriptor",
     "match_route",
+    "new_event_loop",
 ]
--- a/tests/platform_adapter/cluster.py
+++ b/tests/platform_adapter/cluster.py
@@ -24,6 +24,7 @@
     RelayNode,
     RelaySettings,
     RepeatBound,
+    new_event_loop,
 )
 
 ANY_PORT = Address("127.0.0.1", 0)
@@ -183,4 +184,5 @@
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(server.close_all_connections(), 1)
 
-    asyncio.run(run())
+    with asyncio.Runner(loop_factory=new_event_loop) as runner:
+        runner.run(run())
