Keep repeats for important requests, leave lost nodes out, spread the return

Repeats were handed out in order of arrival, at half the allowed ratio, and at most two a call; registro-solicitud (priority 0, four calls each) was served less than emitir-cobro (priority 2). Change: 0.8 of the ratio, 0.4 of it only for the highest priority; calls of runs that are repeats count as such; a target that only rejected may get a request once more; a node that resets or does not answer is left out and asked at once; Retry-After is spread, important classes first.

--- a/libs/mimosaloom-relay/mimosaloom_relay/connections.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/connections.py
@@ -25,7 +25,8 @@
 KEEP_ALIVE_IDLE_S = 1
 KEEP_ALIVE_INTERVAL_S = 1
 KEEP_ALIVE_COUNT = 2
-USER_TIMEOUT_MS = 2000
+# Bytes that are not acknowledged this long; two losses in a row take 0.6 s.
+USER_TIMEOUT_MS = 1000
 LAST_CHUNK = b"0\r\n\r\n"
 
 
--- a/libs/mimosaloom-relay/mimosaloom_relay/hop_messages.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/hop_messages.py
@@ -59,6 +59,8 @@
         root_id: The client's request that it belongs to.
         depth: 0 for a request of a client, one more for each call below it.
         attempt: Number of the attempt, from 1.
+        is_repeat: Whether it, or the request that it belongs to, has reached a target
+            before.
         origin: Address of the origin's node, as HOST:PORT.
         version: Configuration in force at the origin.
     """
@@ -73,6 +75,7 @@
     root_id: str
     depth: int = 0
     attempt: int = 1
+    is_repeat: bool = False
     origin: str = ""
     version: int = 0
 
--- a/libs/mimosaloom-relay/mimosaloom_relay/node.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/node.py
@@ -398,11 +398,11 @@
             self._spawn(self._probe_until_reached(candidate.name))
 
     async def _probe_until_reached(self, name: str) -> None:
-        delay_s = PROBE_FIRST_S
+        delay_s = 0.0
         try:
             while self.upstreams.peers.is_unreachable(name):
                 await asyncio.sleep(delay_s)
-                delay_s = min(PROBE_LONGEST_S, 2 * delay_s)
+                delay_s = min(PROBE_LONGEST_S, max(PROBE_FIRST_S, 2 * delay_s))
                 record = self.upstreams.peers.get(name)
                 if record is None:
                     return
--- a/libs/mimosaloom-relay/mimosaloom_relay/origin.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/origin.py
@@ -25,6 +25,7 @@
 from .http_client import Answer, HttpClient
 from .http_server import Incoming
 from .metrics import RelayMetrics
+from .retry_after import choose_retry_after
 from .retry_share import RepeatBound, RepeatShare
 from .routes import Configuration, Route, ShareRotation, match_route
 from .target_side import HopReply, TargetSide
@@ -34,6 +35,8 @@
 
 # Upstreams that may refuse a request unsent before it is given up here.
 MAX_REFUSED_HOPS = 3
+# Times that targets may reject one request before it is given up.
+MAX_ARRIVALS = 4
 RETRY_AFTER_S = 0.5
 # Callers must not write what nodes tell each other.
 _REPLACED = frozenset({HOP_HEADER.lower()})
@@ -53,6 +56,7 @@
             request of a client.
         start_s: When it arrived, on the monotonic clock.
         deadline_s: When its final answer is due, on the monotonic clock.
+        patience_s: How long its client waits in all.
     """
 
     incoming: Incoming
@@ -62,6 +66,19 @@
     parent: HopContext | None
     start_s: float
     deadline_s: float
+    patience_s: float
+
+    @property
+    def is_repeat(self) -> bool:
+        """Whether it is a call of a run that was a repeat."""
+        return self.parent is not None and self.parent.is_repeat
+
+    @property
+    def priority(self) -> int:
+        """A call is as important as the request that needs it."""
+        if self.parent is not None:
+            return self.parent.priority
+        return self.route.request_class.priority
 
 
 class _Progress:
@@ -72,6 +89,8 @@
         self.arrivals = 0
         self.may_have_run = False
         self.tried: set[str] = set()
+        self.reached: set[str] = set()
+        self.waits_for: Candidate | None = None
         self.last: HopResult | None = None
         self.retry_after_s = 0.0
 
@@ -156,15 +175,21 @@
         now_s = self._clock.monotonic_s()
         timeout_s = route.request_class.timeout_s
         given = incoming.request.header(self._names.timeout_ms) or ""
-        if given.isdecimal():
-            timeout_s = min(timeout_s, int(given) / 1000)
+        patience_s = int(given) / 1000 if given.isdecimal() else timeout_s
+        timeout_s = min(timeout_s, patience_s)
         service = self._rotation.pick(route)
         parent = self._target_side.find_parent(request_id)
         deadline_s = now_s + timeout_s
-        return _Call(incoming, request_id, route, service, parent, now_s, deadline_s)
+        return _Call(
+            incoming, request_id, route, service, parent, now_s, deadline_s, patience_s
+        )
 
     async def _answer_call(self, call: _Call) -> Answer:
-        self._share(call.service).record_request(call.start_s)
+        share = self._share(call.service)
+        if call.is_repeat:
+            share.record_repeat(call.start_s)
+        else:
+            share.record_request(call.start_s)
         progress = _Progress()
         if not self._is_admitted(call):
             progress.last = HopResult(
@@ -177,6 +202,9 @@
             async with asyncio.timeout(left_s):
                 answer = await self._attempt_until_final(call, progress)
         except TimeoutError:
+            if progress.waits_for is not None:
+                # A node that lives answers at the deadline itself.
+                self._lose(progress.waits_for)
             progress.last = HopResult(
                 kind=Kind.DEADLINE_EXCEEDED.value,
                 detail="no upstream answered in time",
@@ -214,11 +242,12 @@
     ) -> Answer | None:
         """Send the request until it has an answer or no attempt is left."""
         while True:
-            candidate = self._upstreams.pick(call.service, frozenset(progress.tried))
+            candidate = self._pick(call, progress)
             if candidate is None:
                 return None
             progress.attempts += 1
             progress.tried.add(candidate.name)
+            progress.reached.add(candidate.name)
             reply = await self._attempt(call, candidate, progress)
             if reply.answer is not None:
                 return reply.answer
@@ -227,9 +256,27 @@
                 progress.retry_after_s, reply.result.retry_after_s
             )
             progress.arrivals += reply.result.was_sent
+            if not reply.result.was_sent:
+                progress.reached.discard(candidate.name)
             if not self._may_try_again(call, progress, reply.result):
                 return None
 
+    def _pick(self, call: _Call, progress: _Progress) -> Candidate | None:
+        """Return the upstream for the next attempt; None if there is none.
+
+        A request goes to a limited number of targets. Where those only rejected it,
+        one of them may get it once more.
+        """
+        if len(progress.reached) < call.route.max_targets:
+            candidate = self._upstreams.pick(call.service, frozenset(progress.tried))
+            if candidate is not None:
+                return candidate
+        if not progress.reached:
+            return None
+        names = self._upstreams.router(call.service).subset
+        others = frozenset(name for name in names if name not in progress.reached)
+        return self._upstreams.pick(call.service, others)
+
     def _may_try_again(
         self, call: _Call, progress: _Progress, result: HopResult
     ) -> bool:
@@ -246,11 +293,15 @@
         has_run = ANSWERS[Kind(result.kind)].ran is not Ran.NO
         if has_run and not call.route.request_class.is_idempotent:
             return False
-        if progress.arrivals >= call.route.max_targets:
+        if has_run and len(progress.reached) >= call.route.max_targets:
+            return False
+        if progress.arrivals >= MAX_ARRIVALS:
             return False
         nodes = len(self._upstreams.peers)
         now_s = self._clock.monotonic_s()
-        is_allowed = self._share(call.service).try_spend(now_s, nodes=nodes)
+        is_allowed = self._share(call.service).try_spend(
+            now_s, nodes=nodes, is_important=call.priority == 0
+        )
         if is_allowed:
             self._metrics.count_retry(result.kind)
         else:
@@ -269,14 +320,14 @@
             request_id=call.request_id,
             service=call.service,
             route=request_class.name,
-            # A call is as important as the request that needs it.
-            priority=request_class.priority if parent is None else parent.priority,
+            priority=call.priority,
             is_idempotent=request_class.is_idempotent,
             remaining_ms=remaining_ms,
             caller_service=self._own_service,
             root_id=call.request_id if parent is None else parent.root_id,
             depth=0 if parent is None else parent.depth + 1,
             attempt=progress.attempts,
+            is_repeat=progress.arrivals > 0 or call.is_repeat,
             origin=self._own_address(),
             version=self.configuration.version,
         )
@@ -288,7 +339,9 @@
             if candidate.name == self._own_name:
                 reply = await self._target_side.run(context, call.incoming)
             else:
+                progress.waits_for = candidate
                 reply = await self._send_hop(candidate, context, call.incoming)
+                progress.waits_for = None
             kind = Kind(reply.result.kind) if reply.result.kind else None
         finally:
             now_s = self._clock.monotonic_s()
@@ -334,8 +387,8 @@
         self, candidate: Candidate, context: HopContext, broken: Broken
     ) -> HopReply:
         was_sent = ANSWERS[broken.kind].ran is not Ran.NO
-        if not was_sent:
-            self.on_peer_lost(candidate)
+        if broken.kind in (Kind.CONNECT_FAILED, Kind.CONNECTION_LOST):
+            self._lose(candidate)
         self._log.failure(
             "hop_broken",
             request_id=context.request_id,
@@ -348,6 +401,12 @@
             None, HopResult(broken.kind.value, broken.detail, 0.0, was_sent)
         )
 
+    def _lose(self, candidate: Candidate) -> None:
+        """Leave a node out until it answers a question on a new connection."""
+        # Its other connections may have gone silent as well.
+        self._client.drop_idle(Address(candidate.host, candidate.port))
+        self.on_peer_lost(candidate)
+
     def _learn(
         self, call: _Call, candidate: Candidate, result: HopResult, now_s: float
     ) -> None:
@@ -373,7 +432,10 @@
             kind = Kind.CONNECTION_LOST
         elif not progress.may_have_run and ANSWERS[kind].ran is not Ran.NO:
             kind = Kind.NO_UPSTREAM
-        after_s = progress.retry_after_s or RETRY_AFTER_S
+        left_s = call.start_s + call.patience_s - self._clock.monotonic_s()
+        after_s = choose_retry_after(
+            left_s, progress.retry_after_s, call.priority, self._upstreams.rng
+        )
         self._finish(call, progress, "gave_up", kind.value, last.detail, after_s)
         self._metrics.count_refusal(kind)
         response = build_refusal(
--- a/libs/mimosaloom-relay/mimosaloom_relay/retry_share.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/retry_share.py
@@ -7,8 +7,11 @@
 
 # Requests and repeats are counted at the origin; what is in flight between two counts
 # at the target, and nodes counted twice while they are replaced, need room.
-RATIO_MARGIN = 0.5
+RATIO_MARGIN = 0.8
 BASE_MARGIN = 0.6
+# Part of the share that requests of all priorities may use; the rest is for the most
+# important ones, so that they are served last to fail where targets reject at random.
+COMMON_RATIO = 0.6
 
 
 class RepeatBound(NamedTuple):
@@ -51,16 +54,23 @@
             self._requests.append((second, 1))
         self._request_count += 1
 
-    def try_spend(self, now_s: float, *, nodes: int) -> bool:
+    def record_repeat(self, now_s: float) -> None:
+        """Count a call of a run that is a repeat itself; it can't be left out."""
+        self._repeats.append(now_s)
+
+    def try_spend(self, now_s: float, *, nodes: int, is_important: bool) -> bool:
         """Take one repeat; False if the share is used up.
 
         Args:
             now_s: Current time on the monotonic clock.
             nodes: Nodes that share the base.
+            is_important: Whether the request has the highest priority.
         """
         self._forget(now_s)
         allowed = RATIO_MARGIN * self._bound.ratio * self._request_count
         allowed += BASE_MARGIN * self._bound.base / max(1, nodes)
+        if not is_important:
+            allowed *= COMMON_RATIO
         if len(self._repeats) + 1 > allowed:
             return False
         self._repeats.append(now_s)
--- a/tests/platform_adapter/test_control.py
+++ b/tests/platform_adapter/test_control.py
@@ -2,10 +2,13 @@
 
 import asyncio
 
+import msgspec
 import pytest
 from platform_adapter.cluster import run_cluster, until
 from platform_adapter.standins import build_document
 
+from mimosaloom_relay.peers import encode_record
+
 pytestmark = pytest.mark.sockets
 
 FRONT_ROUTE = {"pathPrefix": "/f/", "service": "front"}
@@ -211,3 +214,36 @@
             await stop
 
     run_cluster(scenario)
+
+
+@pytest.mark.parametrize("is_silent", [True, False])
+def test_lost_node_is_left_out_until_it_answers(is_silent):
+    """Guards against requests that wait for a node that is gone or cut off."""
+
+    async def scenario(cluster):
+        front = await cluster.add("front-1", "front")
+        back = await cluster.add("back-1", "back")
+        route = {"pathPrefix": "/b/", "service": "back", "timeoutMs": 300}
+        await cluster.configure(1, [route])
+        await cluster.announce_all()
+        silent = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
+        port = silent.sockets[0].getsockname()[1]
+        if not is_silent:
+            silent.close()
+            await silent.wait_closed()
+        lost = msgspec.structs.replace(
+            front.node.upstreams.peers.get("back-1"), name="back-2", port=port
+        )
+        front.node.put_record("back-2", encode_record(lost))
+        back.node.put_record("back-2", encode_record(lost))
+        peers = front.node.upstreams.peers
+        for number in range(40):
+            await front.ask("/b/x", f"id-{number}")
+            if peers.is_unreachable("back-2"):
+                break
+        assert peers.is_unreachable("back-2")
+        for number in range(100, 110):
+            assert (await front.ask("/b/x", f"id-{number}")).status == 200
+        silent.close()
+
+    run_cluster(scenario)
