Give repeats first to important runs that have come far

Change: the part of the share that a repeat may use grows with the priority and with the calls that its run has completed. Ruled out: shedding others at the root, since their calls also raise the bound.

--- a/libs/mimosaloom-relay/mimosaloom_relay/origin.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/origin.py
@@ -214,6 +214,8 @@
             self._finish(call, progress, "cancelled", "")
             raise
         if answer is not None:
+            if call.parent is not None:
+                self._target_side.count_call(call.parent.request_id)
             self._finish(call, progress, "answered", str(answer.response.status))
             return answer
         return self._give_up(call, progress)
@@ -300,7 +302,10 @@
         nodes = len(self._upstreams.peers)
         now_s = self._clock.monotonic_s()
         is_allowed = self._share(call.service).try_spend(
-            now_s, nodes=nodes, is_important=call.priority == 0
+            now_s,
+            nodes=nodes,
+            is_important=call.priority == 0,
+            calls_done=self._count_calls_done(call),
         )
         if is_allowed:
             self._metrics.count_retry(result.kind)
@@ -308,6 +313,11 @@
             self._metrics.count_stopped_retry("budget")
         return is_allowed
 
+    def _count_calls_done(self, call: _Call) -> int:
+        if call.parent is None:
+            return 0
+        return self._target_side.calls_done(call.parent.request_id)
+
     async def _attempt(
         self, call: _Call, candidate: Candidate, progress: _Progress
     ) -> HopReply:
--- a/libs/mimosaloom-relay/mimosaloom_relay/retry_share.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/retry_share.py
@@ -9,9 +9,12 @@
 # at the target, and nodes counted twice while they are replaced, need room.
 RATIO_MARGIN = 0.8
 BASE_MARGIN = 0.6
-# Part of the share that requests of all priorities may use; the rest is for the most
-# important ones, so that they are served last to fail where targets reject at random.
-COMMON_RATIO = 0.6
+# Parts of the share up to which a repeat is made, by the calls that the parent run has
+# completed; the last value holds for more. A repeat late in a run saves all the work
+# before it, and one for the highest priority is worth several others, so where targets
+# reject most calls these two decide which runs finish at all.
+IMPORTANT_LIMITS = (0.6, 0.8, 1.0)
+OTHER_LIMITS = (0.25, 0.3, 0.4)
 
 
 class RepeatBound(NamedTuple):
@@ -58,20 +61,24 @@
         """Count a call of a run that is a repeat itself; it can't be left out."""
         self._repeats.append(now_s)
 
-    def try_spend(self, now_s: float, *, nodes: int, is_important: bool) -> bool:
-        """Take one repeat; False if the share is used up.
+    def try_spend(
+        self, now_s: float, *, nodes: int, is_important: bool, calls_done: int = 0
+    ) -> bool:
+        """Take one repeat; False if the part for such requests is used up.
 
         Args:
             now_s: Current time on the monotonic clock.
             nodes: Nodes that share the base.
             is_important: Whether the request has the highest priority.
+            calls_done: Calls that the run has completed for which this call is made.
         """
         self._forget(now_s)
         allowed = RATIO_MARGIN * self._bound.ratio * self._request_count
         allowed += BASE_MARGIN * self._bound.base / max(1, nodes)
-        if not is_important:
-            allowed *= COMMON_RATIO
-        if len(self._repeats) + 1 > allowed:
+        full = allowed
+        limits = IMPORTANT_LIMITS if is_important else OTHER_LIMITS
+        allowed *= limits[min(calls_done, len(limits) - 1)]
+        if len(self._repeats) + 1 > max(allowed, min(1.0, full)):
             return False
         self._repeats.append(now_s)
         return True
--- a/libs/mimosaloom-relay/mimosaloom_relay/target_side.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/target_side.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+from collections import Counter
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -93,6 +94,7 @@
         self._ticks: asyncio.Task | None = None
         self._sendings: set[asyncio.Task] = set()
         self._running: dict[str, HopContext] = {}
+        self._calls_done: Counter[str] = Counter()
         # The target must see only the values that this side sets.
         self._replaced = frozenset(
             {
@@ -115,6 +117,15 @@
         """
         return self._running.get(request_id.rpartition(CALL_SEPARATOR)[0])
 
+    def count_call(self, parent_id: str) -> None:
+        """Record that a call of a running request has been answered."""
+        if parent_id in self._running:
+            self._calls_done[parent_id] += 1
+
+    def calls_done(self, parent_id: str) -> int:
+        """Return the calls of a running request that have been answered."""
+        return self._calls_done.get(parent_id, 0)
+
     def open_gate(self, slots: int) -> None:
         """Begin with a fresh admission for a target that has just started."""
         self._used_slots = max(1, math.floor(slots * USED_SLOTS_RATIO))
@@ -232,6 +243,7 @@
             return reply
         finally:
             del self._running[context.request_id]
+            self._calls_done.pop(context.request_id, None)
             gate.leave(key, is_success=is_success)
 
     async def _send(
--- a/tests/relay/test_retry_share.py
+++ b/tests/relay/test_retry_share.py
@@ -1,5 +1,7 @@
 """The shared bound on repeats, summed over nodes in any window."""
 
+import random
+
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -52,6 +54,51 @@
     share = RepeatShare(BOUND)
     for _ in range(100):
         share.record_request(0.0)
-    while share.try_spend(0.0, nodes=15, is_important=False):
+    while share.try_spend(0.0, nodes=15, is_important=False, calls_done=9):
         pass
     assert share.try_spend(0.0, nodes=15, is_important=True)
+
+
+def play_rejecting_targets(spend):
+    """Play 400 runs of four calls each to targets that reject 55% of all calls.
+
+    Returns:
+        Finished runs that are important, and others.
+    """
+    rng = random.Random(3)
+    share = RepeatShare(BOUND)
+    finished = {True: 0, False: 0}
+    runs = [[index % 4 == 0, 0] for index in range(400)]
+    for turn in range(20):
+        for run in list(runs):
+            is_important, done = run
+            if turn % 4 == 0:
+                share.record_request(turn * 0.1)
+            has_passed = rng.random() < 0.45
+            while not has_passed and spend(share, turn * 0.1, is_important, done):
+                has_passed = rng.random() < 0.45
+            run[1] = done + 1
+            if not has_passed or run[1] == 4:
+                runs.remove(run)
+                finished[is_important] += has_passed
+    return finished
+
+
+def test_important_runs_finish_where_targets_reject_at_random():
+    """Guards against repeats spread so thin that no important run finishes.
+
+    The load: all targets of the deepest service reject 55% of all calls, four calls a
+    run. Beside it, the same share handed out in the order of arrival.
+    """
+
+    def in_order(share, now_s, is_important, done):
+        return share.try_spend(now_s, nodes=1, is_important=True, calls_done=9)
+
+    def by_value(share, now_s, is_important, done):
+        return share.try_spend(
+            now_s, nodes=1, is_important=is_important, calls_done=done
+        )
+
+    before, after = (play_rejecting_targets(spend) for spend in (in_order, by_value))
+    assert after[True] >= 1.5 * before[True]
+    assert 3 * after[True] + after[False] > 3 * before[True] + before[False]
