Repeat a target's own failure elsewhere, and steer away from it

Change: a node says whether its target failed though all of its calls were answered; such an idempotent request goes to another target within the share of repeats and half of its time, and the router counts the failure. Failures after a failed call are not repeated. Tests: both cases over real sockets.

--- a/libs/mimosaloom-relay/mimosaloom_relay/hop_messages.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/hop_messages.py
@@ -93,6 +93,7 @@
         level: Admission level for the class of the request.
         load: Calls that run or wait, as a share of the slots.
         is_draining: Whether the target is leaving.
+        is_own_failure: Whether the target failed though all of its calls were answered.
     """
 
     kind: str = ""
@@ -104,6 +105,7 @@
     level: float = 1.0
     load: float = 0.0
     is_draining: bool = False
+    is_own_failure: bool = False
 
 
 def encode_header(value: msgspec.Struct) -> str:
--- a/libs/mimosaloom-relay/mimosaloom_relay/origin.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/origin.py
@@ -214,10 +214,10 @@
             self._finish(call, progress, "cancelled", "")
             raise
         if answer is not None:
-            if call.parent is not None:
-                self._target_side.count_call(call.parent.request_id)
+            self._count_call(call, is_success=answer.response.status < 500)
             self._finish(call, progress, "answered", str(answer.response.status))
             return answer
+        self._count_call(call, is_success=False)
         return self._give_up(call, progress)
 
     def _is_admitted(self, call: _Call) -> bool:
@@ -243,16 +243,22 @@
         self, call: _Call, progress: _Progress
     ) -> Answer | None:
         """Send the request until it has an answer or no attempt is left."""
+        failure: Answer | None = None
         while True:
             candidate = self._pick(call, progress)
             if candidate is None:
-                return None
+                return failure
             progress.attempts += 1
             progress.tried.add(candidate.name)
             progress.reached.add(candidate.name)
             reply = await self._attempt(call, candidate, progress)
             if reply.answer is not None:
-                return reply.answer
+                if not reply.result.is_own_failure or not self._may_repeat_failure(
+                    call, progress, reply
+                ):
+                    return reply.answer
+                failure = reply.answer
+                continue
             progress.last = reply.result
             progress.retry_after_s = max(
                 progress.retry_after_s, reply.result.retry_after_s
@@ -261,7 +267,7 @@
             if not reply.result.was_sent:
                 progress.reached.discard(candidate.name)
             if not self._may_try_again(call, progress, reply.result):
-                return None
+                return failure
 
     def _pick(self, call: _Call, progress: _Progress) -> Candidate | None:
         """Return the upstream for the next attempt; None if there is none.
@@ -299,6 +305,27 @@
             return False
         if progress.arrivals >= MAX_ARRIVALS:
             return False
+        return self._spend_repeat(call, result.kind)
+
+    def _may_repeat_failure(
+        self, call: _Call, progress: _Progress, reply: HopReply
+    ) -> bool:
+        """Decide whether a request that a target failed on its own goes to another.
+
+        This answers targets that fail part of their requests. A failure that comes from
+        a failed call is not repeated, as it would repeat all work below as well.
+        """
+        progress.arrivals += 1
+        elapsed_s = self._clock.monotonic_s() - call.start_s
+        return (
+            call.route.request_class.is_idempotent
+            and reply.answer.rest is None
+            and len(progress.reached) < call.route.max_targets
+            and 2 * elapsed_s < call.deadline_s - call.start_s
+            and self._spend_repeat(call, Kind.TARGET_FAILED.value)
+        )
+
+    def _spend_repeat(self, call: _Call, reason: str) -> bool:
         nodes = len(self._upstreams.peers)
         now_s = self._clock.monotonic_s()
         is_allowed = self._share(call.service).try_spend(
@@ -308,11 +335,16 @@
             calls_done=self._count_calls_done(call),
         )
         if is_allowed:
-            self._metrics.count_retry(result.kind)
+            self._metrics.count_retry(reason)
         else:
             self._metrics.count_stopped_retry("budget")
         return is_allowed
 
+    def _count_call(self, call: _Call, *, is_success: bool) -> None:
+        if call.parent is not None:
+            parent_id = call.parent.request_id
+            self._target_side.count_call(parent_id, is_success=is_success)
+
     def _count_calls_done(self, call: _Call) -> int:
         if call.parent is None:
             return 0
@@ -353,6 +385,8 @@
                 reply = await self._send_hop(candidate, context, call.incoming)
                 progress.waits_for = None
             kind = Kind(reply.result.kind) if reply.result.kind else None
+            if reply.result.is_own_failure:
+                kind = Kind.TARGET_FAILED
         finally:
             now_s = self._clock.monotonic_s()
             router.finish(candidate.name, now_s, elapsed_s=now_s - start_s, kind=kind)
--- a/libs/mimosaloom-relay/mimosaloom_relay/target_side.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/target_side.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+import msgspec
+
 from mimosaloom_mesh import AdmissionGate
 from mimosaloom_mesh.messages import Headers, Request, Response, find_header
 from mimosaloom_mesh.transport import Broken
@@ -38,6 +40,8 @@
 DEADLINE_SLACK_S = 0.05
 RETRY_AFTER_S = 0.5
 CALL_SEPARATOR = "."
+# A target's answers after which another target may do better.
+OWN_FAILURES = frozenset({500, 502})
 # Statuses by which a target promises that it has not run a request; without its own
 # sign for that they are not passed on as a promise.
 _PROMISES = frozenset({408, 421, 429, 503})
@@ -95,6 +99,7 @@
         self._sendings: set[asyncio.Task] = set()
         self._running: dict[str, HopContext] = {}
         self._calls_done: Counter[str] = Counter()
+        self._with_failed_call: set[str] = set()
         # The target must see only the values that this side sets.
         self._replaced = frozenset(
             {
@@ -117,10 +122,14 @@
         """
         return self._running.get(request_id.rpartition(CALL_SEPARATOR)[0])
 
-    def count_call(self, parent_id: str) -> None:
-        """Record that a call of a running request has been answered."""
-        if parent_id in self._running:
+    def count_call(self, parent_id: str, *, is_success: bool) -> None:
+        """Record that a call of a running request has ended."""
+        if parent_id not in self._running:
+            return
+        if is_success:
             self._calls_done[parent_id] += 1
+        else:
+            self._with_failed_call.add(parent_id)
 
     def calls_done(self, parent_id: str) -> int:
         """Return the calls of a running request that have been answered."""
@@ -244,6 +253,7 @@
         finally:
             del self._running[context.request_id]
             self._calls_done.pop(context.request_id, None)
+            self._with_failed_call.discard(context.request_id)
             gate.leave(key, is_success=is_success)
 
     async def _send(
@@ -311,7 +321,11 @@
                 status=response.status,
                 elapsed_ms=self._elapsed_ms(start_s),
             )
-            return HopReply(answer, self._result(context, was_sent=True))
+            result = self._result(context, was_sent=True)
+            has_failed = response.status in OWN_FAILURES
+            if has_failed and context.request_id not in self._with_failed_call:
+                result = msgspec.structs.replace(result, is_own_failure=True)
+            return HopReply(answer, result)
         if answer.rest is not None:
             answer.rest.abort()
         kind, detail = problem
--- a/tests/platform_adapter/standins.py
+++ b/tests/platform_adapter/standins.py
@@ -194,7 +194,9 @@
             return True
         self.runs.append(request_id)
         answer = self._answer(request_id, b"done:" + body)
-        if mode == "hold":
+        if mode.startswith("hold"):
+            if mode == "hold-error":
+                answer = _ANSWERS["error"](answer, b"")
             return await self._hold(request_id, answer, reader, writer)
         late = self._answer("another" if mode == "extra" else request_id, b"late")
         writer.write(_ANSWERS[mode](answer, late))
--- a/tests/platform_adapter/test_path.py
+++ b/tests/platform_adapter/test_path.py
@@ -250,3 +250,45 @@
         assert (await asking).status == 200
 
     run_cluster(scenario)
+
+
+def test_own_failure_of_one_target_is_repeated_on_another():
+    """Guards against targets that fail part of their requests and look fast by it."""
+
+    async def scenario(cluster):
+        front, back = await start_pair(cluster)
+        other = await cluster.add("back-2", "back")
+        await other.announce()
+        await until(lambda: front.knows_all(cluster.members))
+        back.target.modes = other.target.modes = ["error"]
+        assert (await front.ask("/b/x")).status == 200
+        assert len(back.target.runs + other.target.runs) == 2
+
+    run_cluster(scenario)
+
+
+def test_failure_after_a_failed_call_is_not_repeated():
+    """Guards against repeats that multiply the work of all services below."""
+
+    async def scenario(cluster):
+        front, back = await start_pair(cluster)
+        other = await cluster.add("back-2", "back")
+        await other.announce()
+        await until(lambda: front.knows_all(cluster.members))
+        routes = [
+            {"pathPrefix": "/b/", "service": "back"},
+            {"pathPrefix": "/gone/", "service": "gone"},
+        ]
+        await cluster.configure(2, routes)
+        back.target.modes = other.target.modes = ["hold-error"]
+        asking = asyncio.ensure_future(front.ask("/b/x", "root"))
+        await until(lambda: back.target.runs or other.target.runs)
+        runner = back if back.target.runs else other
+        assert (await runner.ask("/none/y", "root.call")).status == 404
+        assert (await runner.ask("/gone/y", "root.call2")).status == 503
+        back.target.released.set()
+        other.target.released.set()
+        assert (await asking).status == 500
+        assert len(back.target.runs + other.target.runs) == 1
+
+    run_cluster(scenario)
