Explain a request from the logs of nodes

`mimosaloom explain REQUEST_ID [FILE...]` prints the timeline of a request and of the calls made for it over all nodes, with the inputs of each decision, and the cause that the deepest failing line names. Lines of another form are counted and skipped. Tests: three kinds of failed request over real sockets, found with nothing but the logs; a flood keeps the lines of failures; a pipe that nobody reads does not block.

--- a/libs/mimosaloom-cli/mimosaloom_cli/cli/constants.py
+++ b/libs/mimosaloom-cli/mimosaloom_cli/cli/constants.py
@@ -9,6 +9,7 @@
     "COMMANDS_GROUP",
     "DELETE_EPILOG",
     "DIFF_EPILOG",
+    "EXPLAIN_EPILOG",
     "GET_EPILOG",
     "NODE_EPILOG",
 ]
@@ -90,6 +91,17 @@
   6  The log service can't be reached.
 """
 
+EXPLAIN_EPILOG = """\b
+Examples:
+  mimosaloom explain 9c41d07be2a35f68 node-1.log node-2.log
+  cat *.log | mimosaloom explain 9c41d07be2a35f68
+
+\b
+Exit codes:
+  0  The timeline of the request is on stdout, with the cause if the logs name one.
+  1  No line names the request, or a file can't be read.
+"""
+
 DELETE_EPILOG = f"""\b
 Example:
   mimosaloom delete Upstream billing-3 --log-url http://127.0.0.1:9000
--- a/libs/mimosaloom-cli/mimosaloom_cli/cli/definition.py
+++ b/libs/mimosaloom-cli/mimosaloom_cli/cli/definition.py
@@ -1,6 +1,8 @@
 """The commands of mimosaloom."""
 
+import sys
 from importlib.metadata import entry_points, version
+from pathlib import Path
 from typing import Annotated
 
 import typer
@@ -17,6 +19,7 @@
     COMMANDS_GROUP,
     DELETE_EPILOG,
     DIFF_EPILOG,
+    EXPLAIN_EPILOG,
     GET_EPILOG,
     NODE_EPILOG,
 )
@@ -25,10 +28,12 @@
     ChangedFilesOption,
     FilesArgument,
     KindArgument,
+    LogFilesArgument,
     LogUrlOption,
     NameArgument,
     OutputFormat,
     OutputOption,
+    RequestIdArgument,
     RequiredNameArgument,
     RevisionOption,
     SettingsOption,
@@ -53,6 +58,7 @@
     app.command(epilog=APPLY_EPILOG)(apply)
     app.command(epilog=GET_EPILOG)(get)
     app.command(epilog=DELETE_EPILOG)(delete)
+    app.command(epilog=EXPLAIN_EPILOG)(explain)
     for entry_point in entry_points(group=COMMANDS_GROUP):
         entry_point.load()(app)
     return app
@@ -164,3 +170,33 @@
     from ..operations import delete_resource
 
     delete_resource(kind.value, name, revision, log_url, author)
+
+
+def explain(request_id: RequestIdArgument, files: LogFilesArgument = None) -> None:
+    """Show from the logs of nodes what became of a request, and why.
+
+    The lines may be those of several nodes in any order. Failed requests have a line
+    at each node that decided on them; of those answered, only a sample has.
+    """
+    from ..explain import explain_request, format_explanation
+
+    try:
+        texts = _read_lines(files or [])
+    except OSError as error:
+        exit_with_error(
+            f"can't read {error.filename}: {error.strerror}",
+            "Name log files of nodes that can be read",
+            ExitCode.ERROR,
+        )
+    explanation = explain_request(request_id, texts)
+    for line in format_explanation(request_id, explanation):
+        typer.echo(line)
+    if not explanation.lines:
+        raise typer.Exit(ExitCode.ERROR)
+
+
+def _read_lines(files: list[Path]) -> list[str]:
+    if not files:
+        return sys.stdin.read().splitlines()
+    texts = (path.read_text("utf-8", errors="replace") for path in files)
+    return [line for text in texts for line in text.splitlines()]
--- a/libs/mimosaloom-cli/mimosaloom_cli/cli/parsing.py
+++ b/libs/mimosaloom-cli/mimosaloom_cli/cli/parsing.py
@@ -13,10 +13,12 @@
     "ChangedFilesOption",
     "FilesArgument",
     "KindArgument",
+    "LogFilesArgument",
     "LogUrlOption",
     "NameArgument",
     "OutputFormat",
     "OutputOption",
+    "RequestIdArgument",
     "RequiredNameArgument",
     "ResourceKind",
     "RevisionOption",
@@ -149,3 +151,15 @@
     OutputFormat,
     typer.Option("--output", "-o", help="A table, or a resource file in JSON."),
 ]
+
+RequestIdArgument = Annotated[
+    str, typer.Argument(metavar="REQUEST_ID", help="Id of the request.")
+]
+LogFilesArgument = Annotated[
+    list[Path] | None,
+    typer.Argument(
+        metavar="[FILE]...",
+        help="Log files of nodes; standard input if none is given.",
+        show_default=False,
+    ),
+]
--- a/libs/mimosaloom-relay/mimosaloom_relay/decision_log.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/decision_log.py
@@ -6,7 +6,12 @@
 from enum import StrEnum
 
 import msgspec
-from eliot import add_destinations, add_global_fields, log_message
+from eliot import (
+    add_destinations,
+    add_global_fields,
+    log_message,
+    remove_destination,
+)
 
 from mimosaloom_model import Clock
 
@@ -88,13 +93,16 @@
 
 def log_to_descriptor(
     descriptor: int, count_dropped: Callable[[str], None], **fields: str
-) -> None:
+) -> Callable[[], None]:
     """Send all log messages to a descriptor; drop them while nobody reads.
 
     Args:
         descriptor: An open file or pipe.
         count_dropped: Called for each line that could not be written.
         fields: Added to each message.
+
+    Returns:
+        Ends that.
     """
     os.set_blocking(descriptor, False)
     encode = msgspec.json.Encoder(enc_hook=str).encode
@@ -112,3 +120,4 @@
 
     add_destinations(write_line)
     add_global_fields(**fields)
+    return lambda: remove_destination(write_line)
--- /dev/null
+++ b/tests/platform_adapter/test_explain.py
@@ -0,0 +1,128 @@
+"""From the id of a failed request to its cause, with nothing but the logs."""
+
+import asyncio
+import json
+import os
+
+import pytest
+from eliot import add_destinations, remove_destination
+from platform_adapter.cluster import run_cluster
+
+from mimosaloom_cli.explain import explain_request, format_explanation
+from mimosaloom_model import ManualClock
+from mimosaloom_relay import DecisionLog, log_to_descriptor
+
+pytestmark = pytest.mark.sockets
+ROUTE = {"pathPrefix": "/b/", "service": "back", "routeType": "non_idempotent"}
+
+
+def collect_lines(scenario):
+    """Run a scenario and return the log lines of all nodes."""
+    lines = []
+
+    def destination(message):
+        lines.append(json.dumps(message, default=str))
+
+    add_destinations(destination)
+    try:
+        run_cluster(scenario)
+    finally:
+        remove_destination(destination)
+    return lines
+
+
+async def start(cluster, **route):
+    """Start a caller and a target that it calls."""
+    front = await cluster.add("front-1", "front")
+    back = await cluster.add("back-1", "back")
+    await cluster.configure(1, [{**ROUTE, **route}])
+    await cluster.announce_all()
+    return front, back
+
+
+def test_refused_under_overload():
+    """Guards against a refusal whose inputs can't be found afterwards."""
+
+    async def scenario(cluster):
+        front, back = await start(cluster, timeoutMs=400)
+        back.target.modes = ["hold"] * 60
+        asking = [front.ask("/b/x", f"id-{n}", method="POST") for n in range(60)]
+        found = await asyncio.gather(*asking)
+        refused.extend(n for n, r in enumerate(found) if r.status == 503)
+
+    refused = []
+    lines = collect_lines(scenario)
+    explanation = explain_request(f"id-{refused[0]}", lines)
+    assert "room" in explanation.cause or "slot" in explanation.cause
+    hop = next(x for x in explanation.lines if x.message_type == "hop_refused")
+    assert {"in_flight", "queued", "limit", "level", "priority"} <= hop.fields.keys()
+
+
+def test_outcome_unknown_after_a_lost_answer():
+    """Guards against a 502 of which nobody can tell where the doubt arose."""
+
+    async def scenario(cluster):
+        front, back = await start(cluster)
+        back.target.modes = ["lose"]
+        assert (await front.ask("/b/x", "id-7", method="POST")).status == 502
+
+    explanation = explain_request("id-7", collect_lines(scenario))
+    assert explanation.cause.startswith("a connection was lost after")
+    kinds = [line.message_type for line in explanation.lines]
+    assert kinds == ["target_gave_no_answer", "request_finished"]
+    assert explanation.lines[0].fields["target_id"] == "i-back-1"
+
+
+def test_deadline_passed_at_a_slow_target():
+    """Guards against a timeout that names no target."""
+
+    async def scenario(cluster):
+        front, back = await start(cluster, timeoutMs=200)
+        back.target.modes = ["hold"]
+        assert (await front.ask("/b/x", "id-7", method="POST")).status == 504
+
+    lines = [*collect_lines(scenario), "not a log line", '{"torn": ']
+    explanation = explain_request("id-7", lines)
+    assert explanation.cause.startswith("no answer came within its time")
+    assert explanation.skipped == 2
+    assert explanation.lines[0].fields["remaining_ms"] <= 200
+    report = list(format_explanation("id-7", explanation))
+    assert report[-1] == "2 lines could not be read"
+    assert "target_gave_no_answer" in report[0]
+
+
+def test_flood_drops_successes_and_keeps_failures():
+    """Guards against logs without bound, and against lost lines of failed requests."""
+    written, dropped = [], []
+
+    def destination(message):
+        written.append(message["message_type"])
+
+    add_destinations(destination)
+    try:
+        log = DecisionLog(ManualClock(), dropped.append)
+        for number in range(5000):
+            log.success("answered", request_id=str(number))
+        for number in range(100):
+            log.failure("failed", request_id=str(number))
+    finally:
+        remove_destination(destination)
+    assert written.count("failed") == 100
+    assert written.count("answered") < 100
+    assert len(dropped) == 5000 - written.count("answered")
+
+
+def test_pipe_that_nobody_reads_does_not_block():
+    """Guards against a node that stands still because its output is not read."""
+    reader, writer = os.pipe()
+    dropped = []
+    remove = log_to_descriptor(writer, dropped.append, node="n")
+    try:
+        log = DecisionLog(ManualClock(), lambda reason: None)
+        for _ in range(200):
+            log.failure("failed", detail="x" * 2000)
+    finally:
+        remove()
+        os.close(reader)
+        os.close(writer)
+    assert "unwritable" in dropped
