Say that a node which reaches no other is not ready

Refused connections don't count, so that the survivors of a kill stay ready. Unacknowledged bytes end a connection after 0.6 s (1 s before). Test: silent and killed neighbours over real sockets.

--- a/libs/mimosaloom-relay/mimosaloom_relay/connections.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/connections.py
@@ -25,8 +25,9 @@
 KEEP_ALIVE_IDLE_S = 1
 KEEP_ALIVE_INTERVAL_S = 1
 KEEP_ALIVE_COUNT = 2
-# Bytes that are not acknowledged this long; two losses in a row take 0.6 s.
-USER_TIMEOUT_MS = 1000
+# Bytes that are not acknowledged this long; a second loss in a row is rare, and a node
+# that was cut off has to be left while there is time for another.
+USER_TIMEOUT_MS = 600
 LAST_CHUNK = b"0\r\n\r\n"
 
 
--- a/libs/mimosaloom-relay/mimosaloom_relay/node.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/node.py
@@ -22,6 +22,7 @@
     SELF_PATH,
     IncomingHops,
 )
+from .isolation import Isolation
 from .metrics import RelayMetrics
 from .origin import Origin, build_refusal
 from .own_target import Announcement, OwnTarget, Report
@@ -45,7 +46,10 @@
 POLL_S = 0.05
 PROBE_FIRST_S = 0.2
 PROBE_LONGEST_S = 2.0
-PROBE_TIMEOUT_S = 0.5
+# Below the time for a connection, so that silence is told from a refusal.
+PROBE_TIMEOUT_S = 0.4
+# Nodes that are asked when one falls silent, to learn which side is cut off.
+PROBED_AT_ONCE = 8
 FETCH_TIMEOUT_S = 1.0
 # A node whose record is still missing this long after the store can be read is gone.
 MISSING_GRACE_S = 2.0
@@ -126,11 +130,13 @@
         self._names = names
         self._read_configuration = read_configuration
         self._clock = clock
+        self._rng = rng
         self._tasks: set[asyncio.Task] = set()
         self._probed: set[str] = set()
         self._fetching = 0
         self._published: bytes | None = None
         self._missing: set[str] = set()
+        self._isolation = Isolation()
         self.own_target = OwnTarget(settings.service, settings.target)
         target_client = HttpClient(clock, lambda: metrics.count_connection("target"))
         self._hop_client = HttpClient(clock, lambda: metrics.count_connection("node"))
@@ -191,7 +197,11 @@
     @property
     def is_ready(self) -> bool:
         """Whether clients may be sent here."""
-        return self.origin.configuration is not None and not self.is_stopping
+        return (
+            self.origin.configuration is not None
+            and not self.is_stopping
+            and not self._isolation.is_isolated(len(self.upstreams.peers) - 1)
+        )
 
     async def start(self, answer_announcement: Handler) -> None:
         """Open the listeners."""
@@ -368,7 +378,7 @@
 
     async def _fetch_configuration(self, address: Address) -> None:
         answer = await self._ask(address, CONFIGURATION_PATH, FETCH_TIMEOUT_S)
-        if answer is not None and answer.status == 200:
+        if isinstance(answer, Response) and answer.status == 200:
             self.put_configuration(answer.body, f"node {address.host}:{address.port}")
         self._fetching = 0
         if len(self.upstreams.peers) < 2:
@@ -377,7 +387,7 @@
 
     async def _fetch_nodes(self, address: Address) -> None:
         answer = await self._ask(address, NODES_PATH, FETCH_TIMEOUT_S)
-        if answer is None or answer.status != 200:
+        if not isinstance(answer, Response) or answer.status != 200:
             return
         for record in decode_records(answer.body):
             if self.upstreams.peers.get(record.name) is None:
@@ -390,34 +400,62 @@
             self.put_record(name, None)
 
     def _lose_peer(self, candidate: Candidate) -> None:
-        if not self.upstreams.mark_unreachable(candidate.name):
-            return
-        self.log.change("peer_unreachable", peer=candidate.name)
-        if candidate.name not in self._probed:
-            self._probed.add(candidate.name)
-            self._spawn(self._probe_until_reached(candidate.name))
+        if self.upstreams.mark_unreachable(candidate.name):
+            self.log.change("peer_unreachable", peer=candidate.name)
+            self._probe_soon(candidate.name)
+
+    def _probe_soon(self, name: str) -> None:
+        if name not in self._probed:
+            self._probed.add(name)
+            self._spawn(self._probe_until_reached(name))
 
     async def _probe_until_reached(self, name: str) -> None:
-        delay_s = 0.0
+        delay_s = PROBE_FIRST_S
         try:
-            while self.upstreams.peers.is_unreachable(name):
-                await asyncio.sleep(delay_s)
-                delay_s = min(PROBE_LONGEST_S, max(PROBE_FIRST_S, 2 * delay_s))
-                record = self.upstreams.peers.get(name)
-                if record is None:
-                    return
-                answer = await self._ask(record.address, SELF_PATH, PROBE_TIMEOUT_S)
-                if answer is not None and answer.status == 200:
-                    self.put_record(name, answer.body)
-                    self.upstreams.mark_reachable(name)
-                    self.log.change("peer_reachable", peer=name)
+            while (record := self.upstreams.peers.get(name)) is not None:
+                if await self._probe(record):
                     return
+                await asyncio.sleep(delay_s)
+                delay_s = min(PROBE_LONGEST_S, 2 * delay_s)
         finally:
+            self._isolation.hear_sign(name)
             self._probed.discard(name)
 
+    async def _probe(self, record: PeerRecord) -> bool:
+        """Ask a node for its record; return whether it answered."""
+        name = record.name
+        was_ready = self.is_ready
+        outcome = await self._ask(record.address, SELF_PATH, PROBE_TIMEOUT_S)
+        if outcome is None:
+            if self.upstreams.mark_unreachable(name):
+                self.log.change("peer_unreachable", peer=name)
+            self._isolation.hear_silence(name)
+            self._probe_others()
+        else:
+            self._isolation.hear_sign(name)
+        if was_ready != self.is_ready:
+            self.log.change("readiness_changed", is_ready=self.is_ready)
+        if isinstance(outcome, Response) and outcome.status == 200:
+            self.put_record(name, outcome.body)
+            if self.upstreams.peers.is_unreachable(name):
+                self.upstreams.mark_reachable(name)
+                self.log.change("peer_reachable", peer=name)
+            return True
+        return False
+
+    def _probe_others(self) -> None:
+        """Ask some more nodes, as soon as one has fallen silent."""
+        names = {record.name for record in self.upstreams.peers.records()}
+        names -= {self.settings.name, *self._probed}
+        count = PROBED_AT_ONCE - len(self._probed)
+        if count > 0 and names:
+            for name in self._rng.sample(sorted(names), min(count, len(names))):
+                self._probe_soon(name)
+
     async def _ask(
         self, address: Address, path: str, timeout_s: float
-    ) -> Response | None:
+    ) -> Response | Broken | None:
+        """Ask another node; return None if it gave no sign in time."""
         try:
             async with asyncio.timeout(timeout_s):
                 outcome = await self._hop_client.send(
@@ -425,7 +463,7 @@
                 )
         except TimeoutError:
             return None
-        return None if isinstance(outcome, Broken) else outcome.response
+        return outcome if isinstance(outcome, Broken) else outcome.response
 
     def _spawn(self, coroutine) -> None:
         task = asyncio.ensure_future(coroutine)
--- a/tests/platform_adapter/test_control.py
+++ b/tests/platform_adapter/test_control.py
@@ -247,3 +247,41 @@
         silent.close()
 
     run_cluster(scenario)
+
+
+@pytest.mark.parametrize("is_silent", [True, False])
+def test_node_that_is_cut_off_is_not_ready(is_silent):
+    """Guards against clients that are kept at a node which reaches nobody.
+
+    Nodes that were killed refuse connections; the one that is left stays ready.
+    """
+
+    async def scenario(cluster):
+        front = await cluster.add("front-1", "front")
+        route = {"pathPrefix": "/b/", "service": "back", "timeoutMs": 300}
+        await cluster.configure(1, [route])
+        await front.announce()
+        silent = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
+        port = silent.sockets[0].getsockname()[1]
+        if not is_silent:
+            silent.close()
+            await silent.wait_closed()
+        own = front.node.upstreams.peers.get("front-1")
+        for number in range(5):
+            name = f"back-{number}"
+            record = msgspec.structs.replace(own, name=name, port=port, service="back")
+            front.node.put_record(name, encode_record(record))
+        await front.ask("/b/x")
+        peers = front.node.upstreams.peers
+        if is_silent:
+            await until(lambda: not front.node.is_ready)
+            assert all(peers.is_unreachable(f"back-{n}") for n in range(3))
+        else:
+            await until(lambda: peers.is_unreachable("back-0"))
+            for number in range(5):
+                await front.ask("/b/x", f"id-{number}")
+        ready = await front.call(front.node.addresses.ready, "GET", "/-/readyz")
+        assert ready.status == (503 if is_silent else 200)
+        silent.close()
+
+    run_cluster(scenario)
