--- a/libs/mimosaloom-relay/mimosaloom_relay/http_server.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/http_server.py
@@ -26,6 +26,10 @@
 # How long the rest of a request is read after an early answer. A connection that closes
 # with unread bytes is reset, and the client would lose the answer.
 LINGER_S = 0.5
+DEFAULT_MAX_BODY_BYTES = 1 << 30
+TOO_LARGE = (
+    b"HTTP/1.1 413 Content Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+)
 BAD_REQUEST = (
     b"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 )
@@ -54,11 +58,18 @@
     Args:
         handle: Answers a request. It is cancelled when the client is gone.
         answer_crash: Returns the answer to a request whose handler raised.
+        max_body_bytes: Returns the largest body that is taken.
     """
 
-    def __init__(self, handle: Handler, answer_crash: Callable[[], Response]):
+    def __init__(
+        self,
+        handle: Handler,
+        answer_crash: Callable[[], Response],
+        max_body_bytes: Callable[[], int] = lambda: DEFAULT_MAX_BODY_BYTES,
+    ):
         self.handle = handle
         self.answer_crash = answer_crash
+        self.max_body_bytes = max_body_bytes
         self.is_closing = False
         self.tasks: set[asyncio.Task] = set()
         self.connections: set[_Connection] = set()
@@ -101,6 +112,7 @@
         self.path = b""
         self.headers: list[tuple[str, str]] = []
         self.method = ""
+        self.size = 0
         self.is_kept_alive = True
         self.is_old_version = False
         self.task: asyncio.Task | None = None
@@ -125,6 +137,7 @@
         self._current: _Exchange | None = None
         self._head_bytes = 0
         self._is_refused = False
+        self._refusal = BAD_REQUEST
 
     def connection_made(self, transport):
         self.transport = transport
@@ -164,11 +177,18 @@
         exchange = self._incoming
         exchange.method = self._parser.get_method().decode("latin-1")
         exchange.is_kept_alive = self._parser.should_keep_alive()
-        exchange.is_old_version = self._parser.get_http_version() != "1.1"
+        version = self._parser.get_http_version()
+        if version not in ("1.0", "1.1"):
+            raise ValueError("the version of the protocol is not known")
+        exchange.is_old_version = version == "1.0"
         if find_header(exchange.headers, "Expect") is not None:
             self.transport.write(CONTINUE)
 
     def on_body(self, body):
+        self._incoming.size += len(body)
+        if self._incoming.size > self._server.max_body_bytes():
+            self._refusal = TOO_LARGE
+            raise ValueError("the body is over the limit")
         self.feed_with_backpressure(self._incoming.body.feed, body)
 
     def on_message_complete(self):
@@ -193,11 +213,20 @@
     def _refuse(self) -> None:
         """Answer a request whose framing is in doubt and close the connection."""
         self._is_refused = True
-        if self._incoming is not None:
-            self._incoming.body.fail("the request can't be read")
+        incoming = self._incoming
+        if incoming is not None:
+            incoming.body.fail("the request can't be read")
+            if incoming is self._current:
+                # It was passed on while it arrived; the hop ends with it.
+                incoming.task.cancel()
+                self._current = None
         if self._current is None:
-            self.transport.write(BAD_REQUEST)
-            self.transport.close()
+            self._write_refusal()
+
+    def _write_refusal(self) -> None:
+        self.transport.write(self._refusal)
+        loop = asyncio.get_running_loop()
+        loop.call_later(LINGER_S, self.transport.close)
 
     def _start_next(self) -> None:
         exchange = self._current = self._waiting.popleft()
@@ -229,8 +258,7 @@
         if self._waiting:
             self._start_next()
         elif self._is_refused:
-            self.transport.write(BAD_REQUEST)
-            self.transport.close()
+            self._write_refusal()
 
     async def _write(self, exchange: _Exchange, answer: Answer) -> None:
         response, rest = answer
--- a/libs/mimosaloom-relay/mimosaloom_relay/node.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/node.py
@@ -28,7 +28,7 @@
 from .own_target import Announcement, OwnTarget, Report
 from .peers import PeerRecord, decode_record, decode_records, encode_record
 from .retry_share import RepeatBound
-from .routes import Configuration
+from .routes import Configuration, Limits
 from .target_side import TargetSide
 from .upstreams import Upstreams
 
@@ -214,7 +214,7 @@
         }
         opened = {}
         for name, handle in handlers.items():
-            server = RelayServer(handle, self._answer_crash)
+            server = RelayServer(handle, self._answer_crash, self._max_body_bytes)
             self._servers[name] = server
             opened[name] = await server.listen(getattr(self.settings.listen, name))
         self.addresses = Listeners(**opened)
@@ -481,6 +481,11 @@
         body = self.metrics.render()
         return Answer(Response(200, (("Content-Type", METRICS_TYPE),), body))
 
+    def _max_body_bytes(self) -> int:
+        configuration = self.origin.configuration
+        limits = Limits() if configuration is None else configuration.limits
+        return limits.max_body_bytes
+
     def _answer_crash(self) -> Response:
         self.metrics.count_refusal(Kind.INTERNAL)
         return build_refusal(self._names, Kind.INTERNAL, "")
--- /dev/null
+++ b/tests/platform_adapter/test_bad_requests.py
@@ -0,0 +1,113 @@
+"""Requests that are broken, too large or meant to be read in two ways."""
+
+import asyncio
+
+import pytest
+from platform_adapter.cluster import run_cluster
+
+pytestmark = pytest.mark.sockets
+
+HEAD = (
+    "POST /b/x HTTP/1.1\r\nHost: h.example\r\nMimosaloom-Attempt-Id: id-1\r\n"
+    "Mimosaloom-Timeout-Ms: 500\r\n"
+)
+INNER = "GET /b/smuggled HTTP/1.1\r\nHost: h.example\r\n\r\n"
+
+BROKEN = {
+    "length-and-chunks": "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n"
+    f"0\r\n\r\n{INNER}",
+    "two-lengths": f"Content-Length: 0\r\nContent-Length: 60\r\n\r\n{INNER}",
+    "no-number": "Content-Length: +5\r\n\r\nhello",
+    "chunk-size": "Transfer-Encoding: chunked\r\n\r\nzz\r\nhello\r\n0\r\n\r\n",
+    "unknown-coding": f"Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n{INNER}",
+    "space-before-colon": f"Content-Length : 60\r\n\r\n{INNER}",
+    "bare-carriage-return": "X: a\rContent-Length: 60\r\n\r\n",
+    "no-version": "\r\n",
+}
+
+
+async def send_raw(member, data: bytes) -> bytes:
+    """Send bytes as a client and return all that comes back until the end."""
+    address = member.node.addresses.outbound
+    reader, writer = await asyncio.open_connection(address.host, address.port)
+    writer.write(data)
+    try:
+        return await asyncio.wait_for(reader.read(-1), 3)
+    finally:
+        writer.close()
+
+
+async def start(cluster):
+    """Start a node with a target of its own."""
+    front = await cluster.add("front-1", "front")
+    await cluster.configure(1, [{"pathPrefix": "/b/", "service": "front"}])
+    await cluster.announce_all()
+    return front
+
+
+@pytest.mark.parametrize("name", BROKEN)
+def test_doubtful_framing_is_refused_and_closed(name):
+    """Guards against a request smuggled inside another, or passed on in part."""
+
+    async def scenario(cluster):
+        front = await start(cluster)
+        head = "POST /b/x\r\n" if name == "no-version" else HEAD
+        answer = await send_raw(front, (head + BROKEN[name]).encode())
+        assert answer.startswith(b"HTTP/1.1 400 ")
+        assert answer.count(b"HTTP/1.1") == 1
+        assert front.target.requests == []
+
+    run_cluster(scenario)
+
+
+def test_endless_head_is_refused():
+    """Guards against a client that fills the memory with one head."""
+
+    async def scenario(cluster):
+        front = await start(cluster)
+        rows = "".join(f"X-{n}: {'y' * 1000}\r\n" for n in range(100))
+        answer = await send_raw(front, (HEAD + rows).encode())
+        assert answer.startswith(b"HTTP/1.1 400 ")
+
+    run_cluster(scenario)
+
+
+@pytest.mark.parametrize("is_chunked", [True, False])
+def test_body_over_the_limit_is_refused(is_chunked):
+    """Guards against bodies over the declared limit that are passed on whole."""
+
+    async def scenario(cluster):
+        front = await start(cluster)
+        limits = front.node.origin.configuration.limits
+        front.node.origin.configuration = front.node.origin.configuration._replace(
+            limits=limits._replace(max_body_bytes=400_000)
+        )
+        body = b"x" * 500_000
+        if is_chunked:
+            head = HEAD + "Transfer-Encoding: chunked\r\n\r\n"
+            data = head.encode() + b"%x\r\n%b\r\n0\r\n\r\n" % (len(body), body)
+        else:
+            data = (HEAD + f"Content-Length: {len(body)}\r\n\r\n").encode() + body
+        answer = await send_raw(front, data)
+        assert answer.startswith(b"HTTP/1.1 413 ")
+        assert front.target.runs == []
+
+    run_cluster(scenario)
+
+
+def test_pipelined_requests_are_answered_in_order():
+    """Guards against answers that cross on one connection."""
+
+    async def scenario(cluster):
+        front = await start(cluster)
+        requests = [
+            f"GET /b/x HTTP/1.1\r\nHost: h.example\r\nMimosaloom-Attempt-Id: id-{n}\r\n"
+            f"{'Connection: close' if n == 4 else 'X: y'}\r\n\r\n"
+            for n in range(5)
+        ]
+        answer = await send_raw(front, "".join(requests).encode())
+        places = [answer.index(f"Attempt-Id: id-{n}\r".encode()) for n in range(5)]
+        assert places == sorted(places)
+        assert answer.count(b"HTTP/1.1 200") == 5
+
+    run_cluster(scenario)
