Load no library that a node on the platform does not use

Change: the JSON schema library is loaded when a file is checked; the back-off moves to the policy library, so that the platform's program loads no links.

--- a/libs/mimosaloom-mesh/mimosaloom_mesh/curl_client.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/curl_client.py
@@ -14,8 +14,10 @@
 
 from .messages import Headers, Request
 
-__all__ = ["CurlClient", "Exchange"]
+__all__ = ["NO_ANSWER_STATUS", "CurlClient", "Exchange"]
 
+# Tornado's status for a request without an answer.
+NO_ANSWER_STATUS = 599
 DEFAULT_CONNECT_TIMEOUT_S = 0.5
 # Headers that libcurl adds on its own unless told not to.
 _ADDED_BY_CURL = ("Accept", "Content-Type", "Expect")
--- a/libs/mimosaloom-model/mimosaloom_model/schema_faults.py
+++ b/libs/mimosaloom-model/mimosaloom_model/schema_faults.py
@@ -6,13 +6,14 @@
 from importlib.resources import files
 from ipaddress import ip_address
 from math import isfinite
+from typing import TYPE_CHECKING
 from urllib.parse import urlsplit
 
-from jsonschema import Draft202012Validator, FormatChecker, ValidationError
-from jsonschema.validators import extend
-
 from .faults import Fault, describe_value, format_path, suggest_name
 
+if TYPE_CHECKING:
+    from jsonschema import Draft202012Validator, FormatChecker, ValidationError
+
 __all__ = ["find_schema_faults"]
 
 TYPE_TEXTS = {
@@ -46,7 +47,11 @@
 
 
 @cache
-def _load_validator(schema: str) -> Draft202012Validator:
+def _load_validator(schema: str) -> "Draft202012Validator":
+    # Nodes check no files, and the library takes 4 MB and 40 ms to load.
+    from jsonschema import Draft202012Validator
+    from jsonschema.validators import extend
+
     text = files(__package__).joinpath(f"schemas/{schema}.json").read_text("utf-8")
     checker = Draft202012Validator.TYPE_CHECKER.redefine_many(
         {"integer": _is_integer, "number": _is_finite_number}
@@ -65,7 +70,9 @@
     return is_float or _is_integer(checker, value)
 
 
-def _build_format_checker() -> FormatChecker:
+def _build_format_checker() -> "FormatChecker":
+    from jsonschema import FormatChecker
+
     checker = FormatChecker(formats=())
     checker.checks("ip-address", raises=ValueError)(_is_ip_address)
     checker.checks("http-url", raises=ValueError)(_is_http_url)
@@ -92,7 +99,7 @@
 
 
 def _word_error(
-    error: ValidationError,
+    error: "ValidationError",
 ) -> Iterator[tuple[tuple[str | int, ...], str]]:
     keys = tuple(error.absolute_path)
     if error.validator == "required":
@@ -115,7 +122,7 @@
     return f"expected one of the fields {fields}{suggest_name(name, known)}"
 
 
-def _expectation(error: ValidationError) -> str:
+def _expectation(error: "ValidationError") -> str:
     schema = error.schema
     if error.validator == "enum":
         return f"one of {', '.join(schema['enum'])}"
@@ -127,13 +134,13 @@
     return _expected_size(error)
 
 
-def _suggest_choice(error: ValidationError) -> str:
+def _suggest_choice(error: "ValidationError") -> str:
     if error.validator != "enum" or not isinstance(error.instance, str):
         return ""
     return suggest_name(error.instance, error.schema["enum"])
 
 
-def _expected_size(error: ValidationError) -> str:
+def _expected_size(error: "ValidationError") -> str:
     texts = {
         "maxItems": "at most {} items",
         "minItems": "at least {} item",
--- a/libs/mimosaloom-node/mimosaloom_node/log_client.py
+++ b/libs/mimosaloom-node/mimosaloom_node/log_client.py
@@ -16,7 +16,9 @@
 from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
 from tornado.httpclient import HTTPError, HTTPRequest, HTTPResponse
 
+from mimosaloom_mesh.curl_client import NO_ANSWER_STATUS
 from mimosaloom_model import Clock, LogServiceSettings
+from mimosaloom_policy import Backoff
 
 __all__ = [
     "AppendOutcome",
@@ -33,13 +35,9 @@
     "follow_stream",
 ]
 
-BACKOFF_BASE_S = 0.1
-BACKOFF_CAP_S = 5.0
 PAGE_RECORDS = 500
 MAX_CLIENTS = 8
 RECORD_ID_BITS = 96
-# Tornado's status for a request without an answer.
-NO_ANSWER_STATUS = 599
 CURL_COULDNT_CONNECT = 7
 # The value may be anything: greedy matching ends it at the last fields of the page.
 _SINGLE_RECORD = re.compile(
@@ -134,38 +132,6 @@
     first_offset: int
 
 
-class Backoff:
-    """Growing random delays, so that many nodes do not come back at once.
-
-    Args:
-        rng: Source of the jitter.
-        base_s: Upper bound of the first delay.
-        cap_s: Upper bound of all delays.
-    """
-
-    def __init__(
-        self,
-        rng: random.Random,
-        *,
-        base_s: float = BACKOFF_BASE_S,
-        cap_s: float = BACKOFF_CAP_S,
-    ):
-        self._rng = rng
-        self._base_s = base_s
-        self._cap_s = cap_s
-        self._bound_s = base_s
-
-    def next_delay_s(self) -> float:
-        """Return the next delay: uniform between 0 and a bound that doubles."""
-        bound_s = self._bound_s
-        self._bound_s = min(self._cap_s, 2 * bound_s)
-        return self._rng.uniform(0, bound_s)
-
-    def reset(self) -> None:
-        """Start again with the shortest bound after a success."""
-        self._bound_s = self._base_s
-
-
 Sleep = Callable[[float], Awaitable[None]]
 
 
--- a/libs/mimosaloom-policy/mimosaloom_policy/__init__.py
+++ b/libs/mimosaloom-policy/mimosaloom_policy/__init__.py
@@ -2,6 +2,7 @@
 
 from .admission import Admission, Arrival, Decision, Refuse, Start
 from .allowance import Ledger
+from .backoff import Backoff
 from .budget import RetryBudget
 from .claim_batches import ClaimBatcher, ClaimNews, LearnedVerdicts
 from .claims import (
@@ -57,6 +58,7 @@
     "AppendFate",
     "Arrival",
     "Attempt",
+    "Backoff",
     "Blocked",
     "BroughtKey",
     "Candidate",
--- a/tests/platform_adapter/cluster.py
+++ b/tests/platform_adapter/cluster.py
@@ -11,12 +11,12 @@
 
 from mimosaloom_mesh.messages import Request, Response
 from mimosaloom_model import Address, SystemClock
-from mimosaloom_node.log_client import Backoff
 from mimosaloom_platform.announcements import build_announcement_handler
 from mimosaloom_platform.configuration import decode_configuration
 from mimosaloom_platform.headers import HEADER_NAMES
 from mimosaloom_platform.program import connect_store
 from mimosaloom_platform.store import StoreClient
+from mimosaloom_policy import Backoff
 from mimosaloom_relay import (
     HttpClient,
     Listeners,
