Split the origin and the node by job, and never send a body again in part

Reading them showed that a request whose long body had been passed on could go to another target with the rest of it only. Change: calls, repeats, hops, refusals, neighbours and settings are modules of their own; such a request is not sent again. Kinds of newer nodes count as doubtful. Test: fails without the check (a second target gets the rest of a 2 MB body).

--- a/libs/mimosaloom-mesh/mimosaloom_mesh/curl_client.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/curl_client.py
@@ -10,11 +10,11 @@
 
 import pycurl
 from tornado.curl_httpclient import CurlAsyncHTTPClient
-from tornado.httpclient import HTTPResponse
+from tornado.httpclient import AsyncHTTPClient, HTTPError, HTTPRequest, HTTPResponse
 
 from .messages import Headers, Request
 
-__all__ = ["NO_ANSWER_STATUS", "CurlClient", "Exchange"]
+__all__ = ["NO_ANSWER_STATUS", "CurlClient", "Exchange", "fetch_response"]
 
 # Tornado's status for a request without an answer.
 NO_ANSWER_STATUS = 599
@@ -184,6 +184,15 @@
         info["callback"](None)
 
 
+async def fetch_response(client: AsyncHTTPClient, request: HTTPRequest) -> HTTPResponse:
+    """Return the response to a request; `NO_ANSWER_STATUS` if there is none."""
+    try:
+        return await client.fetch(request, raise_error=False)
+    except HTTPError as error:
+        # `raise_error` covers answers only, not connections that fail.
+        return HTTPResponse(request, NO_ANSWER_STATUS, error=error)
+
+
 def _encode_headers(headers: Headers) -> list[bytes]:
     lines = []
     missing = list(_ADDED_BY_CURL)
--- a/libs/mimosaloom-node/mimosaloom_node/log_client.py
+++ b/libs/mimosaloom-node/mimosaloom_node/log_client.py
@@ -16,7 +16,7 @@
 from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
 from tornado.httpclient import HTTPError, HTTPRequest, HTTPResponse
 
-from mimosaloom_mesh.curl_client import NO_ANSWER_STATUS
+from mimosaloom_mesh.curl_client import NO_ANSWER_STATUS, fetch_response
 from mimosaloom_model import Clock, LogServiceSettings
 from mimosaloom_policy import Backoff
 
@@ -267,11 +267,7 @@
             connect_timeout=self._settings.timeout_s,
             request_timeout=timeout_s,
         )
-        try:
-            return await self._client.fetch(request, raise_error=False)
-        except HTTPError as error:
-            # `raise_error` covers answers only, not connections that fail.
-            return HTTPResponse(request, NO_ANSWER_STATUS, error=error)
+        return await fetch_response(self._client, request)
 
 
 async def follow_stream(
--- a/libs/mimosaloom-relay/mimosaloom_relay/__init__.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/__init__.py
@@ -6,7 +6,7 @@
 from .http_client import Answer, HttpClient
 from .http_server import Incoming, RelayServer
 from .metrics import RelayMetrics
-from .node import Listeners, RelayNode, RelaySettings
+from .node import RelayNode
 from .own_target import Announcement, OwnTarget, Report, TargetState
 from .peers import PeerRecord, PeerTable
 from .publisher import Publisher
@@ -19,6 +19,7 @@
     ShareRotation,
     match_route,
 )
+from .settings import Listeners, RelaySettings
 
 __all__ = [
     "Announcement",
--- a/libs/mimosaloom-relay/mimosaloom_relay/bodies.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/bodies.py
@@ -23,6 +23,7 @@
     def __init__(self, on_ready: Callable[[], None], abort: Callable[[], None]):
         self.is_complete = False
         self.failure = ""
+        self.is_consumed = False
         self.abort = abort
         self._on_ready: Callable[[], None] | None = on_ready
         self._pieces: deque[bytes] = deque()
@@ -72,6 +73,7 @@
 
     async def pieces(self) -> AsyncIterator[bytes]:
         """Yield the pieces until the body ends; check `is_complete` afterwards."""
+        self.is_consumed = True
         while True:
             while self._pieces:
                 piece = self._pieces.popleft()
--- a/libs/mimosaloom-relay/mimosaloom_relay/hop_messages.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/hop_messages.py
@@ -6,6 +6,7 @@
 
 from mimosaloom_mesh.headers import CONNECTION_HEADERS
 from mimosaloom_mesh.messages import Headers
+from mimosaloom_model import Kind
 
 __all__ = [
     "HOP_HEADER",
@@ -16,6 +17,7 @@
     "decode_header",
     "encode_header",
     "forwarded_headers",
+    "read_kind",
 ]
 
 HOP_HEADER = "Mimosaloom-Hop"
@@ -123,6 +125,19 @@
         return None
 
 
+def read_kind(result: HopResult) -> Kind | None:
+    """Return why a node answered itself; None for the target's own answer.
+
+    A kind of a newer version counts as one after which the request may have run.
+    """
+    if not result.kind:
+        return None
+    try:
+        return Kind(result.kind)
+    except ValueError:
+        return Kind.INTERNAL
+
+
 def forwarded_headers(
     headers: Headers, *, without: frozenset[str] = frozenset()
 ) -> Headers:
--- /dev/null
+++ b/libs/mimosaloom-relay/mimosaloom_relay/hops.py
@@ -0,0 +1,108 @@
+"""Sends attempts to the nodes beside other targets."""
+
+from collections.abc import Callable
+
+from mimosaloom_mesh.messages import find_header
+from mimosaloom_mesh.transport import Broken
+from mimosaloom_model import ANSWERS, Address, Kind, Ran
+from mimosaloom_policy import Candidate
+
+from .decision_log import DecisionLog
+from .hop_messages import (
+    HOP_HEADER,
+    HOP_RESULT_HEADER,
+    HeaderNames,
+    HopContext,
+    HopResult,
+    decode_header,
+    encode_header,
+    forwarded_headers,
+)
+from .http_client import HttpClient
+from .http_server import Incoming
+from .target_side import HopReply
+
+__all__ = ["HopSender"]
+
+# Callers must not write what nodes tell each other.
+_REPLACED = frozenset({HOP_HEADER.lower()})
+
+
+class HopSender:
+    """Sends one attempt to another node and reads what it gave.
+
+    Args:
+        names: Header names that callers use.
+        client: Sends the hops.
+        log: Takes broken hops.
+        on_peer_lost: Called with a node that can't be reached or broke a connection.
+    """
+
+    def __init__(
+        self,
+        names: HeaderNames,
+        client: HttpClient,
+        log: DecisionLog,
+        on_peer_lost: Callable[[Candidate], None],
+    ):
+        self._names = names
+        self._client = client
+        self._log = log
+        self._on_peer_lost = on_peer_lost
+
+    async def send(
+        self, candidate: Candidate, context: HopContext, incoming: Incoming
+    ) -> HopReply:
+        """Send an attempt; cancelling the awaiting task ends it at the other node."""
+        received = incoming.request
+        headers = (
+            *forwarded_headers(received.headers, without=_REPLACED),
+            (HOP_HEADER, encode_header(context)),
+        )
+        outcome = await self._client.send(
+            Address(candidate.host, candidate.port),
+            received._replace(headers=headers),
+            incoming.rest,
+            must_not_repeat=not context.is_idempotent,
+            is_own=lambda found: (
+                find_header(found, self._names.request_id) in (None, context.request_id)
+            ),
+        )
+        if isinstance(outcome, Broken):
+            return self._read_broken_hop(candidate, context, outcome)
+        result = decode_header(outcome.response.header(HOP_RESULT_HEADER), HopResult)
+        if result is None:
+            detail = f"node {candidate.name} sent no hop result"
+            result = HopResult(Kind.ANSWER_MISMATCH.value, detail, was_sent=True)
+            return HopReply(None, result)
+        if result.kind:
+            return HopReply(None, result)
+        headers = tuple(
+            item for item in outcome.response.headers if item[0] != HOP_RESULT_HEADER
+        )
+        response = outcome.response._replace(headers=headers)
+        return HopReply(outcome._replace(response=response), result)
+
+    def _read_broken_hop(
+        self, candidate: Candidate, context: HopContext, broken: Broken
+    ) -> HopReply:
+        was_sent = ANSWERS[broken.kind].ran is not Ran.NO
+        if broken.kind in (Kind.CONNECT_FAILED, Kind.CONNECTION_LOST):
+            self.lose(candidate)
+        self._log.failure(
+            "hop_broken",
+            request_id=context.request_id,
+            attempt=context.attempt,
+            upstream=candidate.name,
+            kind=broken.kind.value,
+            detail=broken.detail,
+        )
+        return HopReply(
+            None, HopResult(broken.kind.value, broken.detail, 0.0, was_sent)
+        )
+
+    def lose(self, candidate: Candidate) -> None:
+        """Leave a node out until it answers a question on a new connection."""
+        # Its other connections may have gone silent as well.
+        self._client.drop_idle(Address(candidate.host, candidate.port))
+        self._on_peer_lost(candidate)
--- a/libs/mimosaloom-relay/mimosaloom_relay/incoming_hops.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/incoming_hops.py
@@ -15,11 +15,12 @@
     HopResult,
     decode_header,
     encode_header,
+    read_kind,
 )
 from .http_client import Answer
 from .http_server import Incoming
-from .origin import build_refusal
 from .peers import PeerRecord
+from .refusals import build_refusal
 from .target_side import TargetSide
 
 __all__ = ["CONFIGURATION_PATH", "NODES_PATH", "SELF_PATH", "IncomingHops"]
@@ -88,6 +89,6 @@
             response = answer.response
             headers = (*response.headers, note)
             return answer._replace(response=response._replace(headers=headers))
-        kind = Kind(result.kind)
+        kind = read_kind(result)
         headers = ((self._names.request_id, context.request_id), note)
         return Answer(Response(ANSWERS[kind].http_status, headers))
--- a/libs/mimosaloom-relay/mimosaloom_relay/node.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/node.py
@@ -3,36 +3,31 @@
 import asyncio
 import random
 from collections.abc import Callable
-from typing import NamedTuple
 
 import msgspec
 
-from mimosaloom_mesh.messages import Request, Response
-from mimosaloom_mesh.transport import Broken
+from mimosaloom_mesh.messages import Response
 from mimosaloom_model import Address, Clock, Kind
-from mimosaloom_policy import Candidate
 
 from .decision_log import DecisionLog
 from .hop_messages import HeaderNames
+from .hops import HopSender
 from .http_client import Answer, HttpClient
 from .http_server import Handler, Incoming, RelayServer
-from .incoming_hops import (
-    CONFIGURATION_PATH,
-    NODES_PATH,
-    SELF_PATH,
-    IncomingHops,
-)
-from .isolation import Isolation
+from .incoming_hops import CONFIGURATION_PATH, NODES_PATH, IncomingHops
 from .metrics import RelayMetrics
-from .origin import Origin, build_refusal
+from .neighbours import Neighbours
+from .origin import Origin
 from .own_target import Announcement, OwnTarget, Report
 from .peers import PeerRecord, decode_record, decode_records, encode_record
-from .retry_share import RepeatBound
+from .refusals import build_refusal
+from .repeats import Repeats
 from .routes import Configuration, Limits
+from .settings import Listeners, RelaySettings
 from .target_side import TargetSide
 from .upstreams import Upstreams
 
-__all__ = ["Listeners", "RelayNode", "RelaySettings"]
+__all__ = ["RelayNode"]
 
 METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 METRICS_PATH = "/metrics"
@@ -44,57 +39,11 @@
 # Before the platform kills the process.
 STOP_MARGIN_S = 0.6
 POLL_S = 0.05
-PROBE_FIRST_S = 0.2
-PROBE_LONGEST_S = 2.0
-# Below the time for a connection, so that silence is told from a refusal.
-PROBE_TIMEOUT_S = 0.4
-# Nodes that are asked when one falls silent, to learn which side is cut off.
-PROBED_AT_ONCE = 8
 FETCH_TIMEOUT_S = 1.0
 # A node whose record is still missing this long after the store can be read is gone.
 MISSING_GRACE_S = 2.0
 
 
-class Listeners(NamedTuple):
-    """Addresses of a node.
-
-    Attributes:
-        outbound: Takes requests that begin on this instance.
-        inbound: Takes hops of other nodes.
-        ready: Answers whether clients may be sent here.
-        announcements: Takes what the own target says of itself.
-        metrics: Serves metrics.
-    """
-
-    outbound: Address
-    inbound: Address
-    ready: Address
-    announcements: Address
-    metrics: Address
-
-
-class RelaySettings(NamedTuple):
-    """Settings of a node on the platform.
-
-    Attributes:
-        name: Name of the node.
-        failure_domain: Where it runs.
-        service: Service of its target.
-        target: Where the target listens.
-        listen: Addresses of the node.
-        repeat_bound: Bound on repeated sends over all nodes.
-        grace_s: Time between the signal to stop and the kill.
-    """
-
-    name: str
-    failure_domain: str
-    service: str
-    target: Address
-    listen: Listeners
-    repeat_bound: RepeatBound
-    grace_s: float
-
-
 class RelayNode:
     """One node.
 
@@ -130,16 +79,13 @@
         self._names = names
         self._read_configuration = read_configuration
         self._clock = clock
-        self._rng = rng
         self._tasks: set[asyncio.Task] = set()
-        self._probed: set[str] = set()
         self._fetching = 0
         self._published: bytes | None = None
         self._missing: set[str] = set()
-        self._isolation = Isolation()
         self.own_target = OwnTarget(settings.service, settings.target)
         target_client = HttpClient(clock, lambda: metrics.count_connection("target"))
-        self._hop_client = HttpClient(clock, lambda: metrics.count_connection("node"))
+        hop_client = HttpClient(clock, lambda: metrics.count_connection("node"))
         self.target_side = TargetSide(
             self.own_target,
             incarnation,
@@ -160,6 +106,21 @@
         self.target_side.level_below = lambda class_name: (
             self.upstreams.calls.level_below(class_name, clock.monotonic_s())
         )
+        self.neighbours = Neighbours(
+            settings.name,
+            self.upstreams,
+            hop_client,
+            self.put_record,
+            rng=rng,
+            log=self.log,
+        )
+        repeats = Repeats(
+            settings.repeat_bound,
+            lambda: len(self.upstreams.peers),
+            self.target_side.calls_done,
+            clock=clock,
+            metrics=metrics,
+        )
         self.origin = Origin(
             settings.name,
             settings.service,
@@ -167,8 +128,8 @@
             names,
             self.upstreams,
             self.target_side,
-            self._hop_client,
-            settings.repeat_bound,
+            HopSender(names, hop_client, self.log, self.neighbours.lose),
+            repeats,
             clock=clock,
             log=self.log,
             metrics=metrics,
@@ -176,7 +137,6 @@
         self.origin.on_version_heard = lambda version, candidate: self._fetch_soon(
             version, Address(candidate.host, candidate.port)
         )
-        self.origin.on_peer_lost = self._lose_peer
         self._hops = IncomingHops(
             names,
             self.target_side,
@@ -200,7 +160,7 @@
         return (
             self.origin.configuration is not None
             and not self.is_stopping
-            and not self._isolation.is_isolated(len(self.upstreams.peers) - 1)
+            and not self.neighbours.is_isolated
         )
 
     async def start(self, answer_announcement: Handler) -> None:
@@ -331,6 +291,7 @@
         """End at once and close all connections."""
         for task in self._tasks:
             task.cancel()
+        self.neighbours.close()
         self.target_side.close()
         for server in self._servers.values():
             server.close()
@@ -377,7 +338,7 @@
             self._spawn(self._fetch_configuration(address))
 
     async def _fetch_configuration(self, address: Address) -> None:
-        answer = await self._ask(address, CONFIGURATION_PATH, FETCH_TIMEOUT_S)
+        answer = await self.neighbours.ask(address, CONFIGURATION_PATH, FETCH_TIMEOUT_S)
         if isinstance(answer, Response) and answer.status == 200:
             self.put_configuration(answer.body, f"node {address.host}:{address.port}")
         self._fetching = 0
@@ -386,7 +347,7 @@
             await self._fetch_nodes(address)
 
     async def _fetch_nodes(self, address: Address) -> None:
-        answer = await self._ask(address, NODES_PATH, FETCH_TIMEOUT_S)
+        answer = await self.neighbours.ask(address, NODES_PATH, FETCH_TIMEOUT_S)
         if not isinstance(answer, Response) or answer.status != 200:
             return
         for record in decode_records(answer.body):
@@ -399,72 +360,6 @@
             self._missing.discard(name)
             self.put_record(name, None)
 
-    def _lose_peer(self, candidate: Candidate) -> None:
-        if self.upstreams.mark_unreachable(candidate.name):
-            self.log.change("peer_unreachable", peer=candidate.name)
-            self._probe_soon(candidate.name)
-
-    def _probe_soon(self, name: str) -> None:
-        if name not in self._probed:
-            self._probed.add(name)
-            self._spawn(self._probe_until_reached(name))
-
-    async def _probe_until_reached(self, name: str) -> None:
-        delay_s = PROBE_FIRST_S
-        try:
-            while (record := self.upstreams.peers.get(name)) is not None:
-                if await self._probe(record):
-                    return
-                await asyncio.sleep(delay_s)
-                delay_s = min(PROBE_LONGEST_S, 2 * delay_s)
-        finally:
-            self._isolation.hear_sign(name)
-            self._probed.discard(name)
-
-    async def _probe(self, record: PeerRecord) -> bool:
-        """Ask a node for its record; return whether it answered."""
-        name = record.name
-        was_ready = self.is_ready
-        outcome = await self._ask(record.address, SELF_PATH, PROBE_TIMEOUT_S)
-        if outcome is None:
-            if self.upstreams.mark_unreachable(name):
-                self.log.change("peer_unreachable", peer=name)
-            self._isolation.hear_silence(name)
-            self._probe_others()
-        else:
-            self._isolation.hear_sign(name)
-        if was_ready != self.is_ready:
-            self.log.change("readiness_changed", is_ready=self.is_ready)
-        if isinstance(outcome, Response) and outcome.status == 200:
-            self.put_record(name, outcome.body)
-            if self.upstreams.peers.is_unreachable(name):
-                self.upstreams.mark_reachable(name)
-                self.log.change("peer_reachable", peer=name)
-            return True
-        return False
-
-    def _probe_others(self) -> None:
-        """Ask some more nodes, as soon as one has fallen silent."""
-        names = {record.name for record in self.upstreams.peers.records()}
-        names -= {self.settings.name, *self._probed}
-        count = PROBED_AT_ONCE - len(self._probed)
-        if count > 0 and names:
-            for name in self._rng.sample(sorted(names), min(count, len(names))):
-                self._probe_soon(name)
-
-    async def _ask(
-        self, address: Address, path: str, timeout_s: float
-    ) -> Response | Broken | None:
-        """Ask another node; return None if it gave no sign in time."""
-        try:
-            async with asyncio.timeout(timeout_s):
-                outcome = await self._hop_client.send(
-                    address, Request("GET", path), must_not_repeat=True
-                )
-        except TimeoutError:
-            return None
-        return outcome if isinstance(outcome, Broken) else outcome.response
-
     def _spawn(self, coroutine) -> None:
         task = asyncio.ensure_future(coroutine)
         self._tasks.add(task)
--- a/libs/mimosaloom-relay/mimosaloom_relay/origin.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/origin.py
@@ -2,99 +2,31 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import NamedTuple
 
-import msgspec
-
-from mimosaloom_mesh.messages import Response, find_header
-from mimosaloom_mesh.transport import Broken
-from mimosaloom_model import ANSWERS, Address, Clock, Kind, Ran, new_request_id
+from mimosaloom_model import ANSWERS, Clock, Kind, Ran, new_request_id
 from mimosaloom_policy import Candidate, rank_request
 
+from .calls import Call, Progress
 from .decision_log import DecisionLog
-from .hop_messages import (
-    HOP_HEADER,
-    HOP_RESULT_HEADER,
-    HeaderNames,
-    HopContext,
-    HopResult,
-    decode_header,
-    encode_header,
-    forwarded_headers,
-)
-from .http_client import Answer, HttpClient
+from .hop_messages import HeaderNames, HopContext, HopResult, read_kind
+from .hops import HopSender
+from .http_client import Answer
 from .http_server import Incoming
 from .metrics import RelayMetrics
+from .refusals import build_refusal
+from .repeats import Repeats
 from .retry_after import choose_retry_after
-from .retry_share import RepeatBound, RepeatShare
 from .routes import Configuration, Route, ShareRotation, match_route
 from .target_side import HopReply, TargetSide
 from .upstreams import Upstreams
 
-__all__ = ["Origin", "build_refusal"]
+__all__ = ["Origin"]
 
-# Upstreams that may refuse a request unsent before it is given up here.
-MAX_REFUSED_HOPS = 3
-# Times that targets may reject one request before it is given up.
-MAX_ARRIVALS = 4
 RETRY_AFTER_S = 0.5
-# Callers must not write what nodes tell each other.
-_REPLACED = frozenset({HOP_HEADER.lower()})
 # The last hop answers at the deadline; its answer is waited for this much longer.
 DEADLINE_SLACK_S = 0.1
 
 
-class _Call(NamedTuple):
-    """A request that began here.
-
-    Attributes:
-        incoming: What arrived.
-        request_id: Its id.
-        route: Its route.
-        service: The service that is to run it.
-        parent: The request on the own target that makes this call; None for a
-            request of a client.
-        start_s: When it arrived, on the monotonic clock.
-        deadline_s: When its final answer is due, on the monotonic clock.
-        patience_s: How long its client waits in all.
-    """
-
-    incoming: Incoming
-    request_id: str
-    route: Route
-    service: str
-    parent: HopContext | None
-    start_s: float
-    deadline_s: float
-    patience_s: float
-
-    @property
-    def is_repeat(self) -> bool:
-        """Whether it is a call of a run that was a repeat."""
-        return self.parent is not None and self.parent.is_repeat
-
-    @property
-    def priority(self) -> int:
-        """A call is as important as the request that needs it."""
-        if self.parent is not None:
-            return self.parent.priority
-        return self.route.request_class.priority
-
-
-class _Progress:
-    """What has been tried for one request."""
-
-    def __init__(self):
-        self.attempts = 0
-        self.arrivals = 0
-        self.may_have_run = False
-        self.tried: set[str] = set()
-        self.reached: set[str] = set()
-        self.waits_for: Candidate | None = None
-        self.last: HopResult | None = None
-        self.retry_after_s = 0.0
-
-
 class Origin:
     """Serves requests of the clients and of the target on this instance.
 
@@ -105,8 +37,8 @@
         names: Header names that callers use.
         upstreams: Upstreams of all services.
         target_side: The own target.
-        client: Sends hops to other nodes.
-        repeat_bound: Bound on repeated sends over all nodes.
+        hops: Sends attempts to other nodes.
+        repeats: Decides on attempts after the first.
         clock: Source of time.
         log: Takes decisions.
         metrics: Counts outcomes.
@@ -120,8 +52,8 @@
         names: HeaderNames,
         upstreams: Upstreams,
         target_side: TargetSide,
-        client: HttpClient,
-        repeat_bound: RepeatBound,
+        hops: HopSender,
+        repeats: Repeats,
         *,
         clock: Clock,
         log: DecisionLog,
@@ -129,20 +61,18 @@
     ):
         self.configuration: Configuration | None = None
         self.on_version_heard: Callable[[int, Candidate], None] = lambda v, c: None
-        self.on_peer_lost: Callable[[Candidate], None] = lambda candidate: None
         self._own_name = own_name
         self._own_service = own_service
         self._own_address = own_address
         self._names = names
         self._upstreams = upstreams
         self._target_side = target_side
-        self._client = client
-        self._repeat_bound = repeat_bound
+        self._hops = hops
+        self._repeats = repeats
         self._clock = clock
         self._log = log
         self._metrics = metrics
         self._rotation = ShareRotation()
-        self._shares: dict[str, RepeatShare] = {}
 
     def put_in_force(self, configuration: Configuration) -> None:
         """Serve by a configuration from now on."""
@@ -171,7 +101,7 @@
         call = self._open_call(incoming, request_id, route)
         return await self._answer_call(call)
 
-    def _open_call(self, incoming: Incoming, request_id: str, route: Route) -> _Call:
+    def _open_call(self, incoming: Incoming, request_id: str, route: Route) -> Call:
         now_s = self._clock.monotonic_s()
         timeout_s = route.request_class.timeout_s
         given = incoming.request.header(self._names.timeout_ms) or ""
@@ -180,17 +110,13 @@
         service = self._rotation.pick(route)
         parent = self._target_side.find_parent(request_id)
         deadline_s = now_s + timeout_s
-        return _Call(
+        return Call(
             incoming, request_id, route, service, parent, now_s, deadline_s, patience_s
         )
 
-    async def _answer_call(self, call: _Call) -> Answer:
-        share = self._share(call.service)
-        if call.is_repeat:
-            share.record_repeat(call.start_s)
-        else:
-            share.record_request(call.start_s)
-        progress = _Progress()
+    async def _answer_call(self, call: Call) -> Answer:
+        self._repeats.record(call)
+        progress = Progress()
         if not self._is_admitted(call):
             progress.last = HopResult(
                 Kind.OVERLOADED.value, "the level of the path is below its rank"
@@ -204,7 +130,7 @@
         except TimeoutError:
             if progress.waits_for is not None:
                 # A node that lives answers at the deadline itself.
-                self._lose(progress.waits_for)
+                self._hops.lose(progress.waits_for)
             progress.last = HopResult(
                 kind=Kind.DEADLINE_EXCEEDED.value,
                 detail="no upstream answered in time",
@@ -220,7 +146,7 @@
         self._count_call(call, is_success=False)
         return self._give_up(call, progress)
 
-    def _is_admitted(self, call: _Call) -> bool:
+    def _is_admitted(self, call: Call) -> bool:
         """Tell whether the path has room; the calls of a running request pass.
 
         This answers overload of a deep service: the root is the one place where a
@@ -240,7 +166,7 @@
         )
 
     async def _attempt_until_final(
-        self, call: _Call, progress: _Progress
+        self, call: Call, progress: Progress
     ) -> Answer | None:
         """Send the request until it has an answer or no attempt is left."""
         failure: Answer | None = None
@@ -253,12 +179,10 @@
             progress.reached.add(candidate.name)
             reply = await self._attempt(call, candidate, progress)
             if reply.answer is not None:
-                if not reply.result.is_own_failure or not self._may_repeat_failure(
-                    call, progress, reply
-                ):
-                    return reply.answer
                 failure = reply.answer
-                continue
+                if self._repeats.may_repeat_failure(call, progress, reply):
+                    continue
+                return reply.answer
             progress.last = reply.result
             progress.retry_after_s = max(
                 progress.retry_after_s, reply.result.retry_after_s
@@ -266,10 +190,10 @@
             progress.arrivals += reply.result.was_sent
             if not reply.result.was_sent:
                 progress.reached.discard(candidate.name)
-            if not self._may_try_again(call, progress, reply.result):
+            if not self._repeats.may_try_again(call, progress, reply.result):
                 return failure
 
-    def _pick(self, call: _Call, progress: _Progress) -> Candidate | None:
+    def _pick(self, call: Call, progress: Progress) -> Candidate | None:
         """Return the upstream for the next attempt; None if there is none.
 
         A request goes to a limited number of targets. Where those only rejected it,
@@ -285,73 +209,13 @@
         others = frozenset(name for name in names if name not in progress.reached)
         return self._upstreams.pick(call.service, others)
 
-    def _may_try_again(
-        self, call: _Call, progress: _Progress, result: HopResult
-    ) -> bool:
-        """Decide whether another upstream gets the request.
-
-        A request that no target has seen moves on freely, a few times. One that has
-        arrived at a target counts against the bound on repeats, and a class that must
-        not run twice moves on only if it has not run.
-        """
-        if progress.attempts - progress.arrivals > MAX_REFUSED_HOPS:
-            return False
-        if not result.was_sent:
-            return True
-        has_run = ANSWERS[Kind(result.kind)].ran is not Ran.NO
-        if has_run and not call.route.request_class.is_idempotent:
-            return False
-        if has_run and len(progress.reached) >= call.route.max_targets:
-            return False
-        if progress.arrivals >= MAX_ARRIVALS:
-            return False
-        return self._spend_repeat(call, result.kind)
-
-    def _may_repeat_failure(
-        self, call: _Call, progress: _Progress, reply: HopReply
-    ) -> bool:
-        """Decide whether a request that a target failed on its own goes to another.
-
-        This answers targets that fail part of their requests. A failure that comes from
-        a failed call is not repeated, as it would repeat all work below as well.
-        """
-        progress.arrivals += 1
-        elapsed_s = self._clock.monotonic_s() - call.start_s
-        return (
-            call.route.request_class.is_idempotent
-            and reply.answer.rest is None
-            and len(progress.reached) < call.route.max_targets
-            and 2 * elapsed_s < call.deadline_s - call.start_s
-            and self._spend_repeat(call, Kind.TARGET_FAILED.value)
-        )
-
-    def _spend_repeat(self, call: _Call, reason: str) -> bool:
-        nodes = len(self._upstreams.peers)
-        now_s = self._clock.monotonic_s()
-        is_allowed = self._share(call.service).try_spend(
-            now_s,
-            nodes=nodes,
-            is_important=call.priority == 0,
-            calls_done=self._count_calls_done(call),
-        )
-        if is_allowed:
-            self._metrics.count_retry(reason)
-        else:
-            self._metrics.count_stopped_retry("budget")
-        return is_allowed
-
-    def _count_call(self, call: _Call, *, is_success: bool) -> None:
+    def _count_call(self, call: Call, *, is_success: bool) -> None:
         if call.parent is not None:
             parent_id = call.parent.request_id
             self._target_side.count_call(parent_id, is_success=is_success)
 
-    def _count_calls_done(self, call: _Call) -> int:
-        if call.parent is None:
-            return 0
-        return self._target_side.calls_done(call.parent.request_id)
-
     async def _attempt(
-        self, call: _Call, candidate: Candidate, progress: _Progress
+        self, call: Call, candidate: Candidate, progress: Progress
     ) -> HopReply:
         router = self._upstreams.router(call.service)
         start_s = self._clock.monotonic_s()
@@ -382,9 +246,9 @@
                 reply = await self._target_side.run(context, call.incoming)
             else:
                 progress.waits_for = candidate
-                reply = await self._send_hop(candidate, context, call.incoming)
+                reply = await self._hops.send(candidate, context, call.incoming)
                 progress.waits_for = None
-            kind = Kind(reply.result.kind) if reply.result.kind else None
+            kind = read_kind(reply.result)
             if reply.result.is_own_failure:
                 kind = Kind.TARGET_FAILED
         finally:
@@ -395,64 +259,8 @@
         self._learn(call, candidate, reply.result, now_s)
         return reply
 
-    async def _send_hop(
-        self, candidate: Candidate, context: HopContext, incoming: Incoming
-    ) -> HopReply:
-        received = incoming.request
-        headers = (
-            *forwarded_headers(received.headers, without=_REPLACED),
-            (HOP_HEADER, encode_header(context)),
-        )
-        outcome = await self._client.send(
-            Address(candidate.host, candidate.port),
-            received._replace(headers=headers),
-            incoming.rest,
-            must_not_repeat=not context.is_idempotent,
-            is_own=lambda found: (
-                find_header(found, self._names.request_id) in (None, context.request_id)
-            ),
-        )
-        if isinstance(outcome, Broken):
-            return self._read_broken_hop(candidate, context, outcome)
-        result = decode_header(outcome.response.header(HOP_RESULT_HEADER), HopResult)
-        if result is None:
-            detail = f"node {candidate.name} sent no hop result"
-            result = HopResult(Kind.ANSWER_MISMATCH.value, detail, was_sent=True)
-            return HopReply(None, result)
-        if result.kind:
-            return HopReply(None, result)
-        headers = tuple(
-            item for item in outcome.response.headers if item[0] != HOP_RESULT_HEADER
-        )
-        response = outcome.response._replace(headers=headers)
-        return HopReply(outcome._replace(response=response), result)
-
-    def _read_broken_hop(
-        self, candidate: Candidate, context: HopContext, broken: Broken
-    ) -> HopReply:
-        was_sent = ANSWERS[broken.kind].ran is not Ran.NO
-        if broken.kind in (Kind.CONNECT_FAILED, Kind.CONNECTION_LOST):
-            self._lose(candidate)
-        self._log.failure(
-            "hop_broken",
-            request_id=context.request_id,
-            attempt=context.attempt,
-            upstream=candidate.name,
-            kind=broken.kind.value,
-            detail=broken.detail,
-        )
-        return HopReply(
-            None, HopResult(broken.kind.value, broken.detail, 0.0, was_sent)
-        )
-
-    def _lose(self, candidate: Candidate) -> None:
-        """Leave a node out until it answers a question on a new connection."""
-        # Its other connections may have gone silent as well.
-        self._client.drop_idle(Address(candidate.host, candidate.port))
-        self.on_peer_lost(candidate)
-
     def _learn(
-        self, call: _Call, candidate: Candidate, result: HopResult, now_s: float
+        self, call: Call, candidate: Candidate, result: HopResult, now_s: float
     ) -> None:
         if not result.incarnation:
             return
@@ -468,10 +276,10 @@
         if result.version > self.configuration.version:
             self.on_version_heard(result.version, candidate)
 
-    def _give_up(self, call: _Call, progress: _Progress) -> Answer:
+    def _give_up(self, call: Call, progress: Progress) -> Answer:
         """Return the final answer to a request without an answer of a target."""
         last = progress.last or HopResult(Kind.NO_UPSTREAM.value)
-        kind = Kind(last.kind)
+        kind = read_kind(last)
         if progress.may_have_run and ANSWERS[kind].ran is Ran.NO:
             kind = Kind.CONNECTION_LOST
         elif not progress.may_have_run and ANSWERS[kind].ran is not Ran.NO:
@@ -489,8 +297,8 @@
 
     def _finish(
         self,
-        call: _Call,
-        progress: _Progress,
+        call: Call,
+        progress: Progress,
         outcome: str,
         kind: str,
         detail: str = "",
@@ -527,35 +335,3 @@
             self._names, kind, request_id, detail, retry_after_s=RETRY_AFTER_S
         )
         return Answer(response)
-
-    def _share(self, service: str) -> RepeatShare:
-        share = self._shares.get(service)
-        if share is None:
-            share = self._shares[service] = RepeatShare(self._repeat_bound)
-        return share
-
-
-def build_refusal(
-    names: HeaderNames,
-    kind: Kind,
-    request_id: str,
-    detail: str = "",
-    *,
-    retry_after_s: float = 0.0,
-) -> Response:
-    """Return the answer to a request that has no answer of a target."""
-    entry = ANSWERS[kind]
-    headers = [("Content-Type", "application/json")]
-    if request_id:
-        headers.append((names.request_id, request_id))
-    if entry.is_retryable and entry.ran is Ran.NO and retry_after_s:
-        headers.append(("Retry-After", f"{retry_after_s:.3g}"))
-    body = msgspec.json.encode(
-        {
-            "kind": kind.value,
-            "ran": entry.ran.value,
-            "detail": detail or entry.summary,
-            "request_id": request_id,
-        }
-    )
-    return Response(entry.http_status, tuple(headers), body)
--- /dev/null
+++ b/libs/mimosaloom-relay/mimosaloom_relay/refusals.py
@@ -0,0 +1,36 @@
+"""The answer to a request that has no answer of a target."""
+
+import msgspec
+
+from mimosaloom_mesh.messages import Response
+from mimosaloom_model import ANSWERS, Kind, Ran
+
+from .hop_messages import HeaderNames
+
+__all__ = ["build_refusal"]
+
+
+def build_refusal(
+    names: HeaderNames,
+    kind: Kind,
+    request_id: str,
+    detail: str = "",
+    *,
+    retry_after_s: float = 0.0,
+) -> Response:
+    """Return the answer to a request that has no answer of a target."""
+    entry = ANSWERS[kind]
+    headers = [("Content-Type", "application/json")]
+    if request_id:
+        headers.append((names.request_id, request_id))
+    if entry.is_retryable and entry.ran is Ran.NO and retry_after_s:
+        headers.append(("Retry-After", f"{retry_after_s:.3g}"))
+    body = msgspec.json.encode(
+        {
+            "kind": kind.value,
+            "ran": entry.ran.value,
+            "detail": detail or entry.summary,
+            "request_id": request_id,
+        }
+    )
+    return Response(entry.http_status, tuple(headers), body)
--- a/tests/platform_adapter/test_path.py
+++ b/tests/platform_adapter/test_path.py
@@ -292,3 +292,21 @@
         assert len(back.target.runs + other.target.runs) == 1
 
     run_cluster(scenario)
+
+
+def test_body_that_was_passed_on_is_not_sent_again_in_part():
+    """Guards against a repeat that carries only the rest of a long body."""
+
+    async def scenario(cluster):
+        front, back = await start_pair(cluster)
+        other = await cluster.add("back-2", "back")
+        await other.announce()
+        await until(lambda: front.knows_all(cluster.members))
+        back.target.modes = other.target.modes = ["reject"]
+        body = b"x" * 2_000_000
+        response = await front.ask("/b/x", method="POST", body=body)
+        assert response.status == 503
+        received = [r[2] for r in back.target.requests + other.target.requests]
+        assert received == [body]
+
+    run_cluster(scenario)
