--- a/libs/mimosaloom-relay/mimosaloom_relay/node.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/node.py
@@ -24,6 +24,7 @@
 from .repeats import Repeats
 from .routes import Configuration, Limits
 from .settings import Listeners, RelaySettings
+from .status import describe_admission, describe_configuration, describe_peers
 from .target_side import TargetSide
 from .upstreams import Upstreams
 
@@ -31,6 +32,8 @@
 
 METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 METRICS_PATH = "/metrics"
+STATUS_PATH = "/status"
+_JSON = (("Content-Type", "application/json"),)
 # Clients leave after two missed questions a second apart; until then they may still
 # send, and each request that is on its way gets its answer.
 MIN_STOP_S = 2.4
@@ -267,6 +270,17 @@
         self.log.change("target_left", target_id=target_id, is_own=is_own)
         return is_own
 
+    def describe(self) -> dict:
+        """Return what is in force at this node, and what it knows."""
+        return {
+            "node": self.settings.name,
+            "incarnation": self.incarnation,
+            "is_ready": self.is_ready,
+            "in_force": describe_configuration(self.origin.configuration),
+            "target": describe_admission(self.own_target, self.target_side.admission),
+            "upstreams": describe_peers(self.upstreams.peers),
+        }
+
     async def stop(self) -> None:
         """Stop without cutting a request: take less and less, then end."""
         start_s = self._clock.monotonic_s()
@@ -371,8 +385,11 @@
         return Answer(Response(status, (), body))
 
     async def _answer_metrics(self, incoming: Incoming) -> Answer:
+        if incoming.request.path == STATUS_PATH:
+            return Answer(Response(200, _JSON, msgspec.json.encode(self.describe())))
         if incoming.request.path != METRICS_PATH:
-            return Answer(build_refusal(self._names, Kind.BAD_REQUEST, ""))
+            detail = f"use {METRICS_PATH} or {STATUS_PATH}"
+            return Answer(build_refusal(self._names, Kind.BAD_REQUEST, "", detail))
         body = self.metrics.render()
         return Answer(Response(200, (("Content-Type", METRICS_TYPE),), body))
 
--- /dev/null
+++ b/libs/mimosaloom-relay/mimosaloom_relay/status.py
@@ -0,0 +1,70 @@
+"""What a node reports to operators of the resources in force, and of itself."""
+
+from mimosaloom_policy import Admission
+
+from .own_target import OwnTarget
+from .peers import PeerTable
+from .routes import Configuration, Route
+
+__all__ = ["describe_admission", "describe_configuration", "describe_peers"]
+
+
+def describe_configuration(configuration: Configuration | None) -> dict:
+    """Return the version and the resources in force, by kind and name."""
+    if configuration is None:
+        return {"version": 0, "RequestClass": {}, "Service": {}}
+    routes = [r for found in configuration.routes.values() for r in found]
+    return {
+        "version": configuration.version,
+        "RequestClass": {r.request_class.name: _describe_route(r) for r in routes},
+        "Service": {
+            profile.name: profile._asdict()
+            for profile in configuration.services.values()
+        },
+    }
+
+
+def describe_peers(peers: PeerTable) -> dict:
+    """Return the upstreams that are known, by the name of their node."""
+    return {
+        record.name: {
+            "service": record.service,
+            "target_id": record.target_id,
+            "failure_domain": record.failure_domain,
+            "slots": record.slots,
+            "is_available": record.is_available,
+            "is_reachable": not peers.is_unreachable(record.name),
+        }
+        for record in peers.records()
+    }
+
+
+def describe_admission(target: OwnTarget, admission: Admission | None) -> dict:
+    """Return the state of the own target and of the calls for it."""
+    state = {
+        "target_id": target.target_id,
+        "is_available": target.is_available,
+        "is_leaving": target.is_leaving,
+        "is_reachable": target.is_reachable,
+    }
+    if admission is not None:
+        state |= {
+            "limit": admission.limit,
+            "in_flight": admission.in_flight,
+            "queued": admission.queued,
+            "level": admission.level,
+        }
+    return state
+
+
+def _describe_route(route: Route) -> dict:
+    request_class = route.request_class
+    return {
+        "host": route.host,
+        "path_prefix": route.path_prefix,
+        "shares": dict(route.shares),
+        "priority": request_class.priority,
+        "is_idempotent": request_class.is_idempotent,
+        "timeout_s": request_class.timeout_s,
+        "max_targets": route.max_targets,
+    }
--- a/libs/mimosaloom-relay/mimosaloom_relay/target_side.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/target_side.py
@@ -115,6 +115,11 @@
         """Requests that run on the target whether or not their client waits."""
         return self._sendings
 
+    @property
+    def admission(self) -> Admission | None:
+        """The admission of the present target; None while there is none."""
+        return None if self._gate is None else self._gate.admission
+
     def find_parent(self, request_id: str) -> HopContext | None:
         """Return the request on the own target that makes a call; None if none does.
 
--- a/tests/platform_adapter/test_control.py
+++ b/tests/platform_adapter/test_control.py
@@ -285,3 +285,28 @@
         silent.close()
 
     run_cluster(scenario)
+
+
+def test_status_shows_what_is_in_force_by_resource():
+    """Guards against operators who can't tell what a node has accepted."""
+
+    async def scenario(cluster):
+        front = await cluster.add("front-1", "front")
+        address = front.node.addresses.metrics
+        empty = await front.call(address, "GET", "/status")
+        assert msgspec.json.decode(empty.body)["in_force"]["version"] == 0
+        await cluster.configure(4, [{**FRONT_ROUTE, "priority": 1}])
+        await cluster.announce_all()
+        status = msgspec.json.decode((await front.call(address, "GET", "/status")).body)
+        assert status["in_force"]["version"] == 4
+        route = status["in_force"]["RequestClass"]["r-f"]
+        assert (route["shares"], route["priority"]) == ({"front": 1}, 1)
+        assert status["in_force"]["Service"]["front"]["max_connections"] == 100
+        assert status["upstreams"]["front-1"]["is_available"]
+        assert status["target"]["target_id"] == "i-front-1"
+        assert status["is_ready"]
+        metrics = await front.call(address, "GET", "/metrics")
+        assert b"mimosaloom_configuration_version 4.0" in metrics.body
+        assert (await front.call(address, "GET", "/other")).status == 400
+
+    run_cluster(scenario)
