Tell two copies of one request at a target apart

Cause, found by reading: a repeat of an idempotent request may reach a target where the first copy still runs. Both had one key in the admission, and the end of the second failed on the entry that the first had removed; the origin then sent a third copy. Change: each arrival has a key of its own.

--- a/libs/mimosaloom-relay/mimosaloom_relay/target_side.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/target_side.py
@@ -1,6 +1,7 @@
 """The target's side of a hop: admission beside the target, and the call to it."""
 
 import asyncio
+import itertools
 import math
 from collections import Counter
 from collections.abc import Callable
@@ -97,6 +98,7 @@
         self._used_slots = 1
         self._ticks: asyncio.Task | None = None
         self._sendings: set[asyncio.Task] = set()
+        self._arrivals = itertools.count()
         self._running: dict[str, HopContext] = {}
         self._calls_done: Counter[str] = Counter()
         self._with_failed_call: set[str] = set()
@@ -166,7 +168,7 @@
         gate = self._gate
         now_s = self._clock.monotonic_s()
         deadline_s = now_s + context.remaining_ms / 1000
-        key = f"{context.request_id}/{context.attempt}"
+        key = f"{context.request_id}/{next(self._arrivals)}"
         decision = await gate.enter(_build_arrival(key, context, deadline_s))
         if isinstance(decision, Refuse):
             kind, after_s = decision.kind, decision.retry_after_s
@@ -256,7 +258,8 @@
             is_success = reply.answer is not None
             return reply
         finally:
-            del self._running[context.request_id]
+            # A repeat of the same request may still run here.
+            self._running.pop(context.request_id, None)
             self._calls_done.pop(context.request_id, None)
             self._with_failed_call.discard(context.request_id)
             gate.leave(key, is_success=is_success)
--- a/tests/platform_adapter/test_path.py
+++ b/tests/platform_adapter/test_path.py
@@ -310,3 +310,18 @@
         assert received == [body]
 
     run_cluster(scenario)
+
+
+def test_two_copies_of_an_idempotent_request_end_alike():
+    """Guards against a copy whose end fails because the other one has ended."""
+
+    async def scenario(cluster):
+        front, back = await start_pair(cluster)
+        back.target.modes = ["hold", "hold"]
+        asking = [asyncio.ensure_future(front.ask("/b/x", "same")) for _ in range(2)]
+        await until(lambda: len(back.target.runs) == 2)
+        back.target.released.set()
+        assert [(await copy).status for copy in asking] == [200, 200]
+        assert back.target.runs == ["same", "same"]
+
+    run_cluster(scenario)
