Don't take slow readers for dead peers, and ignore upgrades

Cause, found by reading: TCP_USER_TIMEOUT of 0.6 s was set on all connections, and the system also counts the time for which a peer's window is full; a client that reads a long answer slowly was reset. After a request with an Upgrade header a second answer, 400, was written behind the proper one. Change: the option is on for short messages to other nodes only; what follows a request to upgrade is not read. Tests: both fail before (connection reset; two answers).

--- a/libs/mimosaloom-relay/mimosaloom_relay/connections.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/connections.py
@@ -15,6 +15,7 @@
 
 __all__ = [
     "FlowControl",
+    "detect_silence",
     "encode_chunk",
     "encode_head",
     "find_connection_options",
@@ -25,20 +26,29 @@
 KEEP_ALIVE_IDLE_S = 1
 KEEP_ALIVE_INTERVAL_S = 1
 KEEP_ALIVE_COUNT = 2
-# Bytes that are not acknowledged this long; a second loss in a row is rare, and a node
-# that was cut off has to be left while there is time for another.
-USER_TIMEOUT_MS = 600
+# Bytes to another node that are not taken for so long. A second loss in a row is rare,
+# and a node that was cut off has to be left while there is time for another.
+SILENCE_MS = 600
 LAST_CHUNK = b"0\r\n\r\n"
 
 
 def keep_alive_socket(sock: socket.socket) -> None:
-    """Let the system find connections that have gone silent."""
+    """Let the system find idle connections that have gone silent."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_INTERVAL_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEP_ALIVE_COUNT)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+
+
+def detect_silence(sock: socket.socket, *, is_on: bool) -> None:
+    """Give up a connection whose peer does not take what is written.
+
+    The system also counts the time for which a peer is alive but does not read, so this
+    is for short messages to peers that read at once.
+    """
+    silence_ms = SILENCE_MS if is_on else 0
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, silence_ms)
 
 
 def encode_head(start_line: str, headers: Iterable[tuple[str, str]]) -> bytes:
--- a/libs/mimosaloom-relay/mimosaloom_relay/http_client.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/http_client.py
@@ -19,6 +19,7 @@
 from .bodies import Body
 from .connections import (
     FlowControl,
+    detect_silence,
     encode_head,
     find_connection_options,
     keep_alive_socket,
@@ -128,6 +129,10 @@
         self._reader = _Reader(is_head_request, is_own, self.drop)
         return self._reader
 
+    def detect_silence(self, *, is_on: bool) -> None:
+        """Give up the connection when the peer takes nothing for a moment."""
+        detect_silence(self.transport.get_extra_info("socket"), is_on=is_on)
+
     def drop(self) -> None:
         """Close at once."""
         self.is_reusable = False
@@ -184,10 +189,18 @@
     Args:
         clock: Source of time.
         count_connection: Called for each connection that is opened.
+        detects_silence: Whether a peer that takes nothing for a moment is given up.
     """
 
-    def __init__(self, clock: Clock, count_connection: Callable[[], None]):
+    def __init__(
+        self,
+        clock: Clock,
+        count_connection: Callable[[], None],
+        *,
+        detects_silence: bool = False,
+    ):
         self._clock = clock
+        self._detects_silence = detects_silence
         self._count_connection = count_connection
         self._idle: dict[Address, deque[_Connection]] = {}
 
@@ -249,6 +262,10 @@
         rest: Body | None,
         is_own: IsOwn,
     ) -> Answer | Broken:
+        if rest is not None and self._detects_silence:
+            # Its target may read it slowly, and the node waits for the target.
+            connection.detect_silence(is_on=False)
+            connection.is_reusable = False
         reader = connection.begin(request.method == "HEAD", is_own)
         connection.transport.write(_encode_request(request, has_rest=rest is not None))
         if connection.transport.is_closing():
@@ -286,6 +303,8 @@
                 )
         except (OSError, TimeoutError):
             return None
+        if self._detects_silence:
+            connection.detect_silence(is_on=True)
         return connection
 
     def _take_idle(self, address: Address, must_not_repeat: bool) -> _Connection | None:
--- a/libs/mimosaloom-relay/mimosaloom_relay/http_server.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/http_server.py
@@ -157,7 +157,12 @@
             return
         try:
             self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+        except httptools.HttpParserUpgrade:
+            # No other protocol is spoken here: the request is answered as it is, and
+            # what follows it is not read.
+            self._is_refused = True
+            self._refusal = b""
+        except httptools.HttpParserError:
             self._refuse()
 
     def on_message_begin(self):
@@ -176,7 +181,9 @@
     def on_headers_complete(self):
         exchange = self._incoming
         exchange.method = self._parser.get_method().decode("latin-1")
-        exchange.is_kept_alive = self._parser.should_keep_alive()
+        exchange.is_kept_alive = (
+            self._parser.should_keep_alive() and not self._parser.should_upgrade()
+        )
         version = self._parser.get_http_version()
         if version not in ("1.0", "1.1"):
             raise ValueError("the version of the protocol is not known")
--- a/libs/mimosaloom-relay/mimosaloom_relay/node.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/node.py
@@ -88,7 +88,9 @@
         self._missing: set[str] = set()
         self.own_target = OwnTarget(settings.service, settings.target)
         target_client = HttpClient(clock, lambda: metrics.count_connection("target"))
-        hop_client = HttpClient(clock, lambda: metrics.count_connection("node"))
+        hop_client = HttpClient(
+            clock, lambda: metrics.count_connection("node"), detects_silence=True
+        )
         self.target_side = TargetSide(
             self.own_target,
             incarnation,
--- a/tests/platform_adapter/test_bad_requests.py
+++ b/tests/platform_adapter/test_bad_requests.py
@@ -1,6 +1,7 @@
 """Requests that are broken, too large or meant to be read in two ways."""
 
 import asyncio
+import socket
 
 import pytest
 from platform_adapter.cluster import run_cluster
@@ -111,3 +112,44 @@
         assert answer.count(b"HTTP/1.1 200") == 5
 
     run_cluster(scenario)
+
+
+def test_client_that_reads_slowly_gets_its_whole_answer():
+    """Guards against a silence detector that takes a full window for a dead peer."""
+
+    async def scenario(cluster):
+        front = await start(cluster)
+        body = b"x" * 4_000_000
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        sock.setblocking(False)
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(sock, tuple(front.node.addresses.outbound))
+        head = HEAD.replace("500", "20000") + f"Content-Length: {len(body)}\r\n\r\n"
+        sending = asyncio.ensure_future(loop.sock_sendall(sock, head.encode() + body))
+        received = await loop.sock_recv(sock, 1000)
+        # The client is the one that waits, longer than any silence is tolerated.
+        await asyncio.sleep(1.5)
+        while len(received) < len(body) and (part := await loop.sock_recv(sock, 65536)):
+            received += part
+        await sending
+        sock.close()
+        assert received.endswith(body[-1000:])
+        assert len(received) > len(body)
+
+    run_cluster(scenario)
+
+
+def test_upgrade_is_ignored():
+    """Guards against an answer that nobody asked for behind the proper one."""
+
+    async def scenario(cluster):
+        front = await start(cluster)
+        head = HEAD.replace("POST", "GET")
+        answer = await send_raw(
+            front, f"{head}Connection: Upgrade\r\nUpgrade: h2c\r\n\r\n".encode()
+        )
+        assert answer.count(b"HTTP/1.1 ") == 1
+        assert answer.startswith(b"HTTP/1.1 200 ")
+
+    run_cluster(scenario)
