Send what is written before a stop ends

Cause, found by reading: a node that stops reset its connections as soon as no request was open, though up to 64 KB of an answer could wait for a client that reads slowly. Change: unsent answers count as open, and connections close behind what is written. Test: fails before (6,144 of 60,000 bytes arrive).

--- a/libs/mimosaloom-relay/mimosaloom_relay/http_server.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/http_server.py
@@ -98,11 +98,19 @@
         if self._server is not None:
             self._server.close()
 
+    @property
+    def has_unsent(self) -> bool:
+        """Whether some answer has not been handed to the system in full."""
+        return any(
+            connection.transport.get_write_buffer_size()
+            for connection in self.connections
+        )
+
     def close(self) -> None:
-        """Close all connections."""
+        """Close all connections once what is written has been sent."""
         self.stop_accepting()
         for connection in list(self.connections):
-            connection.transport.abort()
+            connection.transport.close()
 
 
 class _Exchange:
--- a/libs/mimosaloom-relay/mimosaloom_relay/node.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/node.py
@@ -314,8 +314,9 @@
 
     def _count_open(self) -> int:
         """Return the requests that still run on either side."""
-        tasks = sum(len(self._servers[name].tasks) for name in ("outbound", "inbound"))
-        return tasks + len(self.target_side.sendings)
+        servers = [self._servers[name] for name in ("outbound", "inbound")]
+        open_answers = sum(len(s.tasks) + s.has_unsent for s in servers)
+        return open_answers + len(self.target_side.sendings)
 
     def _build_record(self) -> PeerRecord:
         announcement = self.own_target.announcement
