Heed the start that a leaving target tells

Cause, found by reading: a target may start again under its id, and a late message that its earlier start leaves would take the new one out for good. Change: such a message is compared by the start, as heartbeats are. Test: fails before (503 for the live target).

--- a/libs/mimosaloom-relay/mimosaloom_relay/node.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/node.py
@@ -264,9 +264,9 @@
             )
         return report
 
-    def report_left(self, target_id: str) -> bool:
+    def report_left(self, target_id: str, born_ms: int | None = None) -> bool:
         """Take in that the own target is gone; False if it is another one."""
-        is_own = self.own_target.leave(target_id)
+        is_own = self.own_target.leave(target_id, born_ms)
         if is_own:
             self._publish_self()
         self.log.change("target_left", target_id=target_id, is_own=is_own)
--- a/libs/mimosaloom-relay/mimosaloom_relay/own_target.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/own_target.py
@@ -114,9 +114,18 @@
             Report.UNCHANGED if was_available == self.is_available else Report.CHANGED
         )
 
-    def leave(self, target_id: str) -> bool:
-        """Take in that a target is gone; False if it is not the one known here."""
-        if target_id != self.target_id:
+    def leave(self, target_id: str, born_ms: int | None = None) -> bool:
+        """Take in that a target is gone; False if it is not the one known here.
+
+        Args:
+            target_id: Id of the target.
+            born_ms: Its start, if it told; a late message of an earlier start under
+                the same id says nothing of the present one.
+        """
+        known = self.announcement
+        if known is None or target_id != known.target_id:
+            return False
+        if born_ms is not None and born_ms < known.born_ms:
             return False
         self.is_leaving = True
         return True
--- a/tests/platform_adapter/cluster.py
+++ b/tests/platform_adapter/cluster.py
@@ -61,10 +61,11 @@
             self.node.addresses.announcements, "PUT", path, msgspec.json.encode(body)
         )
 
-    async def leave(self) -> Response:
+    async def leave(self, body: bytes = b"") -> Response:
         """Tell that the target is gone."""
         path = f"/-/instances/{self.target.target_id}"
-        return await self.call(self.node.addresses.announcements, "DELETE", path)
+        address = self.node.addresses.announcements
+        return await self.call(address, "DELETE", path, body)
 
     async def ask(self, path: str, request_id: str = "id-1", **options) -> Response:
         """Send a request as a client of this instance."""
--- a/tests/platform_adapter/test_control.py
+++ b/tests/platform_adapter/test_control.py
@@ -191,6 +191,21 @@
     run_cluster(scenario)
 
 
+def test_late_leave_of_an_earlier_start_changes_nothing():
+    """Guards against a live target that an old message under its id takes out."""
+
+    async def scenario(cluster):
+        front = await cluster.add("front-1", "front")
+        await cluster.configure(1, [FRONT_ROUTE])
+        await front.announce(born=2000)
+        assert (await front.leave(b'{"born": 1000}')).status == 200
+        assert (await front.ask("/f/x", "id-1")).status == 200
+        assert (await front.leave(b'{"born": 2000}')).status == 200
+        assert (await front.ask("/f/x", "id-2")).status == 503
+
+    run_cluster(scenario)
+
+
 def test_stop_cuts_no_request():
     """Guards against a planned stop that cuts a request in flight."""
 
