Serve the target's callers until shortly before a stop ends

Change: the target is withdrawn 2.2 s after the signal, 0.2 s before the earliest end. What is left of the gap is the start and the first heartbeat; asking the target for its health at the start would close most of it and is not done yet. Test: fails before (no upstream while the node stops).

--- a/libs/mimosaloom-relay/mimosaloom_relay/node.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/node.py
@@ -37,8 +37,9 @@
 # Clients leave after two missed questions a second apart; until then they may still
 # send, and each request that is on its way gets its answer.
 MIN_STOP_S = 2.4
-# Hops are still taken this long, since other nodes hear of the stop with a delay.
-HANDOVER_S = 1.0
+# Only this node reaches its target, which may well go on: it serves others until shortly
+# before the end, so that restarts in turn take few targets out at once.
+HANDOVER_S = 2.2
 # Before the platform kills the process.
 STOP_MARGIN_S = 0.6
 POLL_S = 0.05
@@ -288,14 +289,14 @@
         start_s = self._clock.monotonic_s()
         self.is_stopping = True
         self.log.change("stopping", in_flight=self._count_open())
-        self._publish_self()
         for server in self._servers.values():
             server.announce_close()
         while True:
             await asyncio.sleep(POLL_S)
             elapsed_s = self._clock.monotonic_s() - start_s
-            if elapsed_s > HANDOVER_S:
+            if elapsed_s > HANDOVER_S and not self.target_side.is_stopping:
                 self.target_side.is_stopping = True
+                self._publish_self()
             is_quiet = elapsed_s > MIN_STOP_S and not self._count_open()
             if is_quiet or elapsed_s > self.settings.grace_s - STOP_MARGIN_S:
                 break
@@ -330,13 +331,16 @@
             incarnation=self.incarnation,
             target_id=self.own_target.target_id,
             slots=announcement.slots if announcement else 0,
-            is_available=self.own_target.is_available and not self.is_stopping,
+            is_available=(
+                self.own_target.is_available and not self.target_side.is_stopping
+            ),
         )
 
     def _publish_self(self) -> None:
         record = self._build_record()
         self.upstreams.put(record)
-        self._published = None if self.is_stopping else encode_record(record)
+        has_stopped = self.target_side.is_stopping
+        self._published = None if has_stopped else encode_record(record)
         self.publish(self._published)
 
     def _own_document(self) -> bytes:
--- a/tests/platform_adapter/test_control.py
+++ b/tests/platform_adapter/test_control.py
@@ -325,3 +325,23 @@
         assert (await front.call(address, "GET", "/other")).status == 400
 
     run_cluster(scenario)
+
+
+def test_target_of_a_stopping_node_still_serves():
+    """Guards against restarts in turn that take all targets of a service out."""
+
+    async def scenario(cluster):
+        front = await cluster.add("front-1", "front")
+        back = await cluster.add("back-1", "back", grace_s=6.0)
+        await cluster.configure(1, [{"pathPrefix": "/b/", "service": "back"}])
+        await cluster.announce_all()
+        stopping = asyncio.ensure_future(back.node.stop())
+        await until(lambda: back.node.is_stopping)
+        for number in range(5):
+            assert (await front.ask("/b/x", f"id-{number}")).status == 200
+        await stopping
+        await until(lambda: front.node.upstreams.peers.get("back-1") is None)
+        assert (await front.ask("/b/x", "late")).status == 503
+        assert "late" not in back.target.runs
+
+    run_cluster(scenario)
