--- a/libs/mimosaloom-relay/mimosaloom_relay/node.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/node.py
@@ -37,8 +37,8 @@
 # Clients leave after two missed questions a second apart; until then they may still
 # send, and each request that is on its way gets its answer.
 MIN_STOP_S = 2.4
-# Only this node reaches its target, which may well go on: it serves others until shortly
-# before the end, so that restarts in turn take few targets out at once.
+# Only this node reaches its target, which may well go on: it serves others until
+# shortly before the end, so that restarts in turn take few targets out at once.
 HANDOVER_S = 2.2
 # Before the platform kills the process.
 STOP_MARGIN_S = 0.6
