Wait for all silent nodes in the test of a node that is cut off

With three of five nodes silent the node is not ready, and which three are silent first depends on the order in which the sockets are served; the test asked for the first three by name.

--- a/tests/platform_adapter/test_control.py
+++ b/tests/platform_adapter/test_control.py
@@ -289,8 +289,8 @@
         await front.ask("/b/x")
         peers = front.node.upstreams.peers
         if is_silent:
-            await until(lambda: not front.node.is_ready)
-            assert all(peers.is_unreachable(f"back-{n}") for n in range(3))
+            names = [f"back-{number}" for number in range(5)]
+            await until(lambda: all(peers.is_unreachable(name) for name in names))
         else:
             await until(lambda: peers.is_unreachable("back-0"))
             for number in range(5):
