Refuse requests whose calls have no upstream at the target's node

Cause: a node that is cut off with its target kept running requests there. Change: the node beside the target knows the calls of a class; while one of the services has no upstream within reach it answers 503 before the run. Calls are forgotten with a new configuration.

--- a/libs/mimosaloom-relay/mimosaloom_relay/node.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/node.py
@@ -112,6 +112,9 @@
         self.target_side.level_below = lambda class_name: (
             self.upstreams.calls.level_below(class_name, clock.monotonic_s())
         )
+        self.target_side.missing_below = lambda class_name: (
+            self.upstreams.calls.missing_below(class_name, clock.monotonic_s())
+        )
         self.neighbours = Neighbours(
             settings.name,
             self.upstreams,
@@ -204,6 +207,7 @@
             return
         old_version = self.version
         self.origin.put_in_force(configuration)
+        self.upstreams.calls.forget()
         self.log.change(
             "configuration_in_force",
             version=configuration.version,
--- a/libs/mimosaloom-relay/mimosaloom_relay/target_side.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/target_side.py
@@ -89,6 +89,7 @@
         self.is_stopping = False
         self.on_unreachable = lambda: None
         self.level_below: Callable[[str], float] = lambda class_name: 1.0
+        self.missing_below: Callable[[str], str | None] = lambda class_name: None
         self._names = names
         self._client = client
         self._clock = clock
@@ -194,6 +195,8 @@
             return Kind.DRAINING
         if not own.is_available or self._gate is None:
             return Kind.TARGET_UNAVAILABLE
+        if self.missing_below(context.route) is not None:
+            return Kind.NO_UPSTREAM
         return None
 
     def _refuse(
--- a/libs/mimosaloom-relay/mimosaloom_relay/upstreams.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/upstreams.py
@@ -37,7 +37,7 @@
     ):
         self.peers = PeerTable()
         self.levels = LevelTable(rng, own_service)
-        self.calls = CallGraph(self.levels)
+        self.calls = CallGraph(self.levels, self.has_upstream)
         self._own_name = own_name
         self._own_domain = own_domain
         self._clock = clock
@@ -85,6 +85,10 @@
         """Return the upstream for an attempt; None if there is none to try."""
         return self.router(service).pick(self._clock.monotonic_s(), exclude)
 
+    def has_upstream(self, service: str) -> bool:
+        """Tell whether a service has an upstream that can be reached."""
+        return bool(self.router(service).subset)
+
     def _refresh_all(self, services: set[str]) -> bool:
         for service in services:
             if service in self._routers:
--- a/tests/platform_adapter/test_path.py
+++ b/tests/platform_adapter/test_path.py
@@ -294,6 +294,36 @@
     run_cluster(scenario)
 
 
+def test_request_does_not_run_where_a_service_that_it_calls_is_missing():
+    """Guards against runs on a node that is cut off, which fail at their first call."""
+
+    async def scenario(cluster):
+        front, back = await start_pair(cluster)
+        third = await cluster.add("third-1", "third")
+        routes = [
+            {"pathPrefix": "/b/", "service": "back"},
+            {"pathPrefix": "/t/", "service": "third"},
+        ]
+        await cluster.configure(2, routes)
+        await cluster.announce_all()
+        back.target.modes = ["hold"]
+        asking = asyncio.ensure_future(front.ask("/b/x", "root"))
+        await until(lambda: back.target.runs)
+        assert (await back.ask("/t/y", "root.call")).status == 200
+        back.target.released.set()
+        assert (await asking).status == 200
+        assert third.target.runs == ["root.call"]
+        back.node.upstreams.mark_unreachable("third-1")
+        refused = await back.ask("/b/x", "second")
+        assert refused.status == 503
+        assert refused.header("Retry-After")
+        assert back.target.runs == ["root"]
+        back.node.upstreams.mark_reachable("third-1")
+        assert (await back.ask("/b/x", "again")).status == 200
+
+    run_cluster(scenario)
+
+
 def test_body_that_was_passed_on_is_not_sent_again_in_part():
     """Guards against a repeat that carries only the rest of a long body."""
 
--- a/tests/relay/test_routes.py
+++ b/tests/relay/test_routes.py
@@ -48,7 +48,7 @@
 def test_level_below_is_that_of_the_deepest_service():
     """Guards against requests that are admitted and fail half-way."""
     levels = LevelTable(random.Random(1))
-    graph = CallGraph(levels)
+    graph = CallGraph(levels, lambda service: True)
     graph.record_call("root", "middle", "call", 0.0)
     levels.observe("middle", "call", "m-1", 0.3, 0.0)
     levels.observe("other", "call", "o-1", 0.1, 0.0)
@@ -57,6 +57,22 @@
     assert graph.level_below("root", 10.0) == 1.0
 
 
+def test_missing_service_is_named_while_its_calls_are_recent():
+    """Guards against a node that is cut off and still runs requests half-way."""
+    reachable = {"middle"}
+    graph = CallGraph(LevelTable(random.Random(1)), lambda name: name in reachable)
+    graph.record_call("root", "middle", "call", 0.0)
+    graph.record_call("root", "deep", "call", 0.0)
+    assert graph.missing_below("root", 0.1) == "deep"
+    assert graph.missing_below("unrelated", 0.1) is None
+    assert graph.missing_below("root", 10.0) is None
+    reachable.add("deep")
+    assert graph.missing_below("root", 0.1) is None
+    reachable.clear()
+    graph.forget()
+    assert graph.missing_below("root", 0.1) is None
+
+
 def build_router():
     """Return a router in domain `near` with one upstream there and one elsewhere."""
     router = Router("s", "me", "near", random.Random(1), room_ratio=0.7)
