Take up the own target after a restart before its next heartbeat

Cause: a restarted node knew no target until the next heartbeat, up to 1.5 s, in which its target stood idle; rolling restarts and the loss of all processes are bound by that. Ruled out: asking for a heartbeat (targets take no calls for that). Change: a node that ends while its target goes on leaves its record, marked as handed over. The next incarnation reads it, asks the target once for its health, and serves it if it answers with the same id; otherwise it removes the record. Fetching from other nodes moves to neighbours.py, the own record to own_record.py. Unused fields and constants are removed; /status shows objectives and limits.

--- a/libs/mimosaloom-relay/mimosaloom_relay/hop_messages.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/hop_messages.py
@@ -35,7 +35,7 @@
         caller_service: Service on whose instance a request began.
         not_executed: Set by a target that rejected a request before running it.
         signature: Set by a target on each answer of its own.
-        target_load: Calls that run, calls that wait and slots of a target.
+        target_id: Id of the target that answers a health check.
     """
 
     request_id: str
@@ -44,7 +44,7 @@
     caller_service: str
     not_executed: str
     signature: str
-    target_load: str
+    target_id: str
 
 
 class HopContext(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -94,7 +94,6 @@
         version: Configuration in force at the node.
         level: Admission level for the class of the request.
         load: Calls that run or wait, as a share of the slots.
-        is_draining: Whether the target is leaving.
         is_own_failure: Whether the target failed though all of its calls were answered.
     """
 
@@ -106,7 +105,6 @@
     version: int = 0
     level: float = 1.0
     load: float = 0.0
-    is_draining: bool = False
     is_own_failure: bool = False
 
 
--- a/libs/mimosaloom-relay/mimosaloom_relay/http_client.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/http_client.py
@@ -37,7 +37,6 @@
 IDLE_SHARE = 0.6
 # Answers to other requests that are read over before the own one.
 MAX_FOREIGN_ANSWERS = 2
-MAX_HEAD_BYTES = 65536
 _BODYLESS_METHODS = frozenset({"GET", "HEAD", "DELETE", "OPTIONS"})
 _NO_BODY_STATUSES = frozenset({204, 304})
 
--- a/libs/mimosaloom-relay/mimosaloom_relay/neighbours.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/neighbours.py
@@ -11,9 +11,9 @@
 
 from .decision_log import DecisionLog
 from .http_client import HttpClient
-from .incoming_hops import SELF_PATH
+from .incoming_hops import CONFIGURATION_PATH, NODES_PATH, SELF_PATH
 from .isolation import Isolation
-from .peers import PeerRecord
+from .peers import PeerRecord, decode_records, encode_record
 from .upstreams import Upstreams
 
 __all__ = ["Neighbours"]
@@ -22,6 +22,7 @@
 PROBE_LONGEST_S = 2.0
 # Below the time for a connection, so that silence is told from a refusal.
 PROBE_TIMEOUT_S = 0.4
+FETCH_TIMEOUT_S = 1.0
 # Nodes that are asked when one falls silent, to learn which side is cut off.
 PROBED_AT_ONCE = 8
 
@@ -34,6 +35,8 @@
         upstreams: Upstreams of all services.
         client: Sends the questions.
         put_record: Takes in what a node says of itself.
+        put_configuration: Takes in a configuration and where it comes from.
+        own_version: Returns the number of the configuration in force; 0 for none.
         rng: Chooses whom to ask.
         log: Takes lost and regained nodes.
     """
@@ -44,6 +47,8 @@
         upstreams: Upstreams,
         client: HttpClient,
         put_record: Callable[[str, bytes], None],
+        put_configuration: Callable[[bytes, str], None],
+        own_version: Callable[[], int],
         *,
         rng: random.Random,
         log: DecisionLog,
@@ -52,9 +57,12 @@
         self._upstreams = upstreams
         self._client = client
         self._put_record = put_record
+        self._put_configuration = put_configuration
+        self._own_version = own_version
         self._rng = rng
         self._log = log
         self._isolation = Isolation()
+        self._fetching = 0
         self._probed: set[str] = set()
         self._tasks: set[asyncio.Task] = set()
 
@@ -122,6 +130,29 @@
             for name in self._rng.sample(sorted(names), min(count, len(names))):
                 self._probe_soon(name)
 
+    def hear_version(self, version: int, address: Address) -> None:
+        """Ask a node for a newer configuration, once for each version."""
+        if version > max(self._own_version(), self._fetching):
+            self._fetching = version
+            self._spawn(self._fetch_configuration(address))
+
+    async def _fetch_configuration(self, address: Address) -> None:
+        answer = await self.ask(address, CONFIGURATION_PATH, FETCH_TIMEOUT_S)
+        if isinstance(answer, Response) and answer.status == 200:
+            self._put_configuration(answer.body, f"node {address.host}:{address.port}")
+        self._fetching = 0
+        if len(self._upstreams.peers) < 2:
+            # Only a node that can't read the store knows no other node.
+            await self._fetch_nodes(address)
+
+    async def _fetch_nodes(self, address: Address) -> None:
+        answer = await self.ask(address, NODES_PATH, FETCH_TIMEOUT_S)
+        if not isinstance(answer, Response) or answer.status != 200:
+            return
+        for record in decode_records(answer.body):
+            if self._upstreams.peers.get(record.name) is None:
+                self._put_record(record.name, encode_record(record))
+
     async def ask(
         self, address: Address, path: str, timeout_s: float
     ) -> Response | Broken | None:
--- a/libs/mimosaloom-relay/mimosaloom_relay/node.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/node.py
@@ -14,12 +14,13 @@
 from .hops import HopSender
 from .http_client import Answer, HttpClient
 from .http_server import Handler, Incoming, RelayServer
-from .incoming_hops import CONFIGURATION_PATH, NODES_PATH, IncomingHops
+from .incoming_hops import IncomingHops
 from .metrics import RelayMetrics
 from .neighbours import Neighbours
 from .origin import Origin
+from .own_record import OwnRecord
 from .own_target import Announcement, OwnTarget, Report
-from .peers import PeerRecord, decode_record, decode_records, encode_record
+from .peers import decode_record
 from .refusals import build_refusal
 from .repeats import Repeats
 from .routes import Configuration, Limits
@@ -43,7 +44,6 @@
 # Before the platform kills the process.
 STOP_MARGIN_S = 0.6
 POLL_S = 0.05
-FETCH_TIMEOUT_S = 1.0
 # A node whose record is still missing this long after the store can be read is gone.
 MISSING_GRACE_S = 2.0
 
@@ -76,7 +76,6 @@
         self.settings = settings
         self.incarnation = incarnation
         self.is_stopping = False
-        self.publish: Callable[[bytes | None], None] = lambda record: None
         self.addresses: Listeners = settings.listen
         self.metrics = metrics
         self.log = DecisionLog(clock, metrics.count_dropped_line)
@@ -84,8 +83,6 @@
         self._read_configuration = read_configuration
         self._clock = clock
         self._tasks: set[asyncio.Task] = set()
-        self._fetching = 0
-        self._published: bytes | None = None
         self._missing: set[str] = set()
         self.own_target = OwnTarget(settings.service, settings.target)
         target_client = HttpClient(clock, lambda: metrics.count_connection("target"))
@@ -102,6 +99,13 @@
             metrics=metrics,
         )
         self.target_side.on_unreachable = self._publish_self
+        self.own_record = OwnRecord(
+            settings,
+            incarnation,
+            self.own_target,
+            inbound=lambda: self.addresses.inbound,
+            has_handed_over=lambda: self.target_side.is_stopping,
+        )
         self.upstreams = Upstreams(
             settings.name,
             settings.failure_domain,
@@ -120,6 +124,8 @@
             self.upstreams,
             hop_client,
             self.put_record,
+            self.put_configuration,
+            lambda: self.version,
             rng=rng,
             log=self.log,
         )
@@ -143,13 +149,15 @@
             log=self.log,
             metrics=metrics,
         )
-        self.origin.on_version_heard = lambda version, candidate: self._fetch_soon(
-            version, Address(candidate.host, candidate.port)
+        self.origin.on_version_heard = lambda version, candidate: (
+            self.neighbours.hear_version(
+                version, Address(candidate.host, candidate.port)
+            )
         )
         self._hops = IncomingHops(
             names,
             self.target_side,
-            own_record=self._build_record,
+            own_record=self.own_record.build,
             records=self.upstreams.peers.records,
             own_version=lambda: self.version,
             own_document=self._own_document,
@@ -215,14 +223,14 @@
             source=source,
             routes=sum(len(routes) for routes in configuration.routes.values()),
         )
+        self._resume_target()
 
     def put_record(self, name: str, value: bytes | None) -> None:
         """Take in what a node has published; None if it has left."""
         self._missing.discard(name)
         if name == self.settings.name:
-            if value != self._published:
-                # A late write of an earlier incarnation has replaced the own record.
-                self.publish(self._published)
+            self.own_record.hear(value)
+            self._resume_target()
             return
         if value is None:
             if self.upstreams.remove(name):
@@ -323,29 +331,37 @@
         open_answers = sum(len(s.tasks) + s.has_unsent for s in servers)
         return open_answers + len(self.target_side.sendings)
 
-    def _build_record(self) -> PeerRecord:
-        announcement = self.own_target.announcement
-        inbound = self.addresses.inbound
-        return PeerRecord(
-            name=self.settings.name,
-            host=inbound.host,
-            port=inbound.port,
-            failure_domain=self.settings.failure_domain,
-            service=self.settings.service,
-            incarnation=self.incarnation,
-            target_id=self.own_target.target_id,
-            slots=announcement.slots if announcement else 0,
-            is_available=(
-                self.own_target.is_available and not self.target_side.is_stopping
-            ),
-        )
-
     def _publish_self(self) -> None:
-        record = self._build_record()
-        self.upstreams.put(record)
-        has_stopped = self.target_side.is_stopping
-        self._published = None if has_stopped else encode_record(record)
-        self.publish(self._published)
+        self.upstreams.put(self.own_record.publish())
+
+    def _resume_target(self) -> None:
+        """Serve the target of the earlier incarnation again, if it still answers."""
+        profile = None
+        if self.origin.configuration is not None:
+            services = self.origin.configuration.services
+            profile = services.get(self.settings.service)
+        if profile is None or self.own_target.announcement is not None:
+            return
+        known = self.own_record.take_resumable()
+        if known is not None:
+            self._spawn(self._resume_if_serving(known, profile.health_path))
+
+    async def _resume_if_serving(self, known: Announcement, health_path: str) -> None:
+        is_serving = await self.target_side.is_serving(health_path, known.target_id)
+        if self.own_target.announcement is not None:
+            return
+        self.log.change(
+            "target_resumed" if is_serving else "target_not_resumed",
+            target_id=known.target_id,
+            born_ms=known.born_ms,
+            slots=known.slots,
+        )
+        if is_serving:
+            self.own_target.resume(known)
+            self.target_side.open_gate(known.slots)
+            self._publish_self()
+        else:
+            self.own_record.withdraw()
 
     def _own_document(self) -> bytes:
         configuration = self.origin.configuration
@@ -354,30 +370,7 @@
     def _hear_version(self, version: int, origin: str) -> None:
         host, _, port = origin.rpartition(":")
         if host and port.isdecimal():
-            self._fetch_soon(version, Address(host, int(port)))
-
-    def _fetch_soon(self, version: int, address: Address) -> None:
-        """Ask a node for a newer configuration, once for each version."""
-        if version > max(self.version, self._fetching):
-            self._fetching = version
-            self._spawn(self._fetch_configuration(address))
-
-    async def _fetch_configuration(self, address: Address) -> None:
-        answer = await self.neighbours.ask(address, CONFIGURATION_PATH, FETCH_TIMEOUT_S)
-        if isinstance(answer, Response) and answer.status == 200:
-            self.put_configuration(answer.body, f"node {address.host}:{address.port}")
-        self._fetching = 0
-        if len(self.upstreams.peers) < 2:
-            # Only a node that can't read the store knows no other node.
-            await self._fetch_nodes(address)
-
-    async def _fetch_nodes(self, address: Address) -> None:
-        answer = await self.neighbours.ask(address, NODES_PATH, FETCH_TIMEOUT_S)
-        if not isinstance(answer, Response) or answer.status != 200:
-            return
-        for record in decode_records(answer.body):
-            if self.upstreams.peers.get(record.name) is None:
-                self.put_record(record.name, encode_record(record))
+            self.neighbours.hear_version(version, Address(host, int(port)))
 
     async def _drop_missing(self, names: set[str]) -> None:
         await asyncio.sleep(MISSING_GRACE_S)
--- a/libs/mimosaloom-relay/mimosaloom_relay/own_target.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/own_target.py
@@ -114,6 +114,11 @@
             Report.UNCHANGED if was_available == self.is_available else Report.CHANGED
         )
 
+    def resume(self, known: Announcement) -> None:
+        """Take up a target that has gone on while the node was restarted."""
+        self.announcement = known
+        self.is_reachable = True
+
     def leave(self, target_id: str, born_ms: int | None = None) -> bool:
         """Take in that a target is gone; False if it is not the one known here.
 
--- a/libs/mimosaloom-relay/mimosaloom_relay/peers.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/peers.py
@@ -14,6 +14,11 @@
 ]
 
 
+# Connections that a node takes from others, by its descriptors. The limit of a target
+# binds only the node beside it, which opens no more connections than slots.
+MAX_HOP_CONNECTIONS = 256
+
+
 class PeerRecord(msgspec.Struct, frozen=True):
     """What a node publishes about itself and its target.
 
@@ -27,6 +32,9 @@
         target_id: Id of its target; empty if none has announced itself.
         slots: Calls that the target runs at once.
         is_available: Whether the target takes new calls.
+        is_handed_over: Whether the node ends and the target, which could go on, is
+            left to the next incarnation.
+        target_born_ms: Start of the target in Unix milliseconds; 0 if it does not tell.
     """
 
     name: str
@@ -38,6 +46,8 @@
     target_id: str
     slots: int
     is_available: bool
+    is_handed_over: bool = False
+    target_born_ms: int = 0
 
     @property
     def address(self) -> Address:
@@ -67,26 +77,16 @@
 
 
 class PeerTable:
-    """All nodes heard of, the own one included.
-
-    Args:
-        max_connections: Default for services without a profile.
-    """
+    """All nodes heard of, the own one included."""
 
-    def __init__(self, max_connections: int = 256):
+    def __init__(self):
         self._records: dict[str, PeerRecord] = {}
         self._unreachable: set[str] = set()
-        self._max_connections = max_connections
 
     def __len__(self) -> int:
         """Return the number of nodes."""
         return len(self._records)
 
-    @property
-    def services(self) -> set[str]:
-        """Services of all known upstreams."""
-        return {record.service for record in self._records.values()}
-
     def get(self, name: str) -> PeerRecord | None:
         """Return the record of a node; None if it is not known."""
         return self._records.get(name)
@@ -126,7 +126,7 @@
         """Whether a node is left out because it can't be reached."""
         return name in self._unreachable
 
-    def candidates(self, service: str, max_connections: int = 0) -> list[Candidate]:
+    def candidates(self, service: str) -> list[Candidate]:
         """Return the upstreams of a service that take new calls."""
         return [
             Candidate(
@@ -135,7 +135,7 @@
                 record.port,
                 record.failure_domain,
                 record.slots,
-                max_connections or self._max_connections,
+                MAX_HOP_CONNECTIONS,
                 record.incarnation,
             )
             for record in self._records.values()
--- a/libs/mimosaloom-relay/mimosaloom_relay/status.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/status.py
@@ -12,7 +12,7 @@
 def describe_configuration(configuration: Configuration | None) -> dict:
     """Return the version and the resources in force, by kind and name."""
     if configuration is None:
-        return {"version": 0, "RequestClass": {}, "Service": {}}
+        return {"version": 0, "RequestClass": {}, "Service": {}, "limits": {}}
     routes = [r for found in configuration.routes.values() for r in found]
     return {
         "version": configuration.version,
@@ -21,6 +21,7 @@
             profile.name: profile._asdict()
             for profile in configuration.services.values()
         },
+        "limits": configuration.limits._asdict(),
     }
 
 
@@ -66,5 +67,6 @@
         "priority": request_class.priority,
         "is_idempotent": request_class.is_idempotent,
         "timeout_s": request_class.timeout_s,
+        "objective_s": route.objective_s,
         "max_targets": route.max_targets,
     }
--- a/libs/mimosaloom-relay/mimosaloom_relay/target_side.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/target_side.py
@@ -40,6 +40,8 @@
 # The target answers at the deadline itself; its answer is waited for this long.
 DEADLINE_SLACK_S = 0.05
 RETRY_AFTER_S = 0.5
+# Heartbeats come about this often and tell the same.
+HEALTH_TIMEOUT_S = 1.0
 CALL_SEPARATOR = "."
 # A target's answers after which another target may do better.
 OWN_FAILURES = frozenset({500, 502})
@@ -157,6 +159,21 @@
         if self._ticks is not None:
             self._ticks.cancel()
 
+    async def is_serving(self, health_path: str, target_id: str) -> bool:
+        """Ask the own target for its health; tell whether it is the one expected."""
+        address = self.own_target.address
+        request = Request("GET", health_path, (("Host", f"{address.host}"),))
+        try:
+            async with asyncio.timeout(HEALTH_TIMEOUT_S):
+                outcome = await self._client.send(address, request)
+        except TimeoutError:
+            return False
+        if isinstance(outcome, Broken):
+            return False
+        response = outcome.response
+        is_expected = response.header(self._names.target_id) == target_id
+        return response.status == 200 and is_expected
+
     async def run(self, context: HopContext, incoming: Incoming) -> HopReply:
         """Run one attempt on the own target.
 
@@ -243,7 +260,6 @@
             incarnation=self.incarnation,
             level=level,
             load=load,
-            is_draining=self.is_stopping or self.own_target.is_leaving,
         )
 
     async def _send_and_leave(
