Leave out targets whose node refuses for them, and learn no level there

Change: refusals for a target that takes no calls teach no level, and the node is asked for its record, until it takes calls again. The store still tells the others.

--- a/libs/mimosaloom-relay/mimosaloom_relay/neighbours.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/neighbours.py
@@ -20,6 +20,8 @@
 
 PROBE_FIRST_S = 0.2
 PROBE_LONGEST_S = 2.0
+# About 15 s; a target that is away for longer is announced by the store.
+MAX_REFRESHES = 10
 # Below the time for a connection, so that silence is told from a refusal.
 PROBE_TIMEOUT_S = 0.4
 FETCH_TIMEOUT_S = 1.0
@@ -64,6 +66,7 @@
         self._isolation = Isolation()
         self._fetching = 0
         self._probed: set[str] = set()
+        self._refreshed: set[str] = set()
         self._tasks: set[asyncio.Task] = set()
 
     @property
@@ -82,6 +85,34 @@
             self._log.change("peer_unreachable", peer=candidate.name)
             self._probe_soon(candidate.name)
 
+    def refresh(self, candidate: Candidate) -> None:
+        """Ask a node that takes no calls for its record, until it takes some again.
+
+        The store tells the same, but not while it is away from either of the nodes.
+        """
+        name = candidate.name
+        if name != self._own_name and name not in self._refreshed:
+            self._refreshed.add(name)
+            self._spawn(self._refresh_until_available(name))
+
+    async def _refresh_until_available(self, name: str) -> None:
+        delay_s = PROBE_FIRST_S
+        try:
+            for _ in range(MAX_REFRESHES):
+                record = self._upstreams.peers.get(name)
+                if record is None:
+                    return
+                outcome = await self.ask(record.address, SELF_PATH, PROBE_TIMEOUT_S)
+                if isinstance(outcome, Response) and outcome.status == 200:
+                    self._put_record(name, outcome.body)
+                record = self._upstreams.peers.get(name)
+                if record is None or record.is_available:
+                    return
+                await asyncio.sleep(delay_s)
+                delay_s = min(PROBE_LONGEST_S, 2 * delay_s)
+        finally:
+            self._refreshed.discard(name)
+
     def _probe_soon(self, name: str) -> None:
         if name not in self._probed:
             self._probed.add(name)
--- a/libs/mimosaloom-relay/mimosaloom_relay/node.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/node.py
@@ -154,6 +154,7 @@
                 version, Address(candidate.host, candidate.port)
             )
         )
+        self.origin.on_record_outdated = self.neighbours.refresh
         self._hops = IncomingHops(
             names,
             self.target_side,
--- a/libs/mimosaloom-relay/mimosaloom_relay/origin.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/origin.py
@@ -25,6 +25,8 @@
 RETRY_AFTER_S = 0.5
 # The last hop answers at the deadline; its answer is waited for this much longer.
 DEADLINE_SLACK_S = 0.1
+# Refusals of a node whose record says that its target takes new calls: it is outdated.
+_OUTDATED = frozenset({Kind.DRAINING, Kind.TARGET_UNAVAILABLE, Kind.MISDIRECTED})
 
 
 class Origin:
@@ -61,6 +63,7 @@
     ):
         self.configuration: Configuration | None = None
         self.on_version_heard: Callable[[int, Candidate], None] = lambda v, c: None
+        self.on_record_outdated: Callable[[Candidate], None] = lambda c: None
         self._own_name = own_name
         self._own_service = own_service
         self._own_address = own_address
@@ -264,6 +267,12 @@
     ) -> None:
         if not result.incarnation:
             return
+        if result.version > self.configuration.version:
+            self.on_version_heard(result.version, candidate)
+        if read_kind(result) in _OUTDATED:
+            # The open level of a target that takes no calls would hide the others.
+            self.on_record_outdated(candidate)
+            return
         router = self._upstreams.router(call.service)
         router.suggest(candidate.name, result.load, now_s)
         self._upstreams.levels.observe(
@@ -273,8 +282,6 @@
             result.level,
             now_s,
         )
-        if result.version > self.configuration.version:
-            self.on_version_heard(result.version, candidate)
 
     def _give_up(self, call: Call, progress: Progress) -> Answer:
         """Return the final answer to a request without an answer of a target."""
--- a/tests/platform_adapter/test_control.py
+++ b/tests/platform_adapter/test_control.py
@@ -7,6 +7,7 @@
 from platform_adapter.cluster import run_cluster, until
 from platform_adapter.standins import build_document
 
+from mimosaloom_model import SystemClock
 from mimosaloom_relay.peers import encode_record
 
 pytestmark = pytest.mark.sockets
@@ -139,6 +140,33 @@
     run_cluster(scenario)
 
 
+def test_drained_target_that_the_store_does_not_name_is_left_out():
+    """Guards against a target that refuses all calls and hides the level of others."""
+
+    async def scenario(cluster):
+        front = await cluster.add("front-1", "front")
+        back = await cluster.add("back-1", "back")
+        await cluster.add("back-2", "back")
+        await cluster.configure(1, [{"pathPrefix": "/b/", "service": "back"}])
+        await cluster.announce_all()
+        upstreams = front.node.upstreams
+        cluster.store.is_down = True
+        await back.announce("draining", born=1000)
+        for number in range(40):
+            assert (await front.ask("/b/x", f"id-{number}")).status == 200
+            if not upstreams.peers.get("back-1").is_available:
+                break
+        await until(lambda: not upstreams.peers.get("back-1").is_available)
+        now_s = SystemClock().monotonic_s()
+        upstreams.levels.observe("back", "r-b", "back-2", 0.2, now_s)
+        assert upstreams.levels.level("back", "r-b", now_s) == 0.2
+        back.sequence = 0
+        await back.announce(born=2000)
+        await until(lambda: upstreams.peers.get("back-1").is_available)
+
+    run_cluster(scenario)
+
+
 def test_leave_without_draining_ends_new_work():
     """Guards against targets that leave at once and are still sent requests."""
 
