Let only the latest levels of a path count, and none of targets that left

The highest level of the last two seconds counts at each of the three hops, so the ages add up; and late answers of the drained target bring its open level back. The product's own table keeps its two seconds.

--- a/libs/mimosaloom-policy/mimosaloom_policy/levels.py
+++ b/libs/mimosaloom-policy/mimosaloom_policy/levels.py
@@ -18,10 +18,20 @@
         own_service: Service of the node itself. Its level is left out of `lowest`:
             nodes of one service that pass each other's levels on in their answers
             would hold each other's level down for good.
+        spread_s: Time before the latest answer for which other answers count. Over
+            a path of several services the ages of their levels add up, so that
+            upstreams that were open hide for seconds that the last service is full.
     """
 
-    def __init__(self, rng: random.Random, own_service: str = ""):
+    def __init__(
+        self,
+        rng: random.Random,
+        own_service: str = "",
+        *,
+        spread_s: float = LEVEL_MAX_AGE_S,
+    ):
         self._rng = rng
+        self._spread_s = spread_s
         self._own_service = own_service
         self._levels: dict[tuple[str, str], dict[str, tuple[float, float]]] = {}
         self._probe_s: dict[tuple[str, str], float] = {}
@@ -51,8 +61,11 @@
         don't.
         """
         levels = self._levels.get((service, class_name), {})
+        latest_s = max((at_s for _, at_s in levels.values()), default=now_s)
         fresh = [
-            level for level, at_s in levels.values() if now_s - at_s <= LEVEL_MAX_AGE_S
+            level
+            for level, at_s in levels.values()
+            if now_s - at_s <= LEVEL_MAX_AGE_S and latest_s - at_s <= self._spread_s
         ]
         return max(fresh, default=1.0)
 
--- a/libs/mimosaloom-relay/mimosaloom_relay/origin.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/origin.py
@@ -270,10 +270,12 @@
         if result.version > self.configuration.version:
             self.on_version_heard(result.version, candidate)
         if read_kind(result) in _OUTDATED:
-            # The open level of a target that takes no calls would hide the others.
             self.on_record_outdated(candidate)
             return
         router = self._upstreams.router(call.service)
+        if candidate.name not in router.subset:
+            # The open level of a target that takes no calls would hide the others.
+            return
         router.suggest(candidate.name, result.load, now_s)
         self._upstreams.levels.observe(
             call.service,
--- a/tests/platform_adapter/test_control.py
+++ b/tests/platform_adapter/test_control.py
@@ -167,6 +167,29 @@
     run_cluster(scenario)
 
 
+def test_late_answer_of_a_target_that_left_teaches_no_level():
+    """Guards against the open level of a target that takes no more calls."""
+
+    async def scenario(cluster):
+        front = await cluster.add("front-1", "front")
+        back = await cluster.add("back-1", "back")
+        await cluster.configure(1, [{"pathPrefix": "/b/", "service": "back"}])
+        await cluster.announce_all()
+        back.target.modes = ["hold"]
+        asking = asyncio.ensure_future(front.ask("/b/x"))
+        await until(lambda: back.target.runs)
+        upstreams = front.node.upstreams
+        await back.announce("draining")
+        await until(lambda: not upstreams.has_upstream("back"))
+        back.target.released.set()
+        assert (await asking).status == 200
+        now_s = SystemClock().monotonic_s()
+        upstreams.levels.observe("back", "r-b", "back-2", 0.2, now_s)
+        assert upstreams.levels.level("back", "r-b", now_s) == 0.2
+
+    run_cluster(scenario)
+
+
 def test_leave_without_draining_ends_new_work():
     """Guards against targets that leave at once and are still sent requests."""
 
--- a/tests/policy/test_levels.py
+++ b/tests/policy/test_levels.py
@@ -96,6 +96,18 @@
     assert table.level("billing", "any", 0.1) == 0.3
 
 
+def test_latest_levels_replace_those_of_a_moment_ago():
+    """Guards against an open level that hides for seconds that all are full now."""
+    table = LevelTable(random.Random(1), spread_s=0.5)
+    table.observe("billing", "any", "a", 1.0, 0.0)
+    table.observe("billing", "any", "b", 0.2, 0.4)
+    assert table.level("billing", "any", 0.4) == 1.0
+    table.observe("billing", "any", "b", 0.3, 0.6)
+    assert table.level("billing", "any", 0.6) == 0.3
+    assert table.level("billing", "any", 2.5) == 0.3
+    assert table.level("billing", "any", 2.7) == 1.0
+
+
 def run_overloaded(calls_per_s, run_s=6.0, slots=10, work_s=0.1):
     """Offer evenly ranked calls, one in ten protected; return shares started."""
     admission = Admission(slots, 0.0)
