Tell the level of the services further down apart from a target's own

Cause: a node answered with the lower one of its own level and of the path below it, and callers took the highest of the last two seconds, which is right for targets of which one has room, and late for a path that all of them share: the ages add up over three hops. Change: answers carry both; of the level below the latest answer counts. The window of half a second is taken back.

--- a/libs/mimosaloom-policy/mimosaloom_policy/levels.py
+++ b/libs/mimosaloom-policy/mimosaloom_policy/levels.py
@@ -18,30 +18,40 @@
         own_service: Service of the node itself. Its level is left out of `lowest`:
             nodes of one service that pass each other's levels on in their answers
             would hold each other's level down for good.
-        spread_s: Time before the latest answer for which other answers count. Over
-            a path of several services the ages of their levels add up, so that
-            upstreams that were open hide for seconds that the last service is full.
     """
 
-    def __init__(
-        self,
-        rng: random.Random,
-        own_service: str = "",
-        *,
-        spread_s: float = LEVEL_MAX_AGE_S,
-    ):
+    def __init__(self, rng: random.Random, own_service: str = ""):
         self._rng = rng
-        self._spread_s = spread_s
         self._own_service = own_service
         self._levels: dict[tuple[str, str], dict[str, tuple[float, float]]] = {}
+        self._levels_below: dict[tuple[str, str], tuple[float, float]] = {}
         self._probe_s: dict[tuple[str, str], float] = {}
 
     def observe(
-        self, service: str, class_name: str, upstream: str, level: float, now_s: float
+        self,
+        service: str,
+        class_name: str,
+        upstream: str,
+        level: float,
+        now_s: float,
+        *,
+        level_below: float | None = None,
     ) -> None:
-        """Record the level that an answer carried."""
+        """Record the levels that an answer carried.
+
+        Args:
+            service: The service that answered.
+            class_name: Request class.
+            upstream: The upstream that answered.
+            level: Its own level.
+            now_s: Current time on the monotonic clock.
+            level_below: Level of the services that it calls for the class; None if
+                not known.
+        """
         levels = self._levels.setdefault((service, class_name), {})
         levels[upstream] = (level, now_s)
+        if level_below is not None:
+            self._levels_below[service, class_name] = (level_below, now_s)
 
     def keep_upstreams(self, service: str, names: frozenset[str]) -> None:
         """Forget the upstreams of a service that are gone or draining.
@@ -58,15 +68,17 @@
         """Return the highest level of the upstreams heard from lately; 1 if none.
 
         A request fits as long as one upstream takes it; `refusing` names those that
-        don't.
+        don't. Of the services further down the latest answer tells: all upstreams
+        call the same ones, and the ages of the highest levels would add up over the
+        services of a path.
         """
         levels = self._levels.get((service, class_name), {})
-        latest_s = max((at_s for _, at_s in levels.values()), default=now_s)
+        below, below_s = self._levels_below.get((service, class_name), (1.0, now_s))
         fresh = [
-            level
-            for level, at_s in levels.values()
-            if now_s - at_s <= LEVEL_MAX_AGE_S and latest_s - at_s <= self._spread_s
+            level for level, at_s in levels.values() if now_s - at_s <= LEVEL_MAX_AGE_S
         ]
+        if now_s - below_s <= LEVEL_MAX_AGE_S:
+            return min(below, max(fresh, default=1.0))
         return max(fresh, default=1.0)
 
     def refusing(
--- a/libs/mimosaloom-relay/mimosaloom_relay/hop_messages.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/hop_messages.py
@@ -92,7 +92,8 @@
         was_sent: Whether the request reached the target.
         incarnation: Incarnation of the node.
         version: Configuration in force at the node.
-        level: Admission level for the class of the request.
+        level: Admission level of the target.
+        level_below: Lowest level of the services that the class calls.
         load: Calls that run or wait, as a share of the slots.
         is_own_failure: Whether the target failed though all of its calls were answered.
     """
@@ -104,6 +105,7 @@
     incarnation: str = ""
     version: int = 0
     level: float = 1.0
+    level_below: float = 1.0
     load: float = 0.0
     is_own_failure: bool = False
 
--- a/libs/mimosaloom-relay/mimosaloom_relay/origin.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/origin.py
@@ -283,6 +283,7 @@
             candidate.name,
             result.level,
             now_s,
+            level_below=result.level_below,
         )
 
     def _give_up(self, call: Call, progress: Progress) -> Answer:
--- a/libs/mimosaloom-relay/mimosaloom_relay/target_side.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/target_side.py
@@ -250,7 +250,7 @@
         level, load = 1.0, 0.0
         if self._gate is not None:
             admission = self._gate.admission
-            level = min(admission.level, self.level_below(context.route))
+            level = admission.level
             load = (admission.in_flight + admission.queued) / self._used_slots
         return HopResult(
             kind="" if kind is None else kind.value,
@@ -259,6 +259,7 @@
             was_sent=was_sent,
             incarnation=self.incarnation,
             level=level,
+            level_below=self.level_below(context.route),
             load=load,
         )
 
--- a/libs/mimosaloom-relay/mimosaloom_relay/upstreams.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/upstreams.py
@@ -13,9 +13,6 @@
 # Load up to which the own failure domain is preferred. Above it, calls begin to wait
 # where the load of all callers swings by a third.
 ROOM_RATIO = 0.7
-# A few answers of each upstream at the usual rates; four services add up to the two
-# seconds after which clients have come back.
-LEVEL_SPREAD_S = 0.5
 
 
 class Upstreams:
@@ -39,7 +36,7 @@
         rng: random.Random,
     ):
         self.peers = PeerTable()
-        self.levels = LevelTable(rng, own_service, spread_s=LEVEL_SPREAD_S)
+        self.levels = LevelTable(rng, own_service)
         self.calls = CallGraph(self.levels, self.has_upstream)
         self._own_name = own_name
         self._own_domain = own_domain
--- /dev/null
+++ b/tests/relay/path_load.py
@@ -0,0 +1,215 @@
+"""Load on a path of three services, on the real decision code and a virtual clock."""
+
+import heapq
+import itertools
+import random
+from collections import Counter, defaultdict
+from collections.abc import Callable
+from typing import NamedTuple
+
+from mimosaloom_policy import Admission, Arrival, LevelTable, Refuse, rank_request
+from mimosaloom_relay.call_graph import CallGraph
+
+ORIGINS = 8
+CALLS_TO_LAST = 3
+HOP_S = 0.001
+TICK_S = 0.05
+TIMEOUT_S = 2.0
+MAX_HOPS = 3
+PRIORITY = 2
+
+
+class Service(NamedTuple):
+    """A service of the path.
+
+    Attributes:
+        name: Its name.
+        targets: Number of targets.
+        slots: Calls that each runs at once.
+        work_s: Time that a call works there.
+    """
+
+    name: str
+    targets: int
+    slots: int
+    work_s: float
+
+
+FIRST = Service("first", 4, 60, 0.08)
+MIDDLE = Service("middle", 4, 60, 0.01)
+LAST = Service("last", 3, 12, 0.04)
+
+
+class _Target:
+    """A target and the decisions of the node beside it."""
+
+    def __init__(self, service: Service, name: str, levels: LevelTable):
+        self.service = service
+        self.name = name
+        self.levels = levels
+        self.graph = CallGraph(levels, lambda service: True)
+        self.admission = Admission(service.slots, 0.0)
+        self.waiting: dict[str, Callable[[bool], None]] = {}
+        self.is_leaving = False
+
+
+class PathLoad:
+    """Plays requests of clients over the path.
+
+    Args:
+        has_merged_levels: Whether a node tells the lower one of its own level and of
+            that further down, as one.
+        requests_per_s: Requests of clients.
+        leave_s: When two of the three last targets begin to leave.
+        seed: Seed of arrivals and choices.
+    """
+
+    def __init__(
+        self,
+        *,
+        requests_per_s: float,
+        leave_s: float,
+        seed: int,
+        has_merged_levels: bool = False,
+    ):
+        self.outcomes: dict[int, Counter[str]] = defaultdict(Counter)
+        self._rng = random.Random(seed)
+        self._requests_per_s = requests_per_s
+        self._leave_s = leave_s
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._numbers = itertools.count()
+        self._now_s = 0.0
+        self._has_merged_levels = has_merged_levels
+        self._origins = [LevelTable(self._rng) for _ in range(ORIGINS)]
+        self._targets = {
+            service.name: [
+                _Target(service, f"{service.name}-{number}", LevelTable(self._rng))
+                for number in range(service.targets)
+            ]
+            for service in (FIRST, MIDDLE, LAST)
+        }
+
+    def run(self, run_s: float) -> None:
+        """Play the load for some seconds of the virtual clock."""
+        self._at(0.0, self._send_next)
+        self._at(self._leave_s, self._leave)
+        for targets in self._targets.values():
+            for target in targets:
+                self._at(TICK_S, lambda t=target: self._tick(t))
+        while self._events and self._events[0][0] <= run_s:
+            self._now_s, _, act = heapq.heappop(self._events)
+            act()
+
+    def _at(self, delay_s: float, act: Callable[[], None]) -> None:
+        item = (self._now_s + delay_s, next(self._numbers), act)
+        heapq.heappush(self._events, item)
+
+    def _leave(self) -> None:
+        for target in self._targets[LAST.name][1:]:
+            target.is_leaving = True
+        names = frozenset({self._targets[LAST.name][0].name})
+        for target in self._targets[MIDDLE.name]:
+            target.levels.keep_upstreams(LAST.name, names)
+
+    def _tick(self, target: _Target) -> None:
+        self._apply(target, target.admission.tick(self._now_s))
+        self._at(TICK_S, lambda: self._tick(target))
+
+    def _send_next(self) -> None:
+        self._at(self._rng.expovariate(self._requests_per_s), self._send_next)
+        second = int(self._now_s)
+        request_id = f"r{next(self._numbers)}"
+        levels = self._rng.choice(self._origins)
+        if not levels.admits(
+            FIRST.name, FIRST.name, rank_request(request_id, PRIORITY), self._now_s
+        ):
+            self.outcomes[second]["refused"] += 1
+            return
+
+        def end(has_run: bool, is_success: bool) -> None:
+            outcome = "answered" if is_success else "failed" if has_run else "refused"
+            self.outcomes[second][outcome] += 1
+
+        self._call(levels, FIRST, request_id, 0, end)
+
+    def _call(self, levels, service, request_id, depth, end, tried=()) -> None:
+        """Offer a call to targets in turn, as long as they refuse it."""
+        targets = [
+            target
+            for target in self._targets[service.name]
+            if not target.is_leaving and target.name not in tried
+        ]
+        if not targets or len(tried) == MAX_HOPS:
+            end(False, False)
+            return
+        target = self._rng.choice(targets)
+        key = f"{request_id}/{next(self._numbers)}"
+
+        def answer(has_run: bool, is_success: bool) -> None:
+            if not target.is_leaving:
+                self._tell_level(target, levels)
+            if has_run:
+                end(True, is_success)
+            else:
+                again = (*tried, target.name)
+                self._call(levels, service, request_id, depth, end, again)
+
+        def start(is_admitted: bool) -> None:
+            if not is_admitted:
+                self._at(HOP_S, lambda: answer(False, False))
+                return
+            self._at(service.work_s, lambda: self._work_below(target, key, depth, done))
+
+        def done(is_success: bool) -> None:
+            decisions = target.admission.finish(key, self._now_s, is_success=is_success)
+            self._apply(target, decisions)
+            self._at(HOP_S, lambda: answer(True, is_success))
+
+        target.waiting[key] = start
+        arrival = Arrival(
+            key,
+            service.name,
+            PRIORITY,
+            False,
+            rank_request(request_id, PRIORITY),
+            self._now_s + TIMEOUT_S,
+            depth,
+        )
+        self._apply(target, target.admission.offer(arrival, self._now_s))
+
+    def _tell_level(self, target: _Target, levels: LevelTable) -> None:
+        name, level = target.service.name, target.admission.level
+        below = target.graph.level_below(name, self._now_s)
+        if self._has_merged_levels:
+            level, below = min(level, below), None
+        levels.observe(name, name, target.name, level, self._now_s, level_below=below)
+
+    def _apply(self, target: _Target, decisions) -> None:
+        for decision in decisions:
+            start = target.waiting.pop(decision.call_key)
+            start(not isinstance(decision, Refuse))
+
+    def _work_below(self, target, key, depth, done) -> None:
+        request_id = key.partition("/")[0]
+        below = {FIRST.name: MIDDLE, MIDDLE.name: LAST}.get(target.service.name)
+        if below is None:
+            done(True)
+            return
+        left = 1 if below is MIDDLE else CALLS_TO_LAST
+
+        def call(left: int) -> None:
+            if not left:
+                done(True)
+                return
+            target.graph.record_call(
+                target.service.name, below.name, below.name, self._now_s
+            )
+            self._call(
+                target.levels,
+                below,
+                request_id,
+                depth + 1,
+                lambda _, is_success: call(left - 1) if is_success else done(False),
+            )
+
+        call(left)
--- /dev/null
+++ b/tests/relay/test_path_load.py
@@ -0,0 +1,35 @@
+"""What callers get when the last service of a path loses most of its capacity."""
+
+import pytest
+from relay.path_load import CALLS_TO_LAST, LAST, PathLoad
+
+LEAVE_S = 4.0
+RUN_S = 12.0
+# About the load that the whole of the last service takes.
+REQUESTS_PER_S = 0.8 * LAST.targets * LAST.slots / LAST.work_s / CALLS_TO_LAST
+# Requests that the target that is left can serve: no scheduler does better.
+BEST_PER_S = LAST.slots / LAST.work_s / CALLS_TO_LAST
+
+
+def play(seed, **options):
+    """Return the outcomes from the loss of the targets on."""
+    load = PathLoad(
+        requests_per_s=REQUESTS_PER_S, leave_s=LEAVE_S, seed=seed, **options
+    )
+    load.run(RUN_S)
+    totals = {"answered": 0, "failed": 0, "refused": 0}
+    for second, outcomes in load.outcomes.items():
+        if LEAVE_S <= second < RUN_S - 1:
+            for outcome, count in outcomes.items():
+                totals[outcome] += count
+    return totals
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_lost_capacity_at_the_end_of_a_path_is_known_at_its_root(seed):
+    """Guards against requests that run on several services and fail at the last."""
+    merged = play(seed, has_merged_levels=True)
+    apart = play(seed)
+    assert apart["failed"] < 0.5 * merged["failed"]
+    assert apart["answered"] >= merged["answered"]
+    assert apart["answered"] >= 0.9 * BEST_PER_S * (RUN_S - 1 - LEAVE_S)
