Add operators' commands over the platform's store

get, nodes, status and watch read the store; status also asks each node for the version in force and names the slowest one and why; check validates a settings file.

--- a/libs/mimosaloom-relay/mimosaloom_relay/__init__.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/__init__.py
@@ -5,10 +5,11 @@
 from .hop_messages import HeaderNames, HopContext, HopResult
 from .http_client import Answer, HttpClient
 from .http_server import Incoming, RelayServer
+from .incoming_hops import CONFIGURATION_PATH
 from .metrics import RelayMetrics
 from .node import RelayNode
 from .own_target import Announcement, OwnTarget, Report, TargetState
-from .peers import PeerRecord, PeerTable
+from .peers import PeerRecord, PeerTable, decode_record
 from .publisher import Publisher
 from .retry_share import RepeatBound, RepeatShare
 from .routes import (
@@ -20,8 +21,10 @@
     match_route,
 )
 from .settings import Listeners, RelaySettings
+from .status import describe_configuration
 
 __all__ = [
+    "CONFIGURATION_PATH",
     "Announcement",
     "Answer",
     "Configuration",
@@ -48,6 +51,8 @@
     "ServiceProfile",
     "ShareRotation",
     "TargetState",
+    "decode_record",
+    "describe_configuration",
     "log_to_descriptor",
     "match_route",
     "new_event_loop",
--- /dev/null
+++ b/tests/platform_adapter/test_operate.py
@@ -0,0 +1,125 @@
+"""Operators' commands over a store and nodes on loopback."""
+
+import asyncio
+from pathlib import Path
+
+import msgspec
+import pytest
+from command_line import list_commands, run
+from platform_adapter.cluster import run_cluster, until
+from platform_adapter.standins import build_document
+
+pytestmark = pytest.mark.sockets
+
+ROUTES = [
+    {"pathPrefix": "/b/", "service": "back", "priority": 1},
+    {"pathPrefix": "/f/", "service": "front"},
+]
+
+
+async def start_two(cluster):
+    """Start two nodes with one configuration in force."""
+    front = await cluster.add("front-1", "front")
+    back = await cluster.add("back-1", "back")
+    await cluster.configure(4, ROUTES)
+    await cluster.announce_all()
+    names = {"front-1", "back-1"}
+    await until(lambda: names <= cluster.store.newest("keyed.nodes").keys())
+    return front, back
+
+
+async def call(cluster, *words):
+    """Run a command beside the cluster."""
+    address = cluster.store_url.removeprefix("http://")
+    return await asyncio.to_thread(run, "platform", *words, "--store", address)
+
+
+def test_get_shows_what_the_store_has_accepted():
+    """Guards against operators who can't see what was accepted."""
+
+    async def scenario(cluster):
+        await start_two(cluster)
+        found = msgspec.json.decode((await call(cluster, "get")).stdout)
+        assert found["version"] == 4
+        assert set(found["Service"]) == {"front", "back"}
+        route = await call(cluster, "get", "RequestClass", "r-b")
+        assert msgspec.json.decode(route.stdout)["priority"] == 1
+        missing = await call(cluster, "get", "RequestClass", "none")
+        assert (missing.exit_code, "there is no" in missing.stderr) == (1, True)
+        assert (await call(cluster, "get", "Upstream")).exit_code == 2
+
+    run_cluster(scenario)
+
+
+def test_status_names_the_node_that_is_behind_and_why():
+    """Guards against a node that serves an old version unnoticed."""
+
+    async def scenario(cluster):
+        front, back = await start_two(cluster)
+        whole = await call(cluster, "status")
+        assert whole.exit_code == 0
+        assert whole.stdout.splitlines()[-1] == "accepted 4; in force at all 2 nodes"
+        back.node.origin.put_in_force = lambda configuration: None
+        document = build_document(9, ROUTES, ["front", "back"])
+        cluster.store.put("keyed.op", "config", document)
+        await until(lambda: front.node.version == 9)
+        behind = await call(cluster, "status")
+        assert behind.exit_code == 7
+        assert behind.stdout.splitlines()[-1] == "slowest: back-1: it has 4"
+        await back.node.close()
+        gone = await call(cluster, "status")
+        assert gone.exit_code == 7
+        assert "slowest: back-1: no connection to" in gone.stdout
+
+    run_cluster(scenario)
+
+
+def test_nodes_and_watch_show_targets_that_come_and_leave():
+    """Guards against operators who can't tell which targets are in use."""
+
+    async def scenario(cluster):
+        _, back = await start_two(cluster)
+        lines = (await call(cluster, "nodes")).stdout.splitlines()
+        assert [line.split()[0] for line in lines] == ["back-1", "front-1"]
+        assert all(line.endswith("8 slots  available") for line in lines)
+        watching = asyncio.ensure_future(call(cluster, "watch", "--for-s", "1.0"))
+        reads = len(cluster.store.calls)
+        await until(lambda: len(cluster.store.calls) >= reads + 4)
+        await back.announce("draining")
+        seen = (await watching).stdout
+        assert "configuration 4: 2 routes" in seen
+        assert "8 slots  not available" in seen
+
+    run_cluster(scenario)
+
+
+@pytest.mark.parametrize("words", [("get",), ("nodes",), ("status",)])
+def test_store_that_is_away_is_an_error_with_its_fix(words):
+    """Guards against a traceback, or an empty list, while the store is away."""
+
+    async def scenario(cluster):
+        cluster.store.is_down = True
+        found = await call(cluster, *words)
+        assert found.exit_code == 6
+        assert "can't read the store" in found.stderr
+        assert "Check --store" in found.stderr
+
+    run_cluster(scenario)
+
+
+def test_check_names_the_faulty_field(tmp_path):
+    """Guards against settings that fail only when the node starts."""
+    path = tmp_path / "local.toml"
+    path.write_text("nodeName = 7\n")
+    found = run("platform", "check", path)
+    assert found.exit_code == 3
+    assert "nodeName" in found.stderr
+
+
+def test_each_command_is_documented():
+    """Guards against commands that the operators' page does not name."""
+    page = (Path(__file__).parents[2] / "docs" / "OPERATIONS.md").read_text("utf-8")
+    commands = [" ".join(words) for words in list_commands("mimosaloom_platform")]
+    assert len(commands) >= 6
+    for command in commands:
+        assert f"mimosaloom {command}" in page
