--- a/tests/platform_adapter/cluster.py
+++ b/tests/platform_adapter/cluster.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import random
 
 import msgspec
@@ -102,6 +103,7 @@
         self.members: dict[str, Member] = {}
         self.client = HttpClient(SystemClock(), lambda: None)
         self.tasks: list[asyncio.Task] = []
+        self._starts = itertools.count()
 
     async def add(self, name: str, service: str, **options) -> Member:
         """Start a node and its target; the target has not announced itself."""
@@ -122,7 +124,7 @@
         node = RelayNode(
             settings,
             HEADER_NAMES,
-            f"{name}-{len(self.members)}",
+            f"{name}-{next(self._starts)}",
             decode_configuration,
             clock=SystemClock(),
             rng=rng,
@@ -138,6 +140,16 @@
         member = self.members[name] = Member(node, target, self.client)
         return member
 
+    async def restart(self, name: str) -> Member:
+        """Kill a node and start it again; its target goes on."""
+        old = self.members[name]
+        old.node.own_record.send = lambda record: None
+        await old.node.close()
+        service = old.node.settings.service
+        new = await self.add(name, service, target=old.target)
+        new.sequence = old.sequence
+        return new
+
     async def configure(self, version: int, routes: list[dict]) -> None:
         """Publish a configuration and wait until all nodes have it in force."""
         services = {m.node.settings.service for m in self.members.values()}
--- a/tests/platform_adapter/test_control.py
+++ b/tests/platform_adapter/test_control.py
@@ -413,13 +413,10 @@
         await until(lambda: "front-1" in cluster.store.newest("keyed.nodes"))
         if not is_killed:
             await front.node.stop()
-        await front.node.close()
-        front.node.own_record.send = lambda record: None
-        again = await cluster.add("front-1", "front", target=front.target)
+        again = await cluster.restart("front-1")
         await until(lambda: again.node.own_target.is_available)
         assert (await again.ask("/f/x", "id-1")).status == 200
         gate = again.node.target_side.admission
-        again.sequence = 5
         await again.announce(born=1000)
         assert again.node.target_side.admission is gate
         await again.announce("draining", born=1000)
@@ -437,15 +434,13 @@
         back = await cluster.add("back-1", "back")
         await cluster.configure(1, [FRONT_ROUTE])
         await cluster.announce_all()
-        await front.node.close()
-        front.node.own_record.send = lambda record: None
         if trouble == "leaving":
             front.target.is_healthy = False
         elif trouble == "other":
             front.target.target_id = "i-new"
         else:
             front.target.close()
-        again = await cluster.add("front-1", "front", target=front.target)
+        again = await cluster.restart("front-1")
         await until(lambda: again.node.version == 1)
         await until(lambda: "front-1" not in cluster.store.newest("keyed.nodes"))
         assert not again.node.own_target.is_available
--- a/tests/platform_adapter/test_random_faults.py
+++ b/tests/platform_adapter/test_random_faults.py
@@ -126,6 +126,47 @@
     run_cluster(scenario)
 
 
+@pytest.mark.parametrize("seed", range(100, 104))
+def test_promises_hold_while_nodes_restart(seed):
+    """Guards against a restarted node that runs again what its target has run."""
+
+    async def scenario(cluster):
+        rng = random.Random(seed)
+        front = await cluster.add("front-1", "front")
+        backs = [f"back-{number}" for number in range(3)]
+        for name in backs:
+            await cluster.add(name, "back")
+        await cluster.configure(1, ROUTES)
+        await cluster.announce_all()
+        for name in backs:
+            modes = [rng.choice(MODES) for _ in range(2 * REQUESTS)]
+            cluster.members[name].target.modes = modes
+
+        async def restart_some() -> None:
+            for _ in range(6):
+                await asyncio.sleep(rng.uniform(0, 0.05))
+                await cluster.restart(rng.choice(backs))
+
+        all_seen = []
+        restarting = asyncio.ensure_future(restart_some())
+        sending = []
+        for number in range(REQUESTS):
+            path = rng.choice(["/once/x", "/often/x"])
+            seen = Seen(f"id-{number}", path, b"%d" % number)
+            all_seen.append(seen)
+            sending.append(asyncio.ensure_future(send(front, seen, rng)))
+            await asyncio.sleep(rng.uniform(0, 0.003))
+        await asyncio.gather(*sending)
+        await restarting
+        await until(lambda: not any(m.node._count_open() for m in members(cluster)))
+        check(cluster, all_seen)
+        for name in backs:
+            await until(lambda n=name: cluster.members[n].node.own_target.is_available)
+        assert any(s.response and s.response.status == 200 for s in all_seen)
+
+    run_cluster(scenario)
+
+
 def members(cluster):
     """Return all nodes with their targets."""
     return cluster.members.values()
