--- /dev/null
+++ b/tests/platform_adapter/test_log_lines.py
@@ -0,0 +1,57 @@
+"""The page for operators beside the log lines that the code writes."""
+
+import ast
+from pathlib import Path
+
+ROOT = Path(__file__).parents[2]
+PAGE = ROOT / "docs" / "OPERATIONS.md"
+SOURCES = (ROOT / "libs" / "mimosaloom-relay", ROOT / "platform")
+METHODS = frozenset({"change", "failure", "success", "write"})
+HEADING = "| type of line | fields |"
+
+
+def find_lines():
+    """Return the fields of each type of line that the code writes."""
+    found = {}
+    for root in SOURCES:
+        for path in root.rglob("*.py"):
+            for node in ast.walk(ast.parse(path.read_text("utf-8"))):
+                if isinstance(node, ast.Call):
+                    for name in _line_types(node):
+                        fields = {k.arg for k in node.keywords if k.arg}
+                        found.setdefault(name, set()).update(fields)
+    return found
+
+
+def _line_types(call):
+    """Return the types of line that a call of the log may write; none for others."""
+    method = getattr(call.func, "attr", getattr(call.func, "id", ""))
+    if method not in METHODS or not call.args:
+        return []
+    first = call.args[0]
+    receiver = getattr(getattr(call.func, "value", None), "attr", "")
+    if receiver in ("log", "_log"):
+        assert isinstance(first, ast.Constant | ast.IfExp), ast.unparse(call)
+    choices = [first.body, first.orelse] if isinstance(first, ast.IfExp) else [first]
+    return [
+        choice.value
+        for choice in choices
+        if isinstance(choice, ast.Constant) and isinstance(choice.value, str)
+    ]
+
+
+def read_page():
+    """Return the fields of each type of line that the page names."""
+    rows = PAGE.read_text("utf-8").partition(HEADING)[2].split("\n\n")[0]
+    named = {}
+    for row in rows.strip().splitlines()[1:]:
+        name, fields = (cell.strip() for cell in row.strip("|").split("|"))
+        named[name.strip("`")] = {field.strip("` ") for field in fields.split(",")}
+    return named
+
+
+def test_page_names_each_line_with_its_fields():
+    """Guards against lines that an engineer on call can't look up."""
+    written, named = find_lines(), read_page()
+    assert len(written) >= 20
+    assert named == {name: fields or {""} for name, fields in written.items()}
