--- a/tests/platform_adapter/test_random_faults.py
+++ b/tests/platform_adapter/test_random_faults.py
@@ -44,6 +44,19 @@
         seen.response = asking.result()
 
 
+async def send_all(senders, rng):
+    """Send all requests, each from one of some members; return what clients saw."""
+    all_seen, sending = [], []
+    for number in range(REQUESTS):
+        path = rng.choice(["/once/x", "/often/x"])
+        all_seen.append(Seen(f"id-{number}", path, b"%d" % number))
+        member = rng.choice(senders)
+        sending.append(asyncio.ensure_future(send(member, all_seen[-1], rng)))
+        await asyncio.sleep(rng.uniform(0, 0.003))
+    await asyncio.gather(*sending)
+    return all_seen
+
+
 async def disturb(cluster, rng):
     """Break connections, drain and restart targets, publish versions."""
     version = 1
@@ -107,17 +120,8 @@
         for member in cluster.members.values():
             member.born = 1
             member.target.modes = [rng.choice(MODES) for _ in range(2 * REQUESTS)]
-        all_seen = []
         disturbing = asyncio.ensure_future(disturb(cluster, rng))
-        sending = []
-        for number in range(REQUESTS):
-            path = rng.choice(["/once/x", "/often/x"])
-            seen = Seen(f"id-{number}", path, b"%d" % number)
-            all_seen.append(seen)
-            member = rng.choice(list(cluster.members.values()))
-            sending.append(asyncio.ensure_future(send(member, seen, rng)))
-            await asyncio.sleep(rng.uniform(0, 0.003))
-        await asyncio.gather(*sending)
+        all_seen = await send_all(list(cluster.members.values()), rng)
         await disturbing
         await until(lambda: not any(m.node._count_open() for m in members(cluster)))
         check(cluster, all_seen)
@@ -147,16 +151,8 @@
                 await asyncio.sleep(rng.uniform(0, 0.05))
                 await cluster.restart(rng.choice(backs))
 
-        all_seen = []
         restarting = asyncio.ensure_future(restart_some())
-        sending = []
-        for number in range(REQUESTS):
-            path = rng.choice(["/once/x", "/often/x"])
-            seen = Seen(f"id-{number}", path, b"%d" % number)
-            all_seen.append(seen)
-            sending.append(asyncio.ensure_future(send(front, seen, rng)))
-            await asyncio.sleep(rng.uniform(0, 0.003))
-        await asyncio.gather(*sending)
+        all_seen = await send_all([front], rng)
         await restarting
         await until(lambda: not any(m.node._count_open() for m in members(cluster)))
         check(cluster, all_seen)
