Refuse requests that come too late in a stop to end before it

Clients go on to send where fewer than half of the nodes of their failure domain are ready. Ruled out: the margin before the kill (0.6 s, the request had none of it), the connection (it was told to close with each answer). Change: from 3 s after the signal, or half of the time to the kill, requests of clients get 503 at once; calls of running requests are still served.

--- a/libs/mimosaloom-relay/mimosaloom_relay/node.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/node.py
@@ -41,6 +41,10 @@
 # Only this node reaches its target, which may well go on: it serves others until
 # shortly before the end, so that restarts in turn take few targets out at once.
 HANDOVER_S = 2.2
+# Requests of clients that come later are refused, so that those which run end before
+# the process does; clients still send where most nodes of a failure domain are out.
+LAST_REQUEST_S = 3.0
+LAST_REQUEST_RATIO = 0.5
 # Before the platform kills the process.
 STOP_MARGIN_S = 0.6
 POLL_S = 0.05
@@ -310,6 +314,8 @@
             if elapsed_s > HANDOVER_S and not self.target_side.is_stopping:
                 self.target_side.is_stopping = True
                 self._publish_self()
+            last_s = min(LAST_REQUEST_S, LAST_REQUEST_RATIO * self.settings.grace_s)
+            self.origin.is_closing = elapsed_s > last_s
             is_quiet = elapsed_s > MIN_STOP_S and not self._count_open()
             if is_quiet or elapsed_s > self.settings.grace_s - STOP_MARGIN_S:
                 break
--- a/libs/mimosaloom-relay/mimosaloom_relay/origin.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/origin.py
@@ -62,6 +62,7 @@
         metrics: RelayMetrics,
     ):
         self.configuration: Configuration | None = None
+        self.is_closing = False
         self.on_version_heard: Callable[[int, Candidate], None] = lambda v, c: None
         self.on_record_outdated: Callable[[Candidate], None] = lambda c: None
         self._own_name = own_name
@@ -102,6 +103,8 @@
             # The id also proves below that an answer belongs to its request.
             request_id = new_request_id(self._upstreams.rng)
         call = self._open_call(incoming, request_id, route)
+        if self.is_closing and call.parent is None:
+            return self._refuse_early(Kind.DRAINING, request_id, "the node is stopping")
         return await self._answer_call(call)
 
     def _open_call(self, incoming: Incoming, request_id: str, route: Route) -> Call:
--- a/tests/platform_adapter/test_control.py
+++ b/tests/platform_adapter/test_control.py
@@ -283,6 +283,32 @@
     run_cluster(scenario)
 
 
+def test_stopping_node_takes_no_request_that_it_can_not_finish():
+    """Guards against late requests that the end of the process cuts.
+
+    Clients go on to send where most nodes of their failure domain are out.
+    """
+
+    async def scenario(cluster):
+        front = await cluster.add("front-1", "front", grace_s=4.0)
+        back = await cluster.add("back-1", "back")
+        await cluster.configure(1, [{"pathPrefix": "/b/", "service": "back"}])
+        await cluster.announce_all()
+        stopping = asyncio.ensure_future(front.node.stop())
+        answers = []
+        while not answers or answers[-1].status == 200:
+            answers.append(await front.ask("/b/x", f"id-{len(answers)}"))
+            await asyncio.sleep(0.02)
+        assert not stopping.done()
+        assert answers[-1].status == 503
+        assert answers[-1].header("Connection") == "close"
+        assert len(answers) > 10
+        assert len(back.target.runs) == len(answers) - 1
+        await stopping
+
+    run_cluster(scenario)
+
+
 @pytest.mark.parametrize("is_silent", [True, False])
 def test_lost_node_is_left_out_until_it_answers(is_silent):
     """Guards against requests that wait for a node that is gone or cut off."""
