Log answers that are failures with the failures

Cause: a request that its target answered with 500 or 504 was logged as answered, so in a flood of good answers nothing was left of it (5 lines a second). Change: such answers count as failures at both nodes, 40 lines a second.

--- a/libs/mimosaloom-relay/mimosaloom_relay/origin.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/origin.py
@@ -320,7 +320,8 @@
         now_s = self._clock.monotonic_s()
         route_class = call.route.request_class
         self._metrics.count_outcome(route_class.name, outcome, now_s - call.start_s)
-        write = self._log.success if outcome == "answered" else self._log.failure
+        has_failed = outcome != "answered" or kind.startswith("5")
+        write = self._log.failure if has_failed else self._log.success
         write(
             "request_finished",
             request_id=call.request_id,
--- a/libs/mimosaloom-relay/mimosaloom_relay/target_side.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/target_side.py
@@ -341,7 +341,9 @@
         problem = self._find_problem(response)
         if problem is None:
             self._metrics.count_answer(context.service)
-            self._log.success(
+            has_failed = response.status >= 500
+            write = self._log.failure if has_failed else self._log.success
+            write(
                 "target_answered",
                 request_id=context.request_id,
                 attempt=context.attempt,
@@ -350,8 +352,8 @@
                 elapsed_ms=self._elapsed_ms(start_s),
             )
             result = self._result(context, was_sent=True)
-            has_failed = response.status in OWN_FAILURES
-            if has_failed and context.request_id not in self._with_failed_call:
+            is_doubtful = response.status in OWN_FAILURES
+            if is_doubtful and context.request_id not in self._with_failed_call:
                 result = msgspec.structs.replace(result, is_own_failure=True)
             return HopReply(answer, result)
         if answer.rest is not None:
--- a/tests/platform_adapter/test_explain.py
+++ b/tests/platform_adapter/test_explain.py
@@ -91,6 +91,25 @@
     assert "target_gave_no_answer" in report[0]
 
 
+def test_failed_answer_of_a_target_is_found_behind_many_good_ones():
+    """Guards against failures of targets that are sampled away as answers."""
+
+    async def scenario(cluster):
+        front, back = await start(cluster)
+        back.target.modes = ["ok"] * 80 + ["error"]
+        for number in range(81):
+            response = await front.ask("/b/x", f"id-{number}", method="POST")
+        assert response.status == 500
+
+    lines = collect_lines(scenario)
+    found = explain_request("id-80", lines).lines
+    assert [line.message_type for line in found] == [
+        "target_answered",
+        "request_finished",
+    ]
+    assert not explain_request("id-79", lines).lines
+
+
 def test_flood_drops_successes_and_keeps_failures():
     """Guards against logs without bound, and against lost lines of failed requests."""
     written, dropped = [], []
