--- a/tests/platform_adapter/test_path.py
+++ b/tests/platform_adapter/test_path.py
@@ -20,6 +20,27 @@
     return front, back
 
 
+async def add_second_target(cluster, front):
+    """Start one more node of the service that is called, known to its caller."""
+    other = await cluster.add("back-2", "back")
+    await other.announce()
+    await until(lambda: front.knows_all(cluster.members))
+    return other
+
+
+async def start_three(cluster, **third_route):
+    """Start a pair, and a node of a third service that the second one calls."""
+    front, back = await start_pair(cluster)
+    third = await cluster.add("third-1", "third")
+    routes = [
+        {"pathPrefix": "/b/", "service": "back", "priority": 1},
+        {"pathPrefix": "/t/", "service": "third", **third_route},
+    ]
+    await cluster.configure(2, routes)
+    await cluster.announce_all()
+    return front, back, third
+
+
 def test_request_crosses_both_hops_unchanged():
     """Guards against a changed method, path, query or body, and lost headers."""
 
@@ -71,9 +92,7 @@
 
     async def scenario(cluster):
         front, back = await start_pair(cluster, **ONCE)
-        other = await cluster.add("back-2", "back")
-        await other.announce()
-        await until(lambda: front.knows_all(cluster.members))
+        other = await add_second_target(cluster, front)
         back.target.modes = other.target.modes = [mode]
         response = await front.ask("/b/x", method="POST", body=b"1")
         assert response.status == 502
@@ -88,9 +107,7 @@
 
     async def scenario(cluster):
         front, back = await start_pair(cluster)
-        other = await cluster.add("back-2", "back")
-        await other.announce()
-        await until(lambda: front.knows_all(cluster.members))
+        other = await add_second_target(cluster, front)
         back.target.modes = other.target.modes = [mode]
         # Only the first target of the two is in that mode when it is reached.
         response = await front.ask("/b/x")
@@ -106,9 +123,7 @@
 
     async def scenario(cluster):
         front, back = await start_pair(cluster, **ONCE)
-        other = await cluster.add("back-2", "back")
-        await other.announce()
-        await until(lambda: front.knows_all(cluster.members))
+        other = await add_second_target(cluster, front)
         back.target.modes = other.target.modes = ["reject"]
         response = await front.ask("/b/x", method="POST", body=b"1")
         assert response.status == 200
@@ -230,14 +245,7 @@
     """Guards against calls that are refused under a request that was admitted."""
 
     async def scenario(cluster):
-        front, back = await start_pair(cluster)
-        third = await cluster.add("third-1", "third")
-        routes = [
-            {"pathPrefix": "/b/", "service": "back", "priority": 1},
-            {"pathPrefix": "/t/", "service": "third", "priority": 5},
-        ]
-        await cluster.configure(2, routes)
-        await cluster.announce_all()
+        front, back, third = await start_three(cluster, priority=5)
         back.target.modes = ["hold"]
         asking = asyncio.ensure_future(front.ask("/b/x", "root"))
         await until(lambda: back.target.runs)
@@ -257,9 +265,7 @@
 
     async def scenario(cluster):
         front, back = await start_pair(cluster)
-        other = await cluster.add("back-2", "back")
-        await other.announce()
-        await until(lambda: front.knows_all(cluster.members))
+        other = await add_second_target(cluster, front)
         back.target.modes = other.target.modes = ["error"]
         assert (await front.ask("/b/x")).status == 200
         assert len(back.target.runs + other.target.runs) == 2
@@ -272,9 +278,7 @@
 
     async def scenario(cluster):
         front, back = await start_pair(cluster)
-        other = await cluster.add("back-2", "back")
-        await other.announce()
-        await until(lambda: front.knows_all(cluster.members))
+        other = await add_second_target(cluster, front)
         routes = [
             {"pathPrefix": "/b/", "service": "back"},
             {"pathPrefix": "/gone/", "service": "gone"},
@@ -298,14 +302,7 @@
     """Guards against runs on a node that is cut off, which fail at their first call."""
 
     async def scenario(cluster):
-        front, back = await start_pair(cluster)
-        third = await cluster.add("third-1", "third")
-        routes = [
-            {"pathPrefix": "/b/", "service": "back"},
-            {"pathPrefix": "/t/", "service": "third"},
-        ]
-        await cluster.configure(2, routes)
-        await cluster.announce_all()
+        front, back, third = await start_three(cluster)
         back.target.modes = ["hold"]
         asking = asyncio.ensure_future(front.ask("/b/x", "root"))
         await until(lambda: back.target.runs)
@@ -329,9 +326,7 @@
 
     async def scenario(cluster):
         front, back = await start_pair(cluster)
-        other = await cluster.add("back-2", "back")
-        await other.announce()
-        await until(lambda: front.knows_all(cluster.members))
+        other = await add_second_target(cluster, front)
         back.target.modes = other.target.modes = ["reject"]
         body = b"x" * 2_000_000
         response = await front.ask("/b/x", method="POST", body=body)
