--- a/libs/mimosaloom-bench/mimosaloom_bench/path_cost/names.py
+++ b/libs/mimosaloom-bench/mimosaloom_bench/path_cost/names.py
@@ -20,13 +20,13 @@
 CALLS_PER_ROOT = 4
 MAX_CONNECTIONS = 500
 HEADER_NAMES = HeaderNames(
-    request_id="Mimosaloom-Attempt-Id",
-    timeout_ms="Mimosaloom-Timeout-Ms",
-    expected_target="Mimosaloom-Expect-Instance",
-    caller_service="Mimosaloom-Caller-Service",
-    not_executed="Mimosaloom-Not-Executed",
-    signature="Mimosaloom-Response-Signature",
-    target_id="Mimosaloom-Instance-Id",
+    request_id="Bench-Request-Id",
+    timeout_ms="Bench-Timeout-Ms",
+    expected_target="Bench-Expected-Target",
+    caller_service="Bench-Caller-Service",
+    not_executed="Bench-Not-Executed",
+    signature="Bench-Signature",
+    target_id="Bench-Target-Id",
 )
 
 
