--- a/libs/mimosaloom-bench/mimosaloom_bench/path_cost/command.py
+++ b/libs/mimosaloom-bench/mimosaloom_bench/path_cost/command.py
@@ -5,6 +5,7 @@
 import json
 import signal
 import tempfile
+from collections import Counter
 from pathlib import Path
 from typing import Annotated, NamedTuple
 
@@ -59,6 +60,18 @@
     system_us: float
 
 
+class Profile(NamedTuple):
+    """Profile of both nodes.
+
+    Attributes:
+        seconds: Time spent by source file.
+        function_calls: Number of calls of functions; hardly varies between runs.
+    """
+
+    seconds: dict[str, float]
+    function_calls: int
+
+
 class _Load:
     """The client and both targets, in this process."""
 
@@ -150,12 +163,12 @@
     through both nodes. In the case `rejects`, the called target rejects a quarter of
     the calls, and they are repeated.
     """
-    results, seconds = [], {}
+    results = []
     try:
         for name, reject_ratio in CASES.items():
             results.append(_run_case(name, reject_ratio, roots)[0])
         if profile:
-            result, seconds = _run_case("profile", 0.0, roots, is_profiled=True)
+            result, profiled = _run_case("profile", 0.0, roots, is_profiled=True)
     except StartFailed as error:
         typer.echo(f"nothing was measured: {error}", err=True)
         raise typer.Exit(ExitCode.ERROR) from None
@@ -165,15 +178,17 @@
             f"{row.system_us:>8.0f} us system a call, {row.failed} requests failed"
         )
     if profile:
-        _show_files(seconds, result.calls)
+        _show_files(profiled, result.calls)
     if json_output:
         typer.echo(json.dumps([row._asdict() for row in results]))
 
 
-def _show_files(seconds: dict[str, float], calls: int) -> None:
+def _show_files(profile: Profile, calls: int) -> None:
+    seconds = profile.seconds
     total_s = sum(seconds.values())
     largest = sorted(seconds.items(), key=lambda item: -item[1])[:SHOWN_FILES]
-    typer.echo(f"\nby source file, under the profiler ({total_s:.1f} s in all):")
+    typer.echo(f"\n{profile.function_calls / calls:.0f} function calls a call")
+    typer.echo(f"by source file, under the profiler ({total_s:.1f} s in all):")
     for path, spent_s in largest:
         typer.echo(
             f"{path:<44}{1e6 * spent_s / calls:>7.1f} us a call"
@@ -183,7 +198,7 @@
 
 def _run_case(
     name: str, reject_ratio: float, roots: int, *, is_profiled: bool = False
-) -> tuple[CaseResult, dict[str, float]]:
+) -> tuple[CaseResult, Profile | None]:
     with tempfile.TemporaryDirectory() as directory:
         return asyncio.run(
             _measure(name, reject_ratio, roots, Path(directory), is_profiled)
@@ -192,7 +207,7 @@
 
 async def _measure(
     name: str, reject_ratio: float, roots: int, directory: Path, is_profiled: bool
-) -> tuple[CaseResult, dict[str, float]]:
+) -> tuple[CaseResult, Profile | None]:
     load = _Load(reject_ratio)
     ports = await load.listen()
     with ProcessGroup(directory) as group:
@@ -209,13 +224,13 @@
         after = [_read_cpu_time(node, 1) for node in nodes]
         load.close()
         group.stop()
-        seconds = _read_profiles(nodes) if is_profiled else {}
+        profile = _read_profiles(nodes) if is_profiled else None
     calls = roots * (1 + CALLS_PER_ROOT)
     user_us, system_us = (
         1e6 * sum(a[key] - b[key] for a, b in zip(after, before, strict=True)) / calls
         for key in ("user_s", "system_s")
     )
-    return CaseResult(name, calls, failed, user_us, system_us), seconds
+    return CaseResult(name, calls, failed, user_us, system_us), profile
 
 
 def _encode_plan(service: str, target_port: int, is_profiled: bool) -> str:
@@ -239,11 +254,11 @@
     return node.wait_for_line(lambda line: line.get("cpu_report") == number)
 
 
-def _read_profiles(nodes: list[ChildProcess]) -> dict[str, float]:
-    seconds: dict[str, float] = {}
+def _read_profiles(nodes: list[ChildProcess]) -> Profile:
+    seconds: Counter[str] = Counter()
+    function_calls = 0
     for node in nodes:
-        for path, spent_s in node.wait_for_line(lambda line: "profile" in line)[
-            "profile"
-        ].items():
-            seconds[path] = seconds.get(path, 0.0) + spent_s
-    return seconds
+        line = node.wait_for_line(lambda line: "profile" in line)
+        seconds.update(line["profile"])
+        function_calls += line["function_calls"]
+    return Profile(dict(seconds), function_calls)
--- a/libs/mimosaloom-bench/mimosaloom_bench/path_cost/node_process.py
+++ b/libs/mimosaloom-bench/mimosaloom_bench/path_cost/node_process.py
@@ -31,6 +31,7 @@
     RelaySettings,
     SharedRetryBudget,
     TargetState,
+    configure_garbage_collection,
     log_to_descriptor,
     new_event_loop,
 )
@@ -66,10 +67,14 @@
     """Serve calls until SIGTERM."""
     plan = msgspec.json.decode(sys.argv[1], type=NodePlan)
     profile = cProfile.Profile() if plan.is_profiled else None
+    configure_garbage_collection()
     with asyncio.Runner(loop_factory=new_event_loop) as runner:
         runner.run(_serve(plan, profile))
     if profile is not None:
-        _print(profile=_sum_by_file(profile))
+        _print(
+            profile=_sum_by_file(profile),
+            function_calls=pstats.Stats(profile).total_calls,
+        )
 
 
 async def _serve(plan: NodePlan, profile: cProfile.Profile | None) -> None:
--- a/libs/mimosaloom-mesh/mimosaloom_mesh/messages.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/messages.py
@@ -11,9 +11,9 @@
 
 def find_header(headers: Headers, name: str) -> str | None:
     """Return the first value of a header; the case of the name is ignored."""
-    wanted = name.lower()
+    wanted, size = name.lower(), len(name)
     for key, value in headers:
-        if key.lower() == wanted:
+        if len(key) == size and key.lower() == wanted:
             return value
     return None
 
--- a/libs/mimosaloom-policy/mimosaloom_policy/queue.py
+++ b/libs/mimosaloom-policy/mimosaloom_policy/queue.py
@@ -93,8 +93,12 @@
             now_s: Current time on the monotonic clock.
             only_protected: Whether to consider calls of protected classes only.
         """
+        if not self._entries:
+            return None
         lanes = self._lanes[::2] if only_protected else self._lanes
         for lane in lanes:
+            if not lane:
+                continue
             _drop_removed_ends(lane)
             if not lane:
                 continue
--- a/libs/mimosaloom-policy/mimosaloom_policy/routing.py
+++ b/libs/mimosaloom-policy/mimosaloom_policy/routing.py
@@ -121,6 +121,11 @@
         """Names of the upstreams that this caller uses."""
         return list(self._names)
 
+    @property
+    def has_upstreams(self) -> bool:
+        """Whether there is an upstream that this caller uses."""
+        return bool(self._names)
+
     def set_candidates(
         self, candidates: list[Candidate], now_s: float, *, callers: int = 0
     ) -> None:
--- a/libs/mimosaloom-relay/mimosaloom_relay/__init__.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/__init__.py
@@ -2,6 +2,7 @@
 
 from .decision_log import DecisionLog, log_to_descriptor
 from .event_loop import new_event_loop
+from .garbage import configure_garbage_collection
 from .hop_messages import HeaderNames, HopContext, HopResult
 from .http_client import Answer, HttpClient
 from .http_server import Incoming, RelayServer
@@ -51,6 +52,7 @@
     "ShareRotation",
     "SharedRetryBudget",
     "TargetState",
+    "configure_garbage_collection",
     "decode_record",
     "describe_configuration",
     "log_to_descriptor",
--- a/libs/mimosaloom-relay/mimosaloom_relay/call_graph.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/call_graph.py
@@ -62,5 +62,7 @@
         self._edges.clear()
 
     def _recent_edges(self, class_name: str, now_s: float) -> list[tuple[str, str]]:
-        edges = self._edges.get(class_name, {})
+        edges = self._edges.get(class_name)
+        if not edges:
+            return []
         return [key for key, at_s in edges.items() if now_s - at_s <= EDGE_MAX_AGE_S]
--- a/libs/mimosaloom-relay/mimosaloom_relay/decision_log.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/decision_log.py
@@ -42,11 +42,14 @@
         self._tokens = rate_per_s * _BURST_S
         self._at_s = now_s
 
-    def try_take(self, now_s: float) -> bool:
+    def has_token(self, now_s: float) -> bool:
         self._tokens += (now_s - self._at_s) * self._rate_per_s
         self._tokens = min(self._tokens, self._rate_per_s * _BURST_S)
         self._at_s = now_s
-        if self._tokens < 1:
+        return self._tokens >= 1
+
+    def try_take(self, now_s: float) -> bool:
+        if not self.has_token(now_s):
             return False
         self._tokens -= 1
         return True
@@ -67,11 +70,20 @@
         self._buckets = {i: _TokenBucket(_RATES_PER_S[i], now_s) for i in Importance}
         self._dropped: Counter[Importance] = Counter()
 
+    def has_room(self, importance: Importance) -> bool:
+        """Return whether a line would be logged now; if not, count it as dropped.
+
+        This saves the cost of building the fields of lines that are dropped.
+        """
+        if self._buckets[importance].has_token(self._clock.monotonic_s()):
+            return True
+        self._count_drop(importance)
+        return False
+
     def write(self, importance: Importance, message_type: str, **fields) -> None:
         """Log a line unless the rate limit of its importance is reached."""
         if not self._buckets[importance].try_take(self._clock.monotonic_s()):
-            self._dropped[importance] += 1
-            self._count_dropped(importance)
+            self._count_drop(importance)
             return
         dropped = self._dropped.pop(importance, 0)
         if dropped:
@@ -79,6 +91,10 @@
             fields["dropped_before"] = dropped
         log_message(message_type=message_type, **fields)
 
+    def _count_drop(self, importance: Importance) -> None:
+        self._dropped[importance] += 1
+        self._count_dropped(importance)
+
     def change(self, message_type: str, **fields) -> None:
         """Log a change of the state of this node, or of the known state of others."""
         self.write(Importance.CHANGE, message_type, **fields)
--- a/libs/mimosaloom-relay/mimosaloom_relay/hop_messages.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/hop_messages.py
@@ -150,8 +150,14 @@
         headers: Headers as received.
         without: Further names, in lower case, to leave out.
     """
-    dropped = CONNECTION_HEADERS | without
-    for name, value in headers:
-        if name.lower() == "connection":
-            dropped |= {part.strip().lower() for part in value.split(",")}
-    return tuple(item for item in headers if item[0].lower() not in dropped)
+    kept = []
+    options: set[str] = set()
+    for item in headers:
+        name = item[0].lower()
+        if name == "connection":
+            options.update(part.strip().lower() for part in item[1].split(","))
+        elif name not in CONNECTION_HEADERS and name not in without:
+            kept.append(item)
+    if options:
+        kept = [item for item in kept if item[0].lower() not in options]
+    return tuple(kept)
--- a/libs/mimosaloom-relay/mimosaloom_relay/metrics.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/metrics.py
@@ -29,6 +29,8 @@
             buckets=LATENCY_BUCKETS_S,
             registry=self.registry,
         )
+        # Caches the labelled metrics, as `labels` takes a lock on each look-up.
+        self._metrics_by_outcome: dict[tuple[str, str], tuple[Counter, Histogram]] = {}
         self._dropped = self._counter("log_lines_dropped", "Lines left out", "reason")
         self._ignored = self._counter(
             "ignored_messages", "Messages that could not be used", "source"
@@ -45,8 +47,14 @@
 
     def count_outcome(self, request_class: str, outcome: str, elapsed_s: float) -> None:
         """Count a request and the time to its answer."""
-        self._outcomes.labels(request_class, outcome).inc()
-        self._latency.labels(request_class, outcome).observe(elapsed_s)
+        key = (request_class, outcome)
+        metrics = self._metrics_by_outcome.get(key)
+        if metrics is None:
+            metrics = (self._outcomes.labels(*key), self._latency.labels(*key))
+            self._metrics_by_outcome[key] = metrics
+        counter, histogram = metrics
+        counter.inc()
+        histogram.observe(elapsed_s)
 
     def count_dropped_line(self, reason: str) -> None:
         """Count a log line that was left out."""
--- a/libs/mimosaloom-relay/mimosaloom_relay/origin.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/origin.py
@@ -11,7 +11,7 @@
 from mimosaloom_policy import Candidate, rank_request
 
 from .calls import Call, Progress
-from .decision_log import DecisionLog
+from .decision_log import DecisionLog, Importance
 from .hop_messages import HeaderNames, HopContext, HopResult, read_kind
 from .hops import HopSender
 from .http_client import Answer
@@ -369,6 +369,9 @@
         request_class = call.route.request_class
         self._metrics.count_outcome(request_class.name, outcome, now_s - call.start_s)
         has_failed = outcome != "answered" or kind.startswith("5")
+        importance = Importance.FAILURE if has_failed else Importance.SUCCESS
+        if not self._log.has_room(importance):
+            return
         write = self._log.failure if has_failed else self._log.success
         write(
             "request_finished",
--- a/libs/mimosaloom-relay/mimosaloom_relay/target_side.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/target_side.py
@@ -20,7 +20,7 @@
     rank_request,
 )
 
-from .decision_log import DecisionLog
+from .decision_log import DecisionLog, Importance
 from .hop_messages import (
     HOP_HEADER,
     HeaderNames,
@@ -375,15 +375,17 @@
         if problem is None:
             self._metrics.count_answer(context.service)
             has_failed = response.status >= 500
-            write = self._log.failure if has_failed else self._log.success
-            write(
-                "target_answered",
-                request_id=context.request_id,
-                attempt=context.attempt,
-                route=context.route,
-                status=response.status,
-                elapsed_ms=self._elapsed_ms(start_s),
-            )
+            importance = Importance.FAILURE if has_failed else Importance.SUCCESS
+            if self._log.has_room(importance):
+                write = self._log.failure if has_failed else self._log.success
+                write(
+                    "target_answered",
+                    request_id=context.request_id,
+                    attempt=context.attempt,
+                    route=context.route,
+                    status=response.status,
+                    elapsed_ms=self._elapsed_ms(start_s),
+                )
             result = self._build_result(context, was_sent=True)
             may_be_own_failure = response.status in OWN_FAILURE_STATUSES
             if (
--- a/libs/mimosaloom-relay/mimosaloom_relay/upstreams.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/upstreams.py
@@ -96,7 +96,7 @@
 
     def has_upstream(self, service: str) -> bool:
         """Return whether a service has a reachable upstream."""
-        return bool(self.router(service).subset)
+        return self.router(service).has_upstreams
 
     def _refresh_routers(self, services: set[str]) -> bool:
         for service in services:
