Refuse unusable timeouts and attempts without a stamp by kind

NotAccepted, an attempt without a stamp or with a full table, was not handled and ended as internal. Change: parse_decimal in mimosaloom-mesh reads numbers of headers for both data paths. NotAccepted is refused as not run with a kind that may be retried. The tests fail without the change.

--- a/libs/mimosaloom-mesh/mimosaloom_mesh/at_most_once.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/at_most_once.py
@@ -13,6 +13,7 @@
     Conflict,
     Done,
     Join,
+    NotAccepted,
     NotRun,
     Replay,
     ResolveState,
@@ -80,18 +81,8 @@
                 task = self._tasks[key]
             case Replay(result):
                 return result
-            case Blocked():
-                # The call never runs here. The caller sends it to another node only
-                # after this is known.
-                detail = "this attempt was already refused or resolved as not run"
-                return Refused(ErrorKind.CONNECT_FAILED, detail)
-            case Unknown():
-                return Failed(
-                    ErrorKind.OUTCOME_UNKNOWN,
-                    "the stamp of the call is too old or of another incarnation",
-                )
-            case Conflict():
-                return Refused(ErrorKind.KEY_CONFLICT)
+            case decision:
+                return _answer_without_run(decision)
         self._waiters[key] += 1
         try:
             return await asyncio.shield(task)
@@ -147,3 +138,24 @@
             self._table.abandon(key)
         else:
             self._table.finish(key, outcome, now_s)
+
+
+def _answer_without_run(
+    decision: Blocked | NotAccepted | Unknown | Conflict,
+) -> Refused | Failed:
+    """Return the outcome of an attempt that does not run here."""
+    match decision:
+        case Blocked():
+            # The call never runs here. The caller sends it to another node only after
+            # this is known.
+            detail = "this attempt was already refused or resolved as not run"
+            return Refused(ErrorKind.CONNECT_FAILED, detail)
+        case NotAccepted():
+            # The answer carries the current stamp, and another attempt may run.
+            detail = "the attempt has no stamp, or the table of runs is full"
+            return Refused(ErrorKind.TARGET_UNAVAILABLE, detail)
+        case Unknown():
+            detail = "the stamp of the call is too old or of another incarnation"
+            return Failed(ErrorKind.OUTCOME_UNKNOWN, detail)
+        case Conflict():
+            return Refused(ErrorKind.KEY_CONFLICT)
--- a/libs/mimosaloom-mesh/mimosaloom_mesh/messages.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/messages.py
@@ -4,7 +4,17 @@
 
 from mimosaloom_model import Answered, ErrorKind, Failed, Outcome, Refused
 
-__all__ = ["HopAnswer", "Request", "Response", "error_kind", "find_header"]
+__all__ = [
+    "HopAnswer",
+    "Request",
+    "Response",
+    "error_kind",
+    "find_header",
+    "parse_decimal",
+]
+
+# Digits of a number in a header, without leading zeros.
+MAX_DECIMAL_DIGITS = 15
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -18,6 +28,17 @@
     return None
 
 
+def parse_decimal(value: str | None) -> int | None:
+    """Return a header's number; None if it is missing, no decimal number or too long.
+
+    A caller may send any number of digits, and `int` raises an error for thousands.
+    """
+    digits = (value or "").lstrip("0")
+    if not value or not value.isdecimal() or len(digits) > MAX_DECIMAL_DIGITS:
+        return None
+    return int(digits or "0")
+
+
 class Request(NamedTuple):
     """A complete HTTP request.
 
--- a/libs/mimosaloom-mesh/mimosaloom_mesh/roots.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/roots.py
@@ -37,7 +37,7 @@
     build_response,
 )
 from .hop import TargetHop
-from .messages import HopAnswer, Request, Response, error_kind
+from .messages import HopAnswer, Request, Response, error_kind, parse_decimal
 from .owners import Claims, OwnedElsewhere, OwnedHere, OwnerForwarder, format_owner
 from .scopes import CallScope
 
@@ -279,7 +279,8 @@
 ) -> timedelta | Refused:
     if value is None:
         return timedelta(seconds=request_class.timeout_s)
-    if not (value.isdecimal() and 1 <= int(value[:8]) <= MAX_TIMEOUT_MS):
+    timeout_ms = parse_decimal(value)
+    if timeout_ms is None or not 1 <= timeout_ms <= MAX_TIMEOUT_MS:
         detail = f"{TIMEOUT_HEADER} must be an integer from 1 to {MAX_TIMEOUT_MS}"
         return Refused(ErrorKind.BAD_REQUEST, detail)
-    return timedelta(milliseconds=int(value))
+    return timedelta(milliseconds=timeout_ms)
--- a/libs/mimosaloom-relay/mimosaloom_relay/origin.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/origin.py
@@ -7,6 +7,7 @@
 import asyncio
 from collections.abc import Callable
 
+from mimosaloom_mesh.messages import parse_decimal
 from mimosaloom_model import ERROR_ANSWERS, Clock, ErrorKind, Ran, new_request_id
 from mimosaloom_policy import Candidate, rank_request
 
@@ -131,10 +132,8 @@
     def _build_call(self, incoming: Incoming, request_id: str, route: Route) -> Call:
         now_s = self._clock.monotonic_s()
         timeout_s = route.request_class.timeout_s
-        timeout_header = incoming.request.header(self._names.timeout_ms) or ""
-        caller_timeout_s = (
-            int(timeout_header) / 1000 if timeout_header.isdecimal() else timeout_s
-        )
+        timeout_ms = parse_decimal(incoming.request.header(self._names.timeout_ms))
+        caller_timeout_s = timeout_s if timeout_ms is None else timeout_ms / 1000
         timeout_s = min(timeout_s, caller_timeout_s)
         service = self._rotation.pick(route)
         parent = self._target_side.find_parent(request_id)
--- a/tests/mesh/test_once.py
+++ b/tests/mesh/test_once.py
@@ -5,8 +5,8 @@
 from mesh.fakes import run_with_timeout
 
 from mimosaloom_mesh.at_most_once import AtMostOnceRunner
-from mimosaloom_model import Answered, SystemClock
-from mimosaloom_policy import RunTable
+from mimosaloom_model import ERROR_ANSWERS, Answered, Ran, Refused, SystemClock
+from mimosaloom_policy import RetentionRule, RunTable
 
 
 def test_call_is_withdrawn_only_when_nobody_waits():
@@ -49,3 +49,26 @@
         assert await ask() == Answered(200)
 
     run_with_timeout(body)
+
+
+def test_call_without_a_stamp_is_refused_as_not_run():
+    """Guards against an attempt without a stamp that ends as an internal failure."""
+
+    async def body():
+        rule = RetentionRule("incarnation", 0.0)
+        runner = AtMostOnceRunner(RunTable(rule), SystemClock())
+        starts = []
+
+        async def start():
+            starts.append(True)
+            return Answered(200)
+
+        outcome = await runner.run(
+            "key", "digest", start, lambda: None, stamp=None, attempt=1
+        )
+        assert isinstance(outcome, Refused)
+        assert ERROR_ANSWERS[outcome.kind].ran is Ran.NO
+        assert ERROR_ANSWERS[outcome.kind].is_retryable
+        assert starts == []
+
+    run_with_timeout(body)
--- a/tests/platform_adapter/test_bad_requests.py
+++ b/tests/platform_adapter/test_bad_requests.py
@@ -153,3 +153,15 @@
         assert answer.startswith(b"HTTP/1.1 200 ")
 
     run_cluster(scenario)
+
+
+@pytest.mark.parametrize("timeout", ["1" + 400 * "0", 5000 * "9", "-1", "1e3", ""])
+def test_unusable_timeout_leaves_that_of_the_route(timeout):
+    """Guards against a timeout of many digits that ends as an internal failure."""
+
+    async def scenario(cluster):
+        front = await start_node(cluster)
+        response = await front.send_request("/b/x", timeout_ms=timeout)
+        assert response.status == 200
+
+    run_cluster(scenario)
