--- a/tests/platform_adapter/test_control.py
+++ b/tests/platform_adapter/test_control.py
@@ -1,6 +1,7 @@
 """Configuration, announcements and membership over real sockets."""
 
 import asyncio
+import random
 
 import msgspec
 import pytest
@@ -8,6 +9,9 @@
 from platform_adapter.standins import build_document
 
 from mimosaloom_model import SystemClock
+from mimosaloom_platform.program import RECORD_BATCH_DELAY_S
+from mimosaloom_platform.store import StoreClient, follow_topic
+from mimosaloom_policy import Backoff
 from mimosaloom_relay.peers import encode_record
 
 pytestmark = pytest.mark.sockets
@@ -367,3 +371,35 @@
         assert (await front.call(address, "GET", "/other")).status == 400
 
     run_cluster(scenario)
+
+
+def test_records_that_arrive_together_are_read_in_few_calls():
+    """Guards against one call to the store for each record at each node.
+
+    At the start of all nodes, these calls would grow with the square of their number.
+    """
+    record_count = 40
+
+    async def scenario(cluster):
+        applied = set()
+        store = StoreClient(cluster.store_url)
+        following = asyncio.ensure_future(
+            follow_topic(
+                store,
+                "keyed.news",
+                lambda record: applied.add(record.key),
+                backoff=Backoff(random.Random(1)),
+                report_store_state=lambda is_readable, reason: None,
+                batch_delay_s=RECORD_BATCH_DELAY_S,
+            )
+        )
+        await wait_until(lambda: "/-/log-read" in cluster.store.calls)
+        for number in range(record_count):
+            cluster.store.put("keyed.news", f"key-{number}", b"1")
+            await asyncio.sleep(0.002)
+        await wait_until(lambda: len(applied) == record_count)
+        following.cancel()
+        store.close()
+        assert cluster.store.calls.count("/-/log-read") < record_count / 4
+
+    run_cluster(scenario)
