Leave a local target that is slow for the objective of a call

The targets of a service differ in speed by a factor of three, and a caller prefers that of its own failure domain whatever its latency, so the callers beside the slow target miss their objective of 600 ms in a quarter of their calls. Hypothesis: preferring the own failure domain only while the mean latency there leaves room to the objective keeps most calls local and in time. Change: Router.pick takes the objective. A local upstream is preferred only if its latency, measured in the last 3 s, is at most 0.6 of it.

--- a/libs/mimosaloom-policy/mimosaloom_policy/routing.py
+++ b/libs/mimosaloom-policy/mimosaloom_policy/routing.py
@@ -29,6 +29,13 @@
 # An upstream of the caller's failure domain is preferred only below this error ratio.
 # One error among the last few calls stays below it; two in direct succession do not.
 MAX_LOCAL_ERROR_RATIO = 0.3
+# An upstream of the caller's failure domain is preferred only if its mean latency is at
+# most this share of the call's objective. The times of single calls spread widely, and
+# above it many calls would miss the objective that a faster upstream meets.
+MAX_LOCAL_LATENCY_RATIO = 0.6
+# A latency that was measured longer ago does not count against an upstream, which may
+# have become faster since.
+LATENCY_MAX_AGE_S = 3.0
 
 
 class Candidate(NamedTuple):
@@ -62,6 +69,7 @@
     Attributes:
         in_flight: Calls of this caller that are in progress.
         latency_s: Smoothed latency; None before the first answer.
+        latency_at_s: Time of the last update of the latency.
         error_ratio: Smoothed share of errors at `error_ratio_at_s`; it decays.
         error_ratio_at_s: Time of the last update of the error ratio.
         ramp_start_s: Time from which the share of calls grows.
@@ -71,6 +79,7 @@
 
     in_flight: int = 0
     latency_s: float | None = None
+    latency_at_s: float = -math.inf
     error_ratio: float = 0.0
     error_ratio_at_s: float = 0.0
     ramp_start_s: float = -math.inf
@@ -155,7 +164,10 @@
         self._stats = stats
 
     def pick(
-        self, now_s: float, exclude: frozenset[str] = frozenset()
+        self,
+        now_s: float,
+        exclude: frozenset[str] = frozenset(),
+        objective_s: float = math.inf,
     ) -> Candidate | None:
         """Return the upstream for a call; None if there is none to try.
 
@@ -163,12 +175,18 @@
             now_s: Current time on the monotonic clock.
             exclude: Names of upstreams that were tried for this call or would refuse
                 it.
+            objective_s: Latency objective of the call in seconds. An upstream of the
+                caller's failure domain that is slow for it is not preferred.
         """
         names = self._names
         if exclude:
             names = [name for name in names if name not in exclude]
         if self._local_load_limit:
-            names = [name for name in names if self._is_preferred(name, now_s)] or names
+            max_latency_s = MAX_LOCAL_LATENCY_RATIO * objective_s
+            preferred = [
+                name for name in names if self._is_preferred(name, now_s, max_latency_s)
+            ]
+            names = preferred or names
         if not names:
             return None
         if len(names) == 1:
@@ -207,6 +225,7 @@
         if kind is None or ERROR_ANSWERS[kind].ran is not Ran.NO:
             smoothed_s = elapsed_s if stats.latency_s is None else stats.latency_s
             stats.latency_s = smoothed_s + LATENCY_SMOOTHING * (elapsed_s - smoothed_s)
+            stats.latency_at_s = now_s
 
     def record_load(self, name: str, load_ratio: float, now_s: float) -> None:
         """Record the load that an upstream reports, as a hint: it may lag or be wrong.
@@ -240,8 +259,8 @@
             cost *= 1 + HINT_COST * stats.load_ratio
         return cost / self._ramp_factor(stats, now_s)
 
-    def _is_preferred(self, name: str, now_s: float) -> bool:
-        """Return whether an upstream is local and neither busy nor failing."""
+    def _is_preferred(self, name: str, now_s: float, max_latency_s: float) -> bool:
+        """Return whether an upstream is local and not busy, slow or failing."""
         if self._candidates[name].failure_domain != self._own_domain:
             return False
         stats = self._stats[name]
@@ -249,9 +268,16 @@
         load_ratio = stats.load_ratio if is_fresh else 0.0
         return (
             load_ratio < self._local_load_limit
+            and not self._is_slow(stats, now_s, max_latency_s)
             and self._decayed_error_ratio(stats, now_s) < MAX_LOCAL_ERROR_RATIO
         )
 
+    def _is_slow(
+        self, stats: _UpstreamStats, now_s: float, max_latency_s: float
+    ) -> bool:
+        is_fresh = now_s - stats.latency_at_s < LATENCY_MAX_AGE_S
+        return is_fresh and stats.latency_s > max_latency_s
+
     def _choose_subset_names(self, usable: list[Candidate], callers: int) -> list[str]:
         if not usable:
             return []
--- a/libs/mimosaloom-relay/mimosaloom_relay/origin.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/origin.py
@@ -245,15 +245,17 @@
         untried upstream is left, a target that the request has already reached is
         picked again; at the limit, the retry policy allows this only after a rejection.
         """
+        objective_s = call.route.objective_s
         if len(progress.reached) < call.route.max_targets:
-            candidate = self._upstreams.pick(call.service, frozenset(progress.tried))
+            tried = frozenset(progress.tried)
+            candidate = self._upstreams.pick(call.service, tried, objective_s)
             if candidate is not None:
                 return candidate
         if not progress.reached:
             return None
         names = self._upstreams.router(call.service).subset
         excluded = frozenset(name for name in names if name not in progress.reached)
-        return self._upstreams.pick(call.service, excluded)
+        return self._upstreams.pick(call.service, excluded, objective_s)
 
     def _record_call_result(self, call: Call, *, is_success: bool) -> None:
         if call.parent is not None:
--- a/libs/mimosaloom-relay/mimosaloom_relay/upstreams.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/upstreams.py
@@ -85,14 +85,18 @@
         if record is not None:
             self._refresh_routers({record.service})
 
-    def pick(self, service: str, exclude: frozenset[str]) -> Candidate | None:
+    def pick(
+        self, service: str, exclude: frozenset[str], objective_s: float
+    ) -> Candidate | None:
         """Return an upstream for an attempt; None if none is left.
 
         Args:
             service: Service of the upstream.
             exclude: Names of upstreams that must not be returned.
+            objective_s: Latency objective of the call in seconds.
         """
-        return self.router(service).pick(self._clock.monotonic_s(), exclude)
+        now_s = self._clock.monotonic_s()
+        return self.router(service).pick(now_s, exclude, objective_s)
 
     def has_upstream(self, service: str) -> bool:
         """Return whether a service has a reachable upstream."""
