--- a/libs/mimosaloom-mesh/mimosaloom_mesh/curl_client.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/curl_client.py
@@ -14,7 +14,13 @@
 
 from .messages import Headers, Request
 
-__all__ = ["NO_ANSWER_STATUS", "CurlClient", "Exchange", "fetch_response"]
+__all__ = [
+    "NO_ANSWER_STATUS",
+    "ClosableCurlClient",
+    "CurlClient",
+    "Exchange",
+    "fetch_response",
+]
 
 # Status that tornado gives to a request without a response.
 NO_ANSWER_STATUS = 599
@@ -72,6 +78,19 @@
         return tuple(headers)
 
 
+class ClosableCurlClient(CurlAsyncHTTPClient):
+    """Tornado's client, of which no timer remains after it is closed."""
+
+    def close(self) -> None:
+        """Close all connections; calls in progress never complete."""
+        super().close()
+        # libcurl sets a timer while its connections are closed, after tornado has
+        # removed the last one.
+        if self._timeout is not None:
+            self.io_loop.remove_timeout(self._timeout)
+            self._timeout = None
+
+
 class CurlClient(CurlAsyncHTTPClient):
     """Performs exchanges and can abort them."""
 
--- a/libs/mimosaloom-node/mimosaloom_node/log_client.py
+++ b/libs/mimosaloom-node/mimosaloom_node/log_client.py
@@ -14,10 +14,14 @@
 from datetime import timedelta
 
 import msgspec
-from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
+from tornado.curl_httpclient import CurlError
 from tornado.httpclient import HTTPError, HTTPRequest, HTTPResponse
 
-from mimosaloom_mesh.curl_client import NO_ANSWER_STATUS, fetch_response
+from mimosaloom_mesh.curl_client import (
+    NO_ANSWER_STATUS,
+    ClosableCurlClient,
+    fetch_response,
+)
 from mimosaloom_model import Clock, LogServiceSettings
 from mimosaloom_policy import Backoff
 
@@ -161,7 +165,7 @@
         self._clock = clock
         self._rng = rng
         self._sleep = sleep
-        self._client = CurlAsyncHTTPClient(force_instance=True, max_clients=MAX_CLIENTS)
+        self._client = ClosableCurlClient(force_instance=True, max_clients=MAX_CLIENTS)
         self._is_closed = False
 
     async def append(
