--- a/libs/mimosaloom-bench/mimosaloom_bench/path_cost/command.py
+++ b/libs/mimosaloom-bench/mimosaloom_bench/path_cost/command.py
@@ -1,7 +1,6 @@
 """Measures the processor time of two nodes for a call, alone and by source file."""
 
 import asyncio
-import itertools
 import json
 import signal
 import tempfile
@@ -13,33 +12,23 @@
 import typer
 
 from mimosaloom_cli import ExitCode
-from mimosaloom_mesh.messages import Request, Response
-from mimosaloom_model import Address, SystemClock
-from mimosaloom_relay import Answer, HttpClient, Incoming, RelayServer
+from mimosaloom_mesh.messages import Request
+from mimosaloom_model import Address
+from mimosaloom_relay import HttpClient
 
 from ..processes import ChildProcess, ProcessGroup, StartFailed
-from .names import (
-    CALLS_PER_ROOT,
-    HEADER_NAMES,
-    HOST,
-    LEAF_PATH,
-    LEAF_SERVICE,
-    ROOT_PATH,
-    ROOT_SERVICE,
-)
+from .load import PathLoad
+from .names import CALLS_PER_ROOT, LEAF_SERVICE, ROOT_SERVICE
 from .node_process import NodePlan
 
 __all__ = ["path_cost"]
 
 NODE_MODULE = "mimosaloom_bench.path_cost.node_process"
 WARM_UP_ROOTS = 50
-ROOTS_AT_ONCE = 8
 SLOTS = 64
-CLIENT_TIMEOUT_MS = 2000
 # The share of calls that the target of the called service rejects, by case.
 CASES = {"plain": 0.0, "rejects": 0.25}
 SHOWN_FILES = 24
-ANY_PORT = Address("127.0.0.1", 0)
 
 
 class CaseResult(NamedTuple):
@@ -72,80 +61,6 @@
     function_calls: int
 
 
-class _Load:
-    """The client and both targets, in this process."""
-
-    def __init__(self, reject_ratio: float):
-        self.client = HttpClient(SystemClock(), lambda: None)
-        self.outbound = ANY_PORT
-        self._reject_ratio = reject_ratio
-        self._rejects_due = 0.0
-        self._numbers = itertools.count()
-        self._servers: list[RelayServer] = []
-
-    async def listen(self) -> tuple[int, int]:
-        """Start both targets; return their ports."""
-        ports = []
-        for handle in (self._run_root, self._run_leaf):
-            server = RelayServer(handle, lambda: Response(500))
-            self._servers.append(server)
-            ports.append((await server.listen(ANY_PORT)).port)
-        return ports[0], ports[1]
-
-    def close(self) -> None:
-        """Close all connections."""
-        for server in self._servers:
-            server.close()
-        self.client.close()
-
-    async def send_roots(self, count: int) -> int:
-        """Send requests, some at a time; return how many failed."""
-        numbers = iter(range(count))
-
-        async def send_some() -> int:
-            failed = 0
-            for _ in numbers:
-                request_id = f"bench-{next(self._numbers)}"
-                failed += not await self._call(ROOT_PATH, request_id)
-            return failed
-
-        return sum(await asyncio.gather(*(send_some() for _ in range(ROOTS_AT_ONCE))))
-
-    async def _call(self, path: str, request_id: str) -> bool:
-        headers = (
-            ("Host", HOST),
-            (HEADER_NAMES.request_id, request_id),
-            (HEADER_NAMES.timeout_ms, str(CLIENT_TIMEOUT_MS)),
-        )
-        outcome = await self.client.send(
-            self.outbound, Request("GET", f"{path}item", headers)
-        )
-        return isinstance(outcome, Answer) and outcome.response.status == 200
-
-    async def _run_root(self, incoming: Incoming) -> Answer:
-        request_id = incoming.request.header(HEADER_NAMES.request_id)
-        for number in range(CALLS_PER_ROOT):
-            if not await self._call(LEAF_PATH, f"{request_id}.{number}"):
-                return self._answer(incoming, 500)
-        return self._answer(incoming, 200)
-
-    async def _run_leaf(self, incoming: Incoming) -> Answer:
-        self._rejects_due += self._reject_ratio
-        if self._rejects_due >= 1:
-            self._rejects_due -= 1
-            headers = ((HEADER_NAMES.not_executed, "1"),)
-            return Answer(Response(503, headers))
-        return self._answer(incoming, 200)
-
-    def _answer(self, incoming: Incoming, status: int) -> Answer:
-        request_id = incoming.request.header(HEADER_NAMES.request_id)
-        headers = (
-            (HEADER_NAMES.request_id, request_id),
-            (HEADER_NAMES.signature, "signature"),
-        )
-        return Answer(Response(status, headers, b"x" * 400))
-
-
 def path_cost(
     roots: Annotated[
         int, typer.Option(min=100, help="Requests of the client in each case.")
@@ -208,7 +123,7 @@
 async def _measure(
     name: str, reject_ratio: float, roots: int, directory: Path, is_profiled: bool
 ) -> tuple[CaseResult, Profile | None]:
-    load = _Load(reject_ratio)
+    load = PathLoad(reject_ratio)
     ports = await load.listen()
     with ProcessGroup(directory) as group:
         nodes = [
