--- a/libs/mimosaloom-relay/mimosaloom_relay/retry_share.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/retry_share.py
@@ -14,7 +14,8 @@
 
 # Requests and retries are counted at the origin, while the budget is measured at the
 # target. The margins leave room for attempts that are in flight between two counts at
-# the target, and for nodes that are counted twice while they are replaced.
+# the target, for nodes that are counted twice while they are replaced, and for requests
+# that move between nodes, each of which counts its own best window.
 RATIO_MARGIN = 0.8
 BASE_MARGIN = 0.6
 # Requests are counted by slices of the window.
