--- a/libs/mimosaloom-bench/mimosaloom_bench/commands.py
+++ b/libs/mimosaloom-bench/mimosaloom_bench/commands.py
@@ -10,6 +10,7 @@
 from .latency import LoadPlan, show_latency
 from .meshes import MeshName
 from .overload import overload
+from .path_cost import path_cost
 from .scenarios.command import build_scenario_app
 
 __all__ = ["register"]
@@ -34,6 +35,7 @@
         "replay": (replay, "--records 20000"),
         "latency": (_latency, "--rounds 4"),
         "decisions": (_decisions, "--calls 5000"),
+        "path": (path_cost, "--profile"),
     }
     for name, (command, options) in commands.items():
         bench.command(name, epilog=_example(f"bench {name} {options}"))(command)
--- /dev/null
+++ b/libs/mimosaloom-bench/mimosaloom_bench/path_cost/command.py
@@ -0,0 +1,249 @@
+"""Measures the processor time of two nodes for a call, alone and by source file."""
+
+import asyncio
+import itertools
+import json
+import signal
+import tempfile
+from pathlib import Path
+from typing import Annotated, NamedTuple
+
+import msgspec
+import typer
+
+from mimosaloom_cli import ExitCode
+from mimosaloom_mesh.messages import Request, Response
+from mimosaloom_model import Address, SystemClock
+from mimosaloom_relay import Answer, HttpClient, Incoming, RelayServer
+
+from ..processes import ChildProcess, ProcessGroup, StartFailed
+from .names import (
+    CALLS_PER_ROOT,
+    HEADER_NAMES,
+    HOST,
+    LEAF_PATH,
+    LEAF_SERVICE,
+    ROOT_PATH,
+    ROOT_SERVICE,
+)
+from .node_process import NodePlan
+
+__all__ = ["path_cost"]
+
+NODE_MODULE = "mimosaloom_bench.path_cost.node_process"
+WARM_UP_ROOTS = 50
+ROOTS_AT_ONCE = 8
+SLOTS = 64
+CLIENT_TIMEOUT_MS = 2000
+# The share of calls that the target of the called service rejects, by case.
+CASES = {"plain": 0.0, "rejects": 0.25}
+SHOWN_FILES = 24
+ANY_PORT = Address("127.0.0.1", 0)
+
+
+class CaseResult(NamedTuple):
+    """Figures of one case.
+
+    Attributes:
+        name: Name of the case.
+        calls: Requests of the client and calls of the target.
+        failed: Requests of the client without a successful answer.
+        user_us: Processor time in user mode of both nodes, for each call.
+        system_us: The same in system mode.
+    """
+
+    name: str
+    calls: int
+    failed: int
+    user_us: float
+    system_us: float
+
+
+class _Load:
+    """The client and both targets, in this process."""
+
+    def __init__(self, reject_ratio: float):
+        self.client = HttpClient(SystemClock(), lambda: None)
+        self.outbound = ANY_PORT
+        self._reject_ratio = reject_ratio
+        self._rejects_due = 0.0
+        self._numbers = itertools.count()
+        self._servers: list[RelayServer] = []
+
+    async def listen(self) -> tuple[int, int]:
+        """Start both targets; return their ports."""
+        ports = []
+        for handle in (self._run_root, self._run_leaf):
+            server = RelayServer(handle, lambda: Response(500))
+            self._servers.append(server)
+            ports.append((await server.listen(ANY_PORT)).port)
+        return ports[0], ports[1]
+
+    def close(self) -> None:
+        """Close all connections."""
+        for server in self._servers:
+            server.close()
+        self.client.close()
+
+    async def send_roots(self, count: int) -> int:
+        """Send requests, some at a time; return how many failed."""
+        numbers = iter(range(count))
+
+        async def send_some() -> int:
+            failed = 0
+            for _ in numbers:
+                request_id = f"bench-{next(self._numbers)}"
+                failed += not await self._call(ROOT_PATH, request_id)
+            return failed
+
+        return sum(await asyncio.gather(*(send_some() for _ in range(ROOTS_AT_ONCE))))
+
+    async def _call(self, path: str, request_id: str) -> bool:
+        headers = (
+            ("Host", HOST),
+            (HEADER_NAMES.request_id, request_id),
+            (HEADER_NAMES.timeout_ms, str(CLIENT_TIMEOUT_MS)),
+        )
+        outcome = await self.client.send(
+            self.outbound, Request("GET", f"{path}item", headers)
+        )
+        return isinstance(outcome, Answer) and outcome.response.status == 200
+
+    async def _run_root(self, incoming: Incoming) -> Answer:
+        request_id = incoming.request.header(HEADER_NAMES.request_id)
+        for number in range(CALLS_PER_ROOT):
+            if not await self._call(LEAF_PATH, f"{request_id}.{number}"):
+                return self._answer(incoming, 500)
+        return self._answer(incoming, 200)
+
+    async def _run_leaf(self, incoming: Incoming) -> Answer:
+        self._rejects_due += self._reject_ratio
+        if self._rejects_due >= 1:
+            self._rejects_due -= 1
+            headers = ((HEADER_NAMES.not_executed, "1"),)
+            return Answer(Response(503, headers))
+        return self._answer(incoming, 200)
+
+    def _answer(self, incoming: Incoming, status: int) -> Answer:
+        request_id = incoming.request.header(HEADER_NAMES.request_id)
+        headers = (
+            (HEADER_NAMES.request_id, request_id),
+            (HEADER_NAMES.signature, "signature"),
+        )
+        return Answer(Response(status, headers, b"x" * 400))
+
+
+def path_cost(
+    roots: Annotated[
+        int, typer.Option(min=100, help="Requests of the client in each case.")
+    ] = 2000,
+    profile: Annotated[
+        bool, typer.Option(help="Also show the time by source file, from a profile.")
+    ] = False,
+    json_output: Annotated[
+        bool, typer.Option("--json", help="Print one JSON object as the last line.")
+    ] = False,
+) -> None:
+    """Measure the processor time that two nodes spend on a call.
+
+    A request of a client runs on a target that makes four calls to another service,
+    through both nodes. In the case `rejects`, the called target rejects a quarter of
+    the calls, and they are repeated.
+    """
+    results, seconds = [], {}
+    try:
+        for name, reject_ratio in CASES.items():
+            results.append(_run_case(name, reject_ratio, roots)[0])
+        if profile:
+            result, seconds = _run_case("profile", 0.0, roots, is_profiled=True)
+    except StartFailed as error:
+        typer.echo(f"nothing was measured: {error}", err=True)
+        raise typer.Exit(ExitCode.ERROR) from None
+    for row in results:
+        typer.echo(
+            f"{row.name:<10}{row.calls:>7} calls{row.user_us:>8.0f} us user"
+            f"{row.system_us:>8.0f} us system a call, {row.failed} requests failed"
+        )
+    if profile:
+        _show_files(seconds, result.calls)
+    if json_output:
+        typer.echo(json.dumps([row._asdict() for row in results]))
+
+
+def _show_files(seconds: dict[str, float], calls: int) -> None:
+    total_s = sum(seconds.values())
+    largest = sorted(seconds.items(), key=lambda item: -item[1])[:SHOWN_FILES]
+    typer.echo(f"\nby source file, under the profiler ({total_s:.1f} s in all):")
+    for path, spent_s in largest:
+        typer.echo(
+            f"{path:<44}{1e6 * spent_s / calls:>7.1f} us a call"
+            f"{100 * spent_s / total_s:>6.1f} %"
+        )
+
+
+def _run_case(
+    name: str, reject_ratio: float, roots: int, *, is_profiled: bool = False
+) -> tuple[CaseResult, dict[str, float]]:
+    with tempfile.TemporaryDirectory() as directory:
+        return asyncio.run(
+            _measure(name, reject_ratio, roots, Path(directory), is_profiled)
+        )
+
+
+async def _measure(
+    name: str, reject_ratio: float, roots: int, directory: Path, is_profiled: bool
+) -> tuple[CaseResult, dict[str, float]]:
+    load = _Load(reject_ratio)
+    ports = await load.listen()
+    with ProcessGroup(directory) as group:
+        nodes = [
+            group.start(service, NODE_MODULE, _encode_plan(service, port, is_profiled))
+            for service, port in zip((ROOT_SERVICE, LEAF_SERVICE), ports, strict=True)
+        ]
+        ready = [node.wait_for_line(lambda line: "outbound" in line) for node in nodes]
+        await _introduce(load.client, ready)
+        load.outbound = Address("127.0.0.1", ready[0]["outbound"])
+        await load.send_roots(WARM_UP_ROOTS)
+        before = [_read_cpu_time(node, 0) for node in nodes]
+        failed = await load.send_roots(roots)
+        after = [_read_cpu_time(node, 1) for node in nodes]
+        load.close()
+        group.stop()
+        seconds = _read_profiles(nodes) if is_profiled else {}
+    calls = roots * (1 + CALLS_PER_ROOT)
+    user_us, system_us = (
+        1e6 * sum(a[key] - b[key] for a, b in zip(after, before, strict=True)) / calls
+        for key in ("user_s", "system_s")
+    )
+    return CaseResult(name, calls, failed, user_us, system_us), seconds
+
+
+def _encode_plan(service: str, target_port: int, is_profiled: bool) -> str:
+    plan = NodePlan(service, service, target_port, SLOTS, is_profiled)
+    return msgspec.json.encode(plan).decode()
+
+
+async def _introduce(client: HttpClient, ready: list[dict]) -> None:
+    """Send each node the records of both."""
+    for node in ready:
+        address = Address("127.0.0.1", node["announcements"])
+        for record in (peer["record"] for peer in ready):
+            name = json.loads(record)["name"]
+            request = Request("PUT", f"/{name}", (), record.encode())
+            await client.send(address, request)
+
+
+def _read_cpu_time(node: ChildProcess, number: int) -> dict:
+    """Ask a node for its processor time; `number` counts the earlier questions."""
+    node.send_signal(signal.SIGUSR1)
+    return node.wait_for_line(lambda line: line.get("cpu_report") == number)
+
+
+def _read_profiles(nodes: list[ChildProcess]) -> dict[str, float]:
+    seconds: dict[str, float] = {}
+    for node in nodes:
+        for path, spent_s in node.wait_for_line(lambda line: "profile" in line)[
+            "profile"
+        ].items():
+            seconds[path] = seconds.get(path, 0.0) + spent_s
+    return seconds
--- /dev/null
+++ b/libs/mimosaloom-bench/mimosaloom_bench/path_cost/names.py
@@ -0,0 +1,54 @@
+"""Services, routes and header names of the bench, shared by its processes."""
+
+from mimosaloom_model import RequestClass
+from mimosaloom_relay import Configuration, HeaderNames, Limits, Route, ServiceProfile
+
+__all__ = [
+    "CALLS_PER_ROOT",
+    "CONFIGURATION",
+    "HEADER_NAMES",
+    "HOST",
+    "LEAF_PATH",
+    "LEAF_SERVICE",
+    "ROOT_PATH",
+    "ROOT_SERVICE",
+]
+
+HOST = "bench.example"
+ROOT_SERVICE, ROOT_PATH = "root", "/root/"
+LEAF_SERVICE, LEAF_PATH = "leaf", "/leaf/"
+CALLS_PER_ROOT = 4
+MAX_CONNECTIONS = 500
+HEADER_NAMES = HeaderNames(
+    request_id="Mimosaloom-Attempt-Id",
+    timeout_ms="Mimosaloom-Timeout-Ms",
+    expected_target="Mimosaloom-Expect-Instance",
+    caller_service="Mimosaloom-Caller-Service",
+    not_executed="Mimosaloom-Not-Executed",
+    signature="Mimosaloom-Response-Signature",
+    target_id="Mimosaloom-Instance-Id",
+)
+
+
+def _build_route(path_prefix: str, service: str) -> Route:
+    request_class = RequestClass(
+        service, service, priority=2, is_idempotent=True, timeout_s=2.0
+    )
+    return Route(HOST, path_prefix, request_class, ((service, 1),), 3, 1.0)
+
+
+CONFIGURATION = Configuration(
+    version=1,
+    routes={
+        HOST: (
+            _build_route(ROOT_PATH, ROOT_SERVICE),
+            _build_route(LEAF_PATH, LEAF_SERVICE),
+        )
+    },
+    services={
+        name: ServiceProfile(name, "/healthz", MAX_CONNECTIONS)
+        for name in (ROOT_SERVICE, LEAF_SERVICE)
+    },
+    limits=Limits(),
+    document=b"",
+)
