--- a/libs/mimosaloom-relay/mimosaloom_relay/calls.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/calls.py
@@ -64,6 +64,7 @@
     Attributes:
         attempts: Number of attempts so far.
         arrivals: Number of attempts that reached a target.
+        kinds: Why each attempt that has ended brought no answer, or "answered".
         may_have_run: Whether a target may have run the request or may still run it.
         tried: Names of the upstreams that an attempt was sent to.
         reached: Names of the upstreams whose target the request may have reached.
@@ -75,6 +76,7 @@
     def __init__(self):
         self.attempts = 0
         self.arrivals = 0
+        self.kinds: list[str] = []
         self.may_have_run = False
         self.tried: set[str] = set()
         self.reached: set[str] = set()
--- a/libs/mimosaloom-relay/mimosaloom_relay/metrics.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/metrics.py
@@ -43,6 +43,7 @@
         self.store_lost = self._gauge(
             "store_unreachable_readers", "Loops that can't read the store now"
         )
+        self.store_era = self._gauge("store_era", "Era of the store at the last read")
         self.ready = self._gauge("ready", "Whether the node takes clients")
 
     def count_outcome(self, request_class: str, outcome: str, elapsed_s: float) -> None:
--- a/libs/mimosaloom-relay/mimosaloom_relay/origin.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/origin.py
@@ -297,6 +297,7 @@
                 reply = await self._hops.send(candidate, context, call.incoming)
                 progress.awaited_node = None
             kind = read_kind(reply.result)
+            progress.kinds.append("answered" if kind is None else kind.value)
             if reply.result.is_own_failure:
                 kind = ErrorKind.TARGET_FAILED
         finally:
@@ -384,6 +385,7 @@
             kind=kind,
             detail=detail,
             attempts=progress.attempts,
+            attempt_kinds=progress.kinds,
             arrivals=progress.arrivals,
             tried=sorted(progress.tried),
             elapsed_ms=round(1000 * (now_s - call.start_s)),
--- a/tests/platform_adapter/cluster.py
+++ b/tests/platform_adapter/cluster.py
@@ -6,7 +6,8 @@
 import random
 
 import msgspec
-from platform_adapter.standins import FakeStore, FakeTarget, build_document
+from platform_adapter.standins import FakeTarget, build_document
+from platform_adapter.store_standin import FakeStore
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 
