Reproduce the incident in tests: restored store, late copy of a rejection

- A store that goes back to a copy and reuses offsets leaves nodes on an old version: they answer 404 for a route that was acknowledged (CONFIG, DENIED).
A read that was cut is sent again by libcurl on its own, so that the node sees no failure.
- Records of nodes that the copy lacks are not written again, a node that can't write its record is dropped, and an older record replaces a newer one.
- A late copy of a rejection answers the next attempt on the same connection, since all attempts of a request have its id.
The target runs the request and the node reports that it did not (REFUSED); here it then runs a second time.

--- a/tests/platform_adapter/standins.py
+++ b/tests/platform_adapter/standins.py
@@ -14,7 +14,8 @@
         requests: Request line, headers and body of each request, as received.
         modes: How it answers the next requests, one entry each; "ok" when empty.
             "early" answers before the body has arrived, "reject" refuses the request
-            without running it, "hold" and "hold-error" run it and answer once
+            without running it, "reject-twice" also sends a copy of that answer when the
+            next request on the connection arrives, "hold" and "hold-error" run it and answer once
             `released` is set; `_ANSWER_BUILDERS` has the others.
         released: Event that lets held requests end.
         disconnected: Ids of the requests whose connection closed while they were held.
@@ -34,6 +35,7 @@
         self.is_healthy = True
         self.port = 0
         self._server = None
+        self._late_answers: dict[asyncio.StreamWriter, bytes] = {}
 
     async def listen(self, port: int = 0) -> int:
         """Start to listen on loopback; return the port."""
@@ -53,6 +55,7 @@
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
+            self._late_answers.pop(writer, None)
             writer.close()
 
     async def _serve_one(self, reader, writer) -> bool:
@@ -71,6 +74,7 @@
             return True
         body = await _read_body(reader, headers)
         self.requests.append((line, headers, body))
+        writer.write(self._late_answers.pop(writer, b""))
         expected = headers.get("Mimosaloom-Expect-Instance", self.target_id)
         if expected != self.target_id:
             writer.write(b"HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n")
@@ -78,12 +82,15 @@
         return await self._respond(mode, request_id, body, reader, writer)
 
     async def _respond(self, mode, request_id, body, reader, writer) -> bool:
-        if mode == "reject":
-            writer.write(
+        if mode.startswith("reject"):
+            rejection = (
                 b"HTTP/1.1 503 Busy\r\nMimosaloom-Not-Executed: 1\r\n"
                 + f"Mimosaloom-Attempt-Id: {request_id}\r\n".encode()
                 + b"Content-Length: 0\r\n\r\n"
             )
+            writer.write(rejection)
+            if mode == "reject-twice":
+                self._late_answers[writer] = rejection
             return True
         self.runs.append(request_id)
         answer = self._build_answer(request_id, b"done:" + body)
--- a/tests/platform_adapter/test_path.py
+++ b/tests/platform_adapter/test_path.py
@@ -150,6 +150,22 @@
     run_cluster(scenario)
 
 
+def test_late_copy_of_a_rejection_does_not_answer_the_next_attempt():
+    """Guards against refusing a request as not run although its second attempt ran.
+
+    All attempts of a request carry its id, so the copy seems to belong to each of them.
+    """
+
+    async def scenario(cluster):
+        front, back = await start_pair(cluster, **NON_IDEMPOTENT)
+        back.target.modes = ["reject-twice"]
+        response = await front.send_request("/b/x", method="POST", body=b"1")
+        assert len(back.target.runs) == 1
+        assert (response.status, response.body) == (200, b"done:1")
+
+    run_cluster(scenario)
+
+
 @pytest.mark.parametrize("mode", ["extra", "extra-after", "no-length", "chunked"])
 def test_unusual_framing_yields_the_answer_of_the_request(mode):
     """Guards against the answer of another request, or an answer with extra bytes."""
--- /dev/null
+++ b/tests/platform_adapter/test_store_restore.py
@@ -0,0 +1,140 @@
+"""The store comes back from an older copy and reuses offsets, over real sockets."""
+
+import asyncio
+
+import pytest
+from platform_adapter.cluster import run_cluster, wait_until
+from platform_adapter.standins import build_document
+
+pytestmark = pytest.mark.sockets
+
+FRONT_ROUTE = {"pathPrefix": "/f/", "service": "front"}
+ADDED_ROUTE = {"pathPrefix": "/added/", "service": "front"}
+BACK_ROUTE = {"pathPrefix": "/b/", "service": "back"}
+
+
+def test_configuration_at_a_reused_offset_is_put_in_force():
+    """Guards against nodes that read on from an offset of the lost history.
+
+    The records below that offset are never read, and nodes answer 404 for a route that
+    was acknowledged.
+    """
+
+    async def scenario(cluster):
+        front = await cluster.add_member("front-1", "front")
+        await cluster.configure(1, [FRONT_ROUTE])
+        await cluster.announce_all()
+        copy = cluster.store.take_copy()
+        await cluster.configure(4, [FRONT_ROUTE])
+        cluster.store.restore(copy)
+        document = build_document(6, [FRONT_ROUTE, ADDED_ROUTE], ["front"])
+        cluster.store.put("keyed.op", "config", document)
+        cluster.store.cut_reads()
+        await wait_until(lambda: front.node.version == 6)
+        assert (await front.send_request("/added/x")).status == 200
+
+    run_cluster(scenario)
+
+
+def test_node_that_took_an_answer_of_the_lost_history_learns_from_a_peer():
+    """Guards against a node that reads on from an old offset without a failed read.
+
+    An answer that waited in the connection of a paused node is followed by a read from
+    its offset, which the restored store may have reused already.
+    """
+
+    async def scenario(cluster):
+        front = await cluster.add_member("front-1", "front")
+        back = await cluster.add_member("back-1", "back")
+        await cluster.configure(1, [BACK_ROUTE])
+        await cluster.announce_all()
+        copy = cluster.store.take_copy()
+        await cluster.configure(4, [BACK_ROUTE])
+        cluster.store.restore(copy)
+        document = build_document(6, [BACK_ROUTE, ADDED_ROUTE], ["back", "front"])
+        cluster.store.put("keyed.op", "config", document)
+        # Only the appends of one node go to the restored store.
+        await back.announce("draining", born=1)
+        await back.announce(born=2)
+        await wait_until(lambda: back.node.version == 6)
+        while front.node.version < 6:
+            assert (await front.send_request("/b/x")).status in (200, 503)
+            await asyncio.sleep(0.01)
+
+    run_cluster(scenario)
+
+
+def test_nodes_publish_their_records_again_after_a_restore():
+    """Guards against services without an upstream because the records are gone."""
+
+    async def scenario(cluster):
+        copy = cluster.store.take_copy()
+        front = await cluster.add_member("front-1", "front")
+        await cluster.add_member("back-1", "back")
+        await cluster.configure(1, [BACK_ROUTE])
+        await cluster.announce_all()
+        await wait_until(lambda: has_records(cluster, "front-1", "back-1"))
+        cluster.store.restore(copy)
+        cluster.store.cut_reads()
+        await wait_until(lambda: has_records(cluster, "front-1", "back-1"))
+        for number in range(5):
+            assert (await front.send_request("/b/x", f"id-{number}")).status == 200
+
+    run_cluster(scenario)
+
+
+def test_node_that_can_not_reach_the_restored_store_stays_an_upstream():
+    """Guards against taking a node for gone because a restored store lacks its record.
+
+    The node serves, but can't write its record again.
+    """
+
+    async def scenario(cluster):
+        copy = cluster.store.take_copy()
+        front = await cluster.add_member("front-1", "front")
+        back = await cluster.add_member("back-1", "back")
+        await cluster.configure(1, [BACK_ROUTE])
+        await cluster.announce_all()
+        await wait_until(lambda: has_records(cluster, "front-1", "back-1"))
+        back.node.own_record.send = lambda record: None
+        cluster.store.restore(copy)
+        cluster.store.cut_reads()
+        await wait_until(lambda: has_records(cluster, "front-1"))
+        # Longer than the grace period for missing records.
+        await asyncio.sleep(2.5)
+        assert (await front.send_request("/b/x")).status == 200
+
+    run_cluster(scenario)
+
+
+def test_older_record_of_a_restored_store_does_not_replace_a_newer_one():
+    """Guards against leaving out a target because of the record of an earlier state."""
+
+    async def scenario(cluster):
+        front = await cluster.add_member("front-1", "front")
+        back = await cluster.add_member("back-1", "back")
+        await cluster.configure(1, [BACK_ROUTE])
+        await cluster.announce_all()
+        await back.announce("draining", born=1)
+        await wait_until(lambda: not front.sees_all_available(cluster.members))
+        copy = cluster.store.take_copy()
+        back.sequence = 0
+        await back.announce(born=2)
+        await wait_until(lambda: front.sees_all_available(cluster.members))
+        back.node.own_record.send = lambda record: None
+        reads = cluster.store.calls.count("/-/log-newest")
+        cluster.store.restore(copy)
+        cluster.store.cut_reads()
+        await wait_until(
+            lambda: cluster.store.calls.count("/-/log-newest") >= reads + 4
+        )
+        for number in range(20):
+            assert (await front.send_request("/b/x", f"id-{number}")).status == 200
+            await asyncio.sleep(0.01)
+
+    run_cluster(scenario)
+
+
+def has_records(cluster, *names):
+    """Whether the store holds the records of the named nodes."""
+    return set(names) <= set(cluster.store.newest_values("keyed.nodes"))
