Send a request that was rejected on a new connection the next time

What callers saw: a request that must run once was refused with 503 as not run, and had run (REFUSED), or ran twice (TWICE).

Cause: all attempts of a request carry its id, and the answer is matched with the attempt by that id alone. A target that sends its rejection twice leaves the copy in the connection. If the next attempt of the same request goes to the same target on that connection, the copy answers it: the node reports `target_rejected` (not run) while the target runs it. The class: an identity that is unique within one history (here the request) is used to tell apart things that differ only by history (its attempts).

Change: the node beside a target remembers which requests the target has rejected until their deadline, and sends them on a new connection, on which no copy can be. Other answers end the request or the connection, so only rejections are concerned.

--- a/libs/mimosaloom-relay/mimosaloom_relay/http_client.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/http_client.py
@@ -235,6 +235,7 @@
         streamed_body: Body | None = None,
         *,
         needs_fresh_connection: bool = False,
+        needs_new_connection: bool = False,
         belongs_to_request: ResponseMatcher = lambda headers: True,
     ) -> Answer | FailedSend:
         """Send a request once and wait for its response.
@@ -247,6 +248,9 @@
             streamed_body: Body that is streamed while it arrives.
             needs_fresh_connection: Whether the request needs a new or recently used
                 connection, since it must not run twice.
+            needs_new_connection: Whether the request needs a new connection, since
+                `belongs_to_request` can't tell its response from one that may be on
+                its way on an open connection.
             belongs_to_request: Returns by the headers whether a response belongs to
                 this request.
 
@@ -255,7 +259,9 @@
             request was sent, otherwise with a kind after which the request may have
             run.
         """
-        connection = self._pop_idle(address, needs_fresh_connection)
+        connection = None
+        if not needs_new_connection:
+            connection = self._pop_idle(address, needs_fresh_connection)
         if connection is None:
             connection = await self._connect(address)
             if connection is None:
--- a/libs/mimosaloom-relay/mimosaloom_relay/target_side.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/target_side.py
@@ -117,6 +117,7 @@
         self._completed_calls: Counter[str] = Counter()
         self._call_counts = CallCountEstimate()
         self._parents_with_failed_call: set[str] = set()
+        self._rejected_until_s: dict[str, float] = {}
         # The target must see only the values that this node sets.
         self._replaced = frozenset(
             {
@@ -319,6 +320,7 @@
     ) -> HopReply:
         start_s = self._clock.monotonic_s()
         remaining_s = deadline_s - start_s
+        was_rejected = context.request_id in self._rejected_until_s
         request = self._build_request(context, incoming.request, remaining_s)
         address = self.own_target.address
         try:
@@ -328,6 +330,9 @@
                     request,
                     incoming.streamed_body,
                     needs_fresh_connection=not context.is_idempotent,
+                    # All attempts of a request have its id, so on the same connection a
+                    # second copy of the rejection would answer this attempt.
+                    needs_new_connection=was_rejected,
                     belongs_to_request=lambda headers: self._belongs_to_request(
                         headers, context.request_id
                     ),
@@ -340,7 +345,18 @@
             )
         if isinstance(outcome, FailedSend):
             return self._build_failed_reply(context, outcome, start_s)
-        return self._build_answered_reply(context, outcome, start_s)
+        reply = self._build_answered_reply(context, outcome, start_s)
+        if reply.result.kind == ErrorKind.TARGET_REJECTED:
+            self._remember_rejection(context.request_id, deadline_s)
+        return reply
+
+    def _remember_rejection(self, request_id: str, deadline_s: float) -> None:
+        """Remember until its deadline that the target has rejected a request."""
+        now_s = self._clock.monotonic_s()
+        rejected = self._rejected_until_s
+        while rejected and next(iter(rejected.values())) < now_s:
+            del rejected[next(iter(rejected))]
+        rejected[request_id] = deadline_s
 
     def _build_request(
         self, context: HopContext, received: Request, remaining_s: float
