Use an offset of the store only in the era that it comes from

What callers saw: after the store had come back from an older copy, requests were run by a service that only an old version allows, and routes that had been acknowledged were answered 404 (CONFIG, DENIED), at all nodes and until the next change.

Cause: a node reads on from the offset that it knows. The restored store gives offsets out again, so once its log has grown past that number, the records below are never read; the long poll waits above them. No read fails where libcurl sends a cut poll again by itself, which it does on a reused connection, or where a node was paused with an answer in its connection. The class: a number that has a meaning only within one history is used in another.

Change: each position is an offset and an era. An answer of another era, also to an append or to the other topic's poll, makes a node read the newest records again. Nodes tell each other the era with each hop, so one that has not noticed reads again with its next request; a wrong number costs one read. The loop that decides this moves from platform/ to the relay library, as TopicFollower; the client of the store only decodes.

--- a/libs/mimosaloom-relay/mimosaloom_relay/__init__.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/__init__.py
@@ -23,11 +23,21 @@
 )
 from .settings import Listeners, RelaySettings
 from .status import describe_configuration
+from .store_era import StoreEra
+from .topic_follower import (
+    Batch,
+    KeyedRecord,
+    OffsetExpired,
+    ReadFailed,
+    TopicFollower,
+    TopicHandlers,
+)
 
 __all__ = [
     "CONFIGURATION_PATH",
     "Announcement",
     "Answer",
+    "Batch",
     "Configuration",
     "DecisionLog",
     "HeaderNames",
@@ -36,12 +46,15 @@
     "HopResult",
     "HttpClient",
     "Incoming",
+    "KeyedRecord",
     "Limits",
     "Listeners",
+    "OffsetExpired",
     "OwnTarget",
     "PeerRecord",
     "PeerTable",
     "Publisher",
+    "ReadFailed",
     "RelayMetrics",
     "RelayNode",
     "RelayServer",
@@ -51,7 +64,10 @@
     "ServiceProfile",
     "ShareRotation",
     "SharedRetryBudget",
+    "StoreEra",
     "TargetState",
+    "TopicFollower",
+    "TopicHandlers",
     "configure_garbage_collection",
     "decode_record",
     "describe_configuration",
--- a/libs/mimosaloom-relay/mimosaloom_relay/hop_messages.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/hop_messages.py
@@ -65,6 +65,7 @@
             target before.
         origin: Address of the origin, as HOST:PORT.
         version: Version of the configuration in force at the origin.
+        store_era: Era of the store at the origin's last call to it; 0 if not known.
     """
 
     request_id: str
@@ -80,6 +81,7 @@
     is_repeat: bool = False
     origin: str = ""
     version: int = 0
+    store_era: int = 0
 
 
 class HopResult(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -93,6 +95,7 @@
         was_sent: Whether the request reached the target.
         incarnation: Incarnation of the node.
         version: Version of the configuration in force at the node.
+        store_era: Era of the store at the node's last call to it; 0 if not known.
         level: Admission level of the target.
         level_below: Lowest admission level of the services that the class calls.
         load: Running and queued calls, relative to the slots that admission uses.
@@ -106,6 +109,7 @@
     was_sent: bool = False
     incarnation: str = ""
     version: int = 0
+    store_era: int = 0
     level: float = 1.0
     level_below: float = 1.0
     load: float = 0.0
--- a/libs/mimosaloom-relay/mimosaloom_relay/incoming_hops.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/incoming_hops.py
@@ -21,6 +21,7 @@
 from .http_server import Incoming
 from .peers import PeerRecord
 from .refusals import build_refusal
+from .store_era import StoreEra
 from .target_side import TargetSide
 
 __all__ = ["CONFIGURATION_PATH", "NODES_PATH", "SELF_PATH", "IncomingHops"]
@@ -40,6 +41,7 @@
         records: Returns the records of all known nodes.
         own_version: Returns the version of the configuration in force; 0 for none.
         own_document: Returns that configuration as published; empty for none.
+        store_era: Era of the store; other nodes are told of it, and tell theirs.
         on_newer_version: Called when a hop names a newer configuration version, with
             that version and the address of the origin.
     """
@@ -53,6 +55,7 @@
         records: Callable[[], list[PeerRecord]],
         own_version: Callable[[], int],
         own_document: Callable[[], bytes],
+        store_era: StoreEra,
         on_newer_version: Callable[[int, str], None],
     ):
         self._names = names
@@ -61,6 +64,7 @@
         self._records = records
         self._own_version = own_version
         self._own_document = own_document
+        self._store_era = store_era
         self._on_newer_version = on_newer_version
 
     async def handle(self, incoming: Incoming) -> Answer:
@@ -78,8 +82,13 @@
             return Answer(build_refusal(self._names, ErrorKind.BAD_REQUEST, ""))
         if context.version > self._own_version():
             self._on_newer_version(context.version, context.origin)
+        self._store_era.hint(context.store_era)
         reply = await self._target_side.run(context, incoming)
-        result = msgspec.structs.replace(reply.result, version=self._own_version())
+        result = msgspec.structs.replace(
+            reply.result,
+            version=self._own_version(),
+            store_era=self._store_era.number,
+        )
         return self._build_answer(context, reply.answer, result)
 
     def _build_answer(
--- a/libs/mimosaloom-relay/mimosaloom_relay/node.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/node.py
@@ -26,6 +26,7 @@
 from .routes import Configuration, Limits
 from .settings import Listeners, RelaySettings
 from .status import describe_admission, describe_configuration, describe_peers
+from .store_era import StoreEra
 from .target_side import TargetSide
 from .upstreams import Upstreams
 
@@ -84,6 +85,7 @@
         self.addresses: Listeners = settings.listen
         self.metrics = metrics
         self.log = DecisionLog(clock, metrics.count_dropped_line)
+        self.store_era = StoreEra()
         self._names = names
         self._read_configuration = read_configuration
         self._clock = clock
@@ -149,6 +151,7 @@
             self.upstreams,
             self.target_side,
             HopSender(names, hop_client, self.log, self.peer_prober.mark_unreachable),
+            self.store_era,
             retry_policy,
             clock=clock,
             log=self.log,
@@ -167,6 +170,7 @@
             records=self.upstreams.peers.records,
             own_version=lambda: self.version,
             own_document=self._own_document,
+            store_era=self.store_era,
             on_newer_version=self._fetch_newer_configuration,
         )
         self._servers: dict[str, RelayServer] = {}
--- a/libs/mimosaloom-relay/mimosaloom_relay/origin.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/origin.py
@@ -22,6 +22,7 @@
 from .retry_after import choose_retry_after
 from .retry_policy import RetryPolicy
 from .routes import Configuration, Route, ShareRotation, match_route
+from .store_era import StoreEra
 from .target_side import HopReply, TargetSide
 from .upstreams import Upstreams
 
@@ -52,6 +53,7 @@
         upstreams: Upstreams of all services.
         target_side: Runs attempts on the target of this node.
         hops: Sends attempts to other nodes.
+        store_era: Era of the store; other nodes are told of it, and tell theirs.
         retry_policy: Decides whether a request gets another attempt.
         clock: Source of time.
         log: Receives the log lines of refusals and outcomes.
@@ -74,6 +76,7 @@
         upstreams: Upstreams,
         target_side: TargetSide,
         hops: HopSender,
+        store_era: StoreEra,
         retry_policy: RetryPolicy,
         *,
         clock: Clock,
@@ -91,6 +94,7 @@
         self._upstreams = upstreams
         self._target_side = target_side
         self._hops = hops
+        self._store_era = store_era
         self._retry_policy = retry_policy
         self._clock = clock
         self._log = log
@@ -284,6 +288,7 @@
             is_repeat=progress.arrivals > 0 or call.is_repeat,
             origin=self._own_address(),
             version=self.configuration.version,
+            store_era=self._store_era.number,
         )
         router.start(candidate.name, start_s)
         kind: ErrorKind | None = ErrorKind.CANCELLED
@@ -313,6 +318,7 @@
     ) -> None:
         if not result.incarnation:
             return
+        self._store_era.hint(result.store_era)
         if result.version > self.configuration.version:
             self.on_newer_version(result.version, candidate)
         if read_kind(result) in _OUTDATED_RECORD_KINDS:
--- /dev/null
+++ b/libs/mimosaloom-relay/mimosaloom_relay/topic_follower.py
@@ -0,0 +1,238 @@
+"""Follows a topic of the store, also over a return of the store to an older copy."""
+
+import asyncio
+from collections.abc import Callable
+from typing import NamedTuple, Protocol
+
+from mimosaloom_policy import Backoff
+
+from .store_era import StoreEra
+
+__all__ = [
+    "Batch",
+    "KeyedRecord",
+    "OffsetExpired",
+    "ReadFailed",
+    "StoreReader",
+    "TopicFollower",
+    "TopicHandlers",
+]
+
+POLL_WAIT_S = 20.0
+
+
+class KeyedRecord(NamedTuple):
+    """A record of a keyed topic.
+
+    Attributes:
+        key: Its key.
+        value: Its value; None if the record removes the key.
+        era: Era of the store that it was read from; 0 if not known.
+        offset: Offset at which it was read.
+    """
+
+    key: str
+    value: bytes | None
+    era: int = 0
+    offset: int = 0
+
+
+class Batch(NamedTuple):
+    """Records that one read returned.
+
+    Attributes:
+        records: The records; those of a read from an offset are in the order of their
+            offsets.
+        next_offset: Offset at which the next read starts.
+        era: Era of the store; 0 if not known.
+    """
+
+    records: tuple[KeyedRecord, ...]
+    next_offset: int
+    era: int
+
+
+class OffsetExpired(NamedTuple):
+    """The store does not have the requested offset.
+
+    Attributes:
+        requested_offset: Offset at which the read was to start.
+    """
+
+    requested_offset: int
+
+
+class ReadFailed(NamedTuple):
+    """The store gave no usable answer.
+
+    Attributes:
+        reason: What went wrong, for log lines and messages.
+    """
+
+    reason: str
+
+
+class StoreReader(Protocol):
+    """Reads keyed topics of the store."""
+
+    async def read_newest(self, topic: str) -> Batch | ReadFailed:
+        """Return the newest record of each key."""
+
+    async def read(
+        self, topic: str, start: int, *, wait_s: float
+    ) -> Batch | OffsetExpired | ReadFailed:
+        """Return the records from an offset on; wait for one if there is none."""
+
+
+class TopicHandlers(NamedTuple):
+    """What is done with the records of a topic.
+
+    Attributes:
+        apply: Called with each record.
+        apply_restored: Called in place of `apply` with the newest records of a store
+            that came back from a copy; they may be older than what was applied before.
+        apply_keys: Called with all keys of the topic each time that the newest record
+            of each key has been applied.
+        report_store_state: Called when the store becomes unreadable or readable again,
+            with whether it can be read and, if not, the reason.
+        report_newest_read: Called after each read of the newest records, with its
+            result and why these were read.
+    """
+
+    apply: Callable[[KeyedRecord], None]
+    apply_restored: Callable[[KeyedRecord], None]
+    apply_keys: Callable[[set[str]], None] = lambda keys: None
+    report_store_state: Callable[[bool, str], None] = lambda is_readable, reason: None
+    report_newest_read: Callable[[Batch, str], None] = lambda batch, reason: None
+
+
+class _Position(NamedTuple):
+    """Where the next read starts, which has a meaning only within one era."""
+
+    offset: int
+    era: int
+    hints: int
+
+
+class TopicFollower:
+    """Applies the records of a keyed topic: the newest of each key, then later ones.
+
+    Args:
+        store: The store.
+        era: Era of the store, shared by all that read it.
+        topic: The topic.
+        handlers: What is done with the records.
+        backoff: Delays between reads while the store can't be read.
+        batch_delay_s: Delay in seconds before the next read after one that returned
+            records. Records that are appended meanwhile arrive in one call.
+    """
+
+    def __init__(
+        self,
+        store: StoreReader,
+        era: StoreEra,
+        topic: str,
+        handlers: TopicHandlers,
+        *,
+        backoff: Backoff,
+        batch_delay_s: float = 0.0,
+    ):
+        self._store = store
+        self._era = era
+        self._topic = topic
+        self._handlers = handlers
+        self._backoff = backoff
+        self._batch_delay_s = batch_delay_s
+        self._position: _Position | None = None
+        self._applied_era = 0
+        self._reason = "start"
+        self._was_readable = True
+
+    async def run(self) -> None:
+        """Follow the topic until cancelled."""
+        while True:
+            if self._position is None:
+                await self._read_newest()
+            else:
+                await self._read_on(self._position)
+
+    async def _read_newest(self) -> None:
+        hints = self._era.hints
+        outcome = await self._store.read_newest(self._topic)
+        self._report_state(outcome)
+        if isinstance(outcome, ReadFailed):
+            await self._retry(outcome.reason)
+            return
+        # An answer without an era belongs to the last one that is known.
+        era = outcome.era or self._era.number
+        if era < self._era.number:
+            await self._retry(f"an answer of the lost era {era}")
+            return
+        self._backoff.reset()
+        is_restored = self._applied_era not in (0, era)
+        handlers = self._handlers
+        apply = handlers.apply_restored if is_restored else handlers.apply
+        for record in outcome.records:
+            apply(record)
+        handlers.report_newest_read(outcome, self._reason)
+        handlers.apply_keys({record.key for record in outcome.records})
+        self._applied_era = era
+        self._position = _Position(outcome.next_offset, era, hints)
+        if outcome.records:
+            await asyncio.sleep(self._batch_delay_s)
+
+    async def _read_on(self, position: _Position) -> None:
+        outcome = await self._read_within_era(position)
+        if outcome is None:
+            self._start_again(f"the store has left era {position.era}")
+            return
+        self._report_state(outcome)
+        match outcome:
+            case Batch() if outcome.era not in (0, position.era):
+                self._start_again(f"the store has left era {position.era}")
+            case Batch():
+                self._backoff.reset()
+                for record in outcome.records:
+                    self._handlers.apply(record)
+                self._position = position._replace(offset=outcome.next_offset)
+                if outcome.records:
+                    await asyncio.sleep(self._batch_delay_s)
+            case OffsetExpired():
+                self._start_again(f"offset {position.offset} is gone")
+            case ReadFailed():
+                # The store may have dropped history meanwhile, or a lagging replica may
+                # have reported the end offset.
+                await self._retry(outcome.reason)
+
+    async def _read_within_era(
+        self, position: _Position
+    ) -> Batch | OffsetExpired | ReadFailed | None:
+        """Return the records from a position on; None if its era has ended."""
+        reading = asyncio.ensure_future(
+            self._store.read(self._topic, position.offset, wait_s=POLL_WAIT_S)
+        )
+        ending = asyncio.ensure_future(
+            self._era.wait_for_end(position.era, position.hints)
+        )
+        try:
+            await asyncio.wait({reading, ending}, return_when=asyncio.FIRST_COMPLETED)
+            return None if ending.done() else reading.result()
+        finally:
+            reading.cancel()
+            ending.cancel()
+
+    def _report_state(self, outcome: Batch | OffsetExpired | ReadFailed) -> None:
+        is_readable = not isinstance(outcome, ReadFailed)
+        if is_readable != self._was_readable:
+            reason = "" if is_readable else outcome.reason
+            self._handlers.report_store_state(is_readable, reason)
+            self._was_readable = is_readable
+
+    def _start_again(self, reason: str) -> None:
+        """Read the newest record of each key next, which is all that is needed."""
+        self._reason = reason
+        self._position = None
+
+    async def _retry(self, reason: str) -> None:
+        self._start_again(f"a read failed: {reason}")
+        await asyncio.sleep(self._backoff.next_delay_s())
--- a/tests/platform_adapter/standins.py
+++ b/tests/platform_adapter/standins.py
@@ -15,8 +15,9 @@
         modes: How it answers the next requests, one entry each; "ok" when empty.
             "early" answers before the body has arrived, "reject" refuses the request
             without running it, "reject-twice" also sends a copy of that answer when the
-            next request on the connection arrives, "hold" and "hold-error" run it and answer once
-            `released` is set; `_ANSWER_BUILDERS` has the others.
+            next request on the connection arrives, "hold" and "hold-error" run it and
+            answer once `released` is set, "hang" never answers and does not run it;
+            `_ANSWER_BUILDERS` has the others.
         released: Event that lets held requests end.
         disconnected: Ids of the requests whose connection closed while they were held.
         connections: Number of connections accepted so far.
@@ -47,6 +48,14 @@
         """Accept no more connections."""
         self._server.close()
 
+    def next_mode(self) -> str:
+        """Return how the next request is answered."""
+        return self.modes.pop(0) if self.modes else "ok"
+
+    async def run(self, request_id: str) -> None:
+        """Record that a request runs, and do its work."""
+        self.runs.append(request_id)
+
     async def _serve(self, reader, writer):
         self.connections += 1
         try:
@@ -67,7 +76,7 @@
             lines = (f"HTTP/1.1 {status}", f"Mimosaloom-Instance-Id: {self.target_id}")
             writer.write("\r\n".join((*lines, "Content-Length: 0\r\n\r\n")).encode())
             return True
-        mode = self.modes.pop(0) if self.modes else "ok"
+        mode = self.next_mode()
         request_id = headers.get("Mimosaloom-Attempt-Id", "")
         if mode == "early":
             writer.write(self._build_answer(request_id, b"early"))
@@ -92,7 +101,10 @@
             if mode == "reject-twice":
                 self._late_answers[writer] = rejection
             return True
-        self.runs.append(request_id)
+        if mode == "hang":
+            await reader.read()
+            return False
+        await self.run(request_id)
         answer = self._build_answer(request_id, b"done:" + body)
         if mode.startswith("hold"):
             if mode == "hold-error":
--- a/tests/platform_adapter/test_control.py
+++ b/tests/platform_adapter/test_control.py
@@ -10,8 +10,9 @@
 
 from mimosaloom_model import SystemClock
 from mimosaloom_platform.program import RECORD_BATCH_DELAY_S
-from mimosaloom_platform.store import StoreClient, follow_topic
+from mimosaloom_platform.store import StoreClient
 from mimosaloom_policy import Backoff
+from mimosaloom_relay import StoreEra, TopicFollower, TopicHandlers
 from mimosaloom_relay.peers import encode_record
 
 pytestmark = pytest.mark.sockets
@@ -384,16 +385,16 @@
     async def scenario(cluster):
         applied = set()
         store = StoreClient(cluster.store_url)
-        following = asyncio.ensure_future(
-            follow_topic(
-                store,
-                "keyed.news",
-                lambda record: applied.add(record.key),
-                backoff=Backoff(random.Random(1)),
-                report_store_state=lambda is_readable, reason: None,
-                batch_delay_s=RECORD_BATCH_DELAY_S,
-            )
+        record_key = lambda record: applied.add(record.key)  # noqa: E731
+        follower = TopicFollower(
+            store,
+            StoreEra(),
+            "keyed.news",
+            TopicHandlers(record_key, record_key),
+            backoff=Backoff(random.Random(1)),
+            batch_delay_s=RECORD_BATCH_DELAY_S,
         )
+        following = asyncio.ensure_future(follower.run())
         await wait_until(lambda: "/-/log-read" in cluster.store.calls)
         for number in range(record_count):
             cluster.store.put("keyed.news", f"key-{number}", b"1")
