Publish the own record again when the store has lost it

What callers saw: 503 for whole services, since two seconds after the store had come back from an older copy each node dropped all others.

Cause: a node wrote its record on changes of its target only, and compared it with the store's only if the store had one under its name. A confirmation was taken to hold for ever; it holds within one era.

Change: after each read of the newest records, a node without a record there publishes it again. Result: the test, which fails without the change, passes.

--- a/libs/mimosaloom-relay/mimosaloom_relay/node.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/node.py
@@ -279,6 +279,8 @@
 
         Nodes without a record are removed after a grace period.
         """
+        if self.settings.name not in names:
+            self.own_record.publish_again()
         known = {record.name for record in self.upstreams.peers.records()}
         missing = known - names - {self.settings.name}
         self._missing_peers |= missing
--- a/libs/mimosaloom-relay/mimosaloom_relay/own_record.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/own_record.py
@@ -92,6 +92,11 @@
             return
         self._previous_record = None if value is None else decode_record(value)
 
+    def publish_again(self) -> None:
+        """Publish the last record again, as the store does not have it."""
+        if self._published is not None:
+            self.send(self._published)
+
     def pop_resumable_target(self) -> Announcement | None:
         """Return the target of the previous incarnation and forget its record.
 
