Ask a node before believing an older store about it

What callers saw: 503 for a service whose targets were all up, as their nodes were dropped or left out after the store had come back from an older copy.

Cause: the store's records were taken for the newest knowledge. A copy is older than what nodes know from each other: a record that it lacks says nothing about a node that can't write it again just now, and one that differs may be of an earlier state or start.

Only without an answer does the store decide, as before.

--- a/libs/mimosaloom-relay/mimosaloom_relay/node.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/node.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections.abc import Callable
+from functools import partial
 
 import msgspec
 
@@ -274,10 +275,23 @@
                 is_available=record.is_available,
             )
 
+    def put_restored_record(self, name: str, value: bytes | None) -> None:
+        """Process a record of a store that came back from an older copy.
+
+        What is known of a node may be newer, so the node itself is asked first.
+        """
+        known = self.upstreams.peers.get(name)
+        if name == self.settings.name or known is None or value is None:
+            self.put_record(name, value)
+        elif decode_record(value) != known:
+            self._missing_peers.discard(name)
+            self.peer_prober.ask(known, lambda: self.put_record(name, value))
+
     def put_record_names(self, names: set[str]) -> None:
         """Compare the known nodes with the names of all published records.
 
-        Nodes without a record are removed after a grace period.
+        After a grace period, nodes without a record are removed if they don't answer:
+        a store that came back from an older copy has lost the records written since.
         """
         if self.settings.name not in names:
             self.own_record.publish_again()
@@ -417,7 +431,9 @@
         await asyncio.sleep(MISSING_GRACE_S)
         for name in names & self._missing_peers:
             self._missing_peers.discard(name)
-            self.put_record(name, None)
+            record = self.upstreams.peers.get(name)
+            if record is not None:
+                self.peer_prober.ask(record, partial(self.put_record, name, None))
 
     def _spawn(self, coroutine) -> None:
         task = asyncio.ensure_future(coroutine)
--- a/libs/mimosaloom-relay/mimosaloom_relay/peer_prober.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/peer_prober.py
@@ -13,7 +13,7 @@
 from .http_client import HttpClient
 from .incoming_hops import CONFIGURATION_PATH, NODES_PATH, SELF_PATH
 from .isolation import Isolation
-from .peers import PeerRecord, decode_records, encode_record
+from .peers import PeerRecord, decode_record, decode_records, encode_record
 from .upstreams import Upstreams
 
 __all__ = ["PeerProber"]
@@ -70,6 +70,7 @@
         self._fetching_version = 0
         self._probing: set[str] = set()
         self._refreshing: set[str] = set()
+        self._asking = asyncio.Semaphore(MAX_CONCURRENT_PROBES)
         self._tasks: set[asyncio.Task] = set()
 
     @property
@@ -99,6 +100,26 @@
             self._refreshing.add(name)
             self._spawn(self._refresh_until_available(name))
 
+    def ask(self, record: PeerRecord, on_no_answer: Callable[[], None]) -> None:
+        """Ask a node for its record, which may differ from the one in the store.
+
+        Args:
+            record: The record of the node that is known.
+            on_no_answer: Called if the node does not answer with its record.
+        """
+        self._spawn(self._ask(record, on_no_answer))
+
+    async def _ask(self, record: PeerRecord, on_no_answer: Callable[[], None]) -> None:
+        async with self._asking:
+            outcome = await self.fetch(record.address, SELF_PATH, PROBE_TIMEOUT_S)
+        found = None
+        if isinstance(outcome, Response) and outcome.status == 200:
+            found = decode_record(outcome.body)
+        if found is not None and found.name == record.name:
+            self._put_record(record.name, outcome.body)
+        else:
+            on_no_answer()
+
     async def _refresh_until_available(self, name: str) -> None:
         delay_s = PROBE_MIN_DELAY_S
         try:
