Fetch a configuration again after a fetch that ended in an exception

What callers would see: a node that stays on an old version although its hops name a newer one. Suspected only: no log or run shows that a fetch has raised.

Cause: the version that is being fetched is remembered so that it is fetched once. An exception left it set, and no fetch of that version or a lower one started again. Found by reading, as a candidate for nodes that lag behind their peers.

--- a/libs/mimosaloom-relay/mimosaloom_relay/peer_prober.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/peer_prober.py
@@ -198,10 +198,13 @@
             self._spawn(self._fetch_configuration(address))
 
     async def _fetch_configuration(self, address: Address) -> None:
-        answer = await self.fetch(address, CONFIGURATION_PATH, FETCH_TIMEOUT_S)
-        if isinstance(answer, Response) and answer.status == 200:
-            self._put_configuration(answer.body, f"node {address.host}:{address.port}")
-        self._fetching_version = 0
+        try:
+            answer = await self.fetch(address, CONFIGURATION_PATH, FETCH_TIMEOUT_S)
+            if isinstance(answer, Response) and answer.status == 200:
+                source = f"node {address.host}:{address.port}"
+                self._put_configuration(answer.body, source)
+        finally:
+            self._fetching_version = 0
         if len(self._upstreams.peers) < 2:
             # A node knows no other node only while it can't read the store.
             await self._fetch_nodes(address)
