--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -11,7 +11,7 @@
 from soak.checks import Disturbance
 from soak.links import LinkMode, LinkProxy
 from soak.machines import Machine, NodeProcess
-from soak.operations import Operations
+from soak.operations import CONFIG_TOPIC, Operations
 from soak.stores import CopyKeeper, StoreFault, StoreView
 from soak.targets import TargetHost
 
@@ -222,10 +222,15 @@
 
     def _go_back(self) -> None:
         """Restore the store from a copy; the operator writes again what is lost."""
+        old_length = len(self._store.topics[CONFIG_TOPIC])
         self._store.restore(self._rng.choice(self._copies.copies))
         self._operations.write_again()
         for _ in range(self._rng.randrange(4)):
             self._operations.publish()
+        if self._rng.random() < 0.5:
+            # The log ends again where the nodes have read up to.
+            while len(self._store.topics[CONFIG_TOPIC]) < old_length:
+                self._operations.publish()
 
     async def drop_history(self) -> None:
         """Let the store forget all but the newest records."""
--- a/tests/soak/operations.py
+++ b/tests/soak/operations.py
@@ -9,7 +9,7 @@
 from platform_adapter.standins import build_document
 from platform_adapter.store_standin import FakeStore
 
-__all__ = ["APPLY_S", "Operations", "PathKind", "Version"]
+__all__ = ["APPLY_S", "CONFIG_TOPIC", "Operations", "PathKind", "Version"]
 
 HOST = "h.example"
 CONFIG_TOPIC, CONFIG_KEY = "keyed.op", "config"
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -29,7 +29,7 @@
 from mimosaloom_model import Address, SystemClock
 from mimosaloom_relay import HttpClient
 
-__all__ = ["Report", "SoakOptions", "run_soak"]
+__all__ = ["Report", "Soak", "SoakOptions", "run_soak"]
 
 SERVICES = ["alpha", "beta", "gamma"]
 START_TIMEOUT_S = 30.0
@@ -85,7 +85,7 @@
     versions: int
 
 
-class _Soak:
+class Soak:
     """All that runs in one soak."""
 
     def __init__(self, options: SoakOptions):
@@ -200,19 +200,20 @@
         findings = []
         newest = self.operations.newest
         for member in self.members:
-            version = await self._wait_for_version(member, newest.number)
+            version = await self.wait_for_version(member, newest.number)
             if version != newest.number:
                 name = member.machine.name
                 detail = f"{name} has version {version}, not {newest.number}"
                 findings.append(Finding("CONFIG", f"at the end, {detail}"))
             caller = self.build_caller(member, self.options.callers)
             for prefix in newest.services:
-                if not await self._is_served(caller, prefix):
+                if not await self.is_served(caller, prefix):
                     detail = f"{member.machine.name} does not serve {prefix}"
                     findings.append(Finding("RECOVER", f"at the end, {detail}"))
         return findings
 
-    async def _is_served(self, caller: Caller, prefix: str) -> bool:
+    async def is_served(self, caller: Caller, prefix: str) -> bool:
+        """Return whether a request on a route succeeds, if need be after retries."""
         end_s = self.loop.time() + END_TIMEOUT_S
         while self.loop.time() < end_s:
             is_idempotent = kind_of(prefix) == "idempotent"
@@ -222,7 +223,7 @@
             await asyncio.sleep(0.2)
         return False
 
-    async def _wait_for_version(self, member: Member, number: int) -> int | None:
+    async def wait_for_version(self, member: Member, number: int) -> int | None:
         """Return the version in force when it is the expected one, or at last."""
         end_s = self.loop.time() + END_TIMEOUT_S
         while True:
@@ -251,7 +252,7 @@
 
 async def run_soak(options: SoakOptions) -> Report:
     """Run one soak and return its report."""
-    soak = _Soak(options)
+    soak = Soak(options)
     try:
         await soak.start()
         await soak.play()
