Let the soak drill the store before calm times, and report nodes that end

The drill restores the store so that its log ends where all nodes have read, and cuts their reads only then. A node whose process has ended without a fault is a finding of its own. SIGHUP is sent to nodes that listen.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -8,15 +8,20 @@
 from collections.abc import Awaitable, Callable, Iterator
 
 from platform_adapter.store_standin import FakeStore
+from soak.callers import call_once
 from soak.checks import Disturbance
 from soak.links import LinkMode, LinkProxy
-from soak.machines import Machine, NodeProcess
+from soak.machines import READY_PORT, Machine, NodeProcess
 from soak.operations import CONFIG_TOPIC, Operations
 from soak.stores import CopyKeeper, StoreFault, StoreView
 from soak.targets import TargetHost
 
 __all__ = ["Faults", "Member"]
 
+# All nodes have read a record of the store after this time.
+READ_S = 0.3
+START_TIMEOUT_S = 20.0
+
 Fault = Callable[[], Awaitable[None]]
 
 
@@ -134,8 +139,7 @@
                     member.node.signal(signal.SIGHUP)
                 await member.node.terminate()
                 await asyncio.sleep(self._rng.uniform(0, 0.5))
-                await member.node.start()
-                await self._wait_for_start()
+                await self._start(member)
 
     async def pause_node(self) -> None:
         """Pause a node."""
@@ -148,7 +152,7 @@
     async def reload_settings(self) -> None:
         """Send SIGHUP to all nodes."""
         for member in self._members:
-            if not member.node.is_paused:
+            if not member.is_busy:
                 member.node.signal(signal.SIGHUP)
 
     async def disturb_link(self) -> None:
@@ -206,13 +210,28 @@
                 else:
                     self._go_back()
                     # The store is back before a node can tell that it was away.
-                    await asyncio.gather(
-                        *(m.store.cut_connections() for m in self._members)
-                    )
+                    self._store.cut_reads()
                 await asyncio.sleep(self._rng.choice([0, 0.5, 1.5]))
                 for member in paused:
                     member.node.resume()
 
+    async def drill_store(self) -> None:
+        """Restore the store unnoticed, so that its log ends where the nodes have read.
+
+        No other fault is near, so the rules with a time bound hold soon after it.
+        """
+        async with self._store_lock:
+            copy = self._store.take_copy()
+            for _ in range(self._rng.randint(1, 3)):
+                self._operations.publish()
+                await asyncio.sleep(READ_S)
+            length = len(self._store.topics[CONFIG_TOPIC])
+            with self._disturb("", "store drill"):
+                self._store.restore(copy)
+                while len(self._store.topics[CONFIG_TOPIC]) < length:
+                    self._operations.publish()
+                self._store.cut_reads()
+
     async def _restore_after_outage(self) -> None:
         await asyncio.gather(*(m.store.close() for m in self._members))
         await asyncio.sleep(self._rng.uniform(0.1, 1.0))
@@ -265,12 +284,27 @@
     async def _kill_and_start(self, member: Member) -> None:
         await member.node.kill()
         await asyncio.sleep(self._rng.uniform(0.05, 1.0))
+        await self._start(member)
+
+    async def _start(self, member: Member) -> None:
+        """Start a node and wait until it listens, at last for a while."""
         await member.node.start()
-        await self._wait_for_start()
+        end_s = asyncio.get_running_loop().time() + START_TIMEOUT_S
+        while asyncio.get_running_loop().time() < end_s:
+            await asyncio.sleep(0.1)
+            with contextlib.suppress(OSError, TimeoutError):
+                await call_once(
+                    member.machine.address(READY_PORT), "GET", "/", timeout_s=1.0
+                )
+                return
 
-    async def _wait_for_start(self) -> None:
-        # The interpreter and the libraries of a node take this long to start.
-        await asyncio.sleep(1.0)
+    def find_ended_nodes(self) -> list[str]:
+        """Return the nodes whose process has ended without a fault that ends it."""
+        return [
+            f"{member.machine.name} ended by itself with {member.node.exit_code}"
+            for member in self._members
+            if not member.is_busy and not member.node.is_running
+        ]
 
     @contextlib.contextmanager
     def _take_member(
--- a/tests/soak/machines.py
+++ b/tests/soak/machines.py
@@ -129,6 +129,11 @@
         """Whether the process runs."""
         return self._process is not None and self._process.returncode is None
 
+    @property
+    def exit_code(self) -> int | None:
+        """Exit code of the process; None while it runs, negative after a signal."""
+        return None if self._process is None else self._process.returncode
+
     async def start(self) -> None:
         """Start the process."""
         sources = [*self._tree.glob("libs/*"), self._tree / "platform"]
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -40,6 +40,8 @@
 # Faults come in bursts. The rules with a time bound hold a while after each of them.
 ACTIVE_S = (3.0, 8.0)
 CALM_S = 6.0
+# Share of the calm times that begin with a drill of the store.
+DRILL_RATIO = 0.5
 NETWORK_COUNT = 250
 
 
@@ -180,6 +182,8 @@
             active_end_s = self.loop.time() + self.rng.uniform(*ACTIVE_S)
             series = range(self.options.series)
             await asyncio.gather(*(self._run_series(active_end_s) for _ in series))
+            if self.rng.random() < DRILL_RATIO:
+                await self.faults.drill_store()
             await asyncio.sleep(CALM_S)
             await self.faults.publish()
         await asyncio.sleep(SETTLE_S)
@@ -197,7 +201,7 @@
 
     async def check_end(self) -> list[Finding]:
         """Return what is still wrong after all faults have ended."""
-        findings = []
+        findings = [Finding("ENDED", what) for what in self.faults.find_ended_nodes()]
         newest = self.operations.newest
         for member in self.members:
             version = await self.wait_for_version(member, newest.number)
--- a/tests/soak/stores.py
+++ b/tests/soak/stores.py
@@ -96,11 +96,6 @@
             server.stop()
             await server.close_all_connections()
 
-    async def cut_connections(self) -> None:
-        """Reset the open connections and keep accepting new ones."""
-        if self._server is not None:
-            await self._server.close_all_connections()
-
     def put(self, topic: str, key: str, value: bytes) -> int:
         """Append a record."""
         return self._store.put(topic, key, value)
--- a/tests/soak/test_drill.py
+++ b/tests/soak/test_drill.py
@@ -34,8 +34,7 @@
                 paused.pause()
             soak.store.restore(copy)
             soak.operations.publish()
-            for member in soak.members:
-                await member.store.cut_connections()
+            soak.store.cut_reads()
             if has_paused_node:
                 paused.resume()
             await wait_for_newest(soak)
