--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 # environment was installed, which may be those of another worktree.
 export PYTHONPATH := $(subst $(space),:,$(abspath $(LIBS)))
 
-.PHONY: help install demo test check format lint imports scenarios measure capacity bench
+.PHONY: help install demo test check format lint imports scenarios soak measure capacity bench
 .PHONY: fuzz types clean
 
 help:
@@ -22,6 +22,7 @@
 	@echo "make format     apply automatic lint fixes and format the sources"
 	@echo "make scenarios  run the scenarios in scenarios/"
 	@echo "make bench      run the latency and overload benchmarks and print the results"
+	@echo "make soak       run soaks of real processes with random faults; options in SOAK"
 	@echo "make measure    run the benchmarks behind docs/measured; needs an otherwise idle machine"
 	@echo "make capacity   update the table in docs/CAPACITY.md from docs/measured"
 	@echo "make types      run the type checker; not part of check, as it has known findings"
@@ -58,6 +59,9 @@
 scenarios: install
 	$(BIN)/mimosaloom scenario run scenarios/*.feature
 
+soak: install
+	PYTHONPATH="$(PYTHONPATH):tests" $(BIN)/python -m soak $(SOAK)
+
 measure: install
 	mkdir -p docs/measured
 	$(BIN)/mimosaloom bench latency --json | tail -n 1 > docs/measured/latency.json
--- a/tests/soak/links.py
+++ b/tests/soak/links.py
@@ -63,7 +63,8 @@
 
     def close(self) -> None:
         """Stop listening and reset all connections."""
-        self._server.close()
+        if self._server is not None:
+            self._server.close()
         self.reset_connections()
 
     def reset_connections(self) -> None:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -1,6 +1,7 @@
 """Runs one soak: starts all processes, injects faults and checks the rules."""
 
 import asyncio
+import os
 import random
 import time
 from pathlib import Path
@@ -42,6 +43,7 @@
 CALM_S = 6.0
 # Share of the calm times that begin with a drill of the store.
 DRILL_RATIO = 0.5
+# Soaks that run side by side use loopback networks of their own.
 NETWORK_COUNT = 250
 
 
@@ -100,7 +102,7 @@
         self.exchanges: list[Exchange] = []
         self.runs: list[Run] = []
         self.machines = build_machines(
-            options.seed % NETWORK_COUNT, SERVICES, options.copies
+            os.getpid() % NETWORK_COUNT, SERVICES, options.copies
         )
         self.members = [self._build_member(machine) for machine in self.machines]
         self.faults = Faults(
