Keep a record that arrives while its node is asked

What callers would see: a target left out, or its node dropped, until its next change, although its record has come back to the store.

Cause, in: a node that gives no answer within 0.4 s lost to the older store even if its record was read from the store meanwhile, as a slow node's may be.

Change: what the store says of a node is kept as unconfirmed, and any record of the node that arrives ends that.

--- a/libs/mimosaloom-relay/mimosaloom_relay/node.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/node.py
@@ -91,7 +91,9 @@
         self._read_configuration = read_configuration
         self._clock = clock
         self._tasks: set[asyncio.Task] = set()
-        self._missing_peers: set[str] = set()
+        # Records in the store, None for a missing one, that differ from what is known
+        # of their nodes and that the nodes have not confirmed.
+        self._unconfirmed: dict[str, bytes | None] = {}
         self.own_target = OwnTarget(settings.service, settings.target)
         target_client = HttpClient(clock, lambda: metrics.count_connection("target"))
         hop_client = HttpClient(
@@ -252,7 +254,7 @@
             name: Name of the node.
             value: The record in its published form; None if the node has left.
         """
-        self._missing_peers.discard(name)
+        self._unconfirmed.pop(name, None)
         if name == self.settings.name:
             self.own_record.handle_stored_record(value)
             self._resume_target()
@@ -284,8 +286,8 @@
         if name == self.settings.name or known is None or value is None:
             self.put_record(name, value)
         elif decode_record(value) != known:
-            self._missing_peers.discard(name)
-            self.peer_prober.ask(known, lambda: self.put_record(name, value))
+            self._unconfirmed[name] = value
+            self.peer_prober.ask(known, partial(self._believe_store, name))
 
     def put_record_names(self, names: set[str]) -> None:
         """Compare the known nodes with the names of all published records.
@@ -297,7 +299,7 @@
             self.own_record.publish_again()
         known = {record.name for record in self.upstreams.peers.records()}
         missing = known - names - {self.settings.name}
-        self._missing_peers |= missing
+        self._unconfirmed |= dict.fromkeys(missing)
         if missing:
             self._spawn(self._remove_missing_peers(missing))
 
@@ -429,11 +431,18 @@
 
     async def _remove_missing_peers(self, names: set[str]) -> None:
         await asyncio.sleep(MISSING_GRACE_S)
-        for name in names & self._missing_peers:
-            self._missing_peers.discard(name)
+        for name in names & self._unconfirmed.keys():
             record = self.upstreams.peers.get(name)
             if record is not None:
-                self.peer_prober.ask(record, partial(self.put_record, name, None))
+                self.peer_prober.ask(record, partial(self._believe_store, name))
+
+    def _believe_store(self, name: str) -> None:
+        """Apply the store's record of a node that gave no answer.
+
+        A record of the node that has arrived meanwhile is newer and stays.
+        """
+        if name in self._unconfirmed:
+            self.put_record(name, self._unconfirmed[name])
 
     def _spawn(self, coroutine) -> None:
         task = asyncio.ensure_future(coroutine)
--- a/tests/platform_adapter/test_store_restore.py
+++ b/tests/platform_adapter/test_store_restore.py
@@ -2,10 +2,13 @@
 
 import asyncio
 
+import msgspec
 import pytest
 from platform_adapter.cluster import run_cluster, wait_until
 from platform_adapter.standins import build_document
 
+from mimosaloom_relay.peers import encode_record
+
 pytestmark = pytest.mark.sockets
 
 FRONT_ROUTE = {"pathPrefix": "/f/", "service": "front"}
@@ -135,6 +138,41 @@
     run_cluster(scenario)
 
 
+@pytest.mark.parametrize("is_missing", [True, False])
+def test_record_that_arrives_while_its_node_is_asked_is_kept(is_missing):
+    """Guards against an older store that wins over a record written after its restore.
+
+    A node that is slow to answer may publish its record again meanwhile.
+    """
+
+    async def scenario(cluster):
+        front = await cluster.add_member("front-1", "front")
+        back = await cluster.add_member("back-1", "back")
+        await cluster.configure(1, [BACK_ROUTE])
+        await cluster.announce_all()
+        node = front.node
+        current = encode_record(node.upstreams.peers.get("back-1"))
+        older = encode_record(
+            msgspec.structs.replace(back.node.own_record.build(), is_available=False)
+        )
+        asked = asyncio.Event()
+
+        async def publish_and_stay_silent(address, path, timeout_s):
+            node.put_record("back-1", current)
+            asked.set()
+
+        node.peer_prober.fetch = publish_and_stay_silent
+        if is_missing:
+            node.put_record_names({"front-1"})
+        else:
+            node.put_restored_record("back-1", older)
+        await asked.wait()
+        await asyncio.sleep(0.01)
+        assert front.sees_all_available(cluster.members)
+
+    run_cluster(scenario)
+
+
 def has_records(cluster, *names):
     """Whether the store holds the records of the named nodes."""
     return set(names) <= set(cluster.store.newest_values("keyed.nodes"))
