Log no error for a poll that was given up

Change: the call itself is not cancelled, only the wait for it. Result: the test fails without the change.

--- a/libs/mimosaloom-mesh/mimosaloom_mesh/curl_client.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/curl_client.py
@@ -206,11 +206,16 @@
 
 async def fetch_response(client: AsyncHTTPClient, request: HTTPRequest) -> HTTPResponse:
     """Return the response to a request; `NO_ANSWER_STATUS` if there is none."""
+    fetching = client.fetch(request, raise_error=False)
     try:
-        return await client.fetch(request, raise_error=False)
+        return await asyncio.shield(fetching)
     except HTTPError as error:
         # `raise_error` applies only to responses, not to connection failures.
         return HTTPResponse(request, NO_ANSWER_STATUS, error=error)
+    except asyncio.CancelledError:
+        # The call goes on, but nobody needs to know if it fails.
+        fetching.add_done_callback(lambda done: done.cancelled() or done.exception())
+        raise
 
 
 def _encode_headers(headers: Headers) -> list[bytes]:
--- a/tests/platform_adapter/test_store_restore.py
+++ b/tests/platform_adapter/test_store_restore.py
@@ -7,6 +7,7 @@
 from platform_adapter.cluster import run_cluster, wait_until
 from platform_adapter.standins import build_document
 
+from mimosaloom_platform.store import StoreClient
 from mimosaloom_relay.peers import encode_record
 
 pytestmark = pytest.mark.sockets
@@ -173,6 +174,24 @@
     run_cluster(scenario)
 
 
+def test_read_that_was_given_up_leaves_no_error_in_the_log(caplog):
+    """Guards against error lines for polls that a new era of the store has ended."""
+
+    async def scenario(cluster):
+        store = StoreClient(cluster.store_url)
+        reading = asyncio.ensure_future(store.read("keyed.op", 0, wait_s=20))
+        await wait_until(lambda: cluster.store.calls)
+        reading.cancel()
+        await asyncio.wait([reading])
+        cluster.store.cut_reads()
+        for _ in range(20):
+            await asyncio.sleep(0.005)
+        store.close()
+        assert not [r for r in caplog.records if r.name == "tornado.application"]
+
+    run_cluster(scenario)
+
+
 def has_records(cluster, *names):
     """Whether the store holds the records of the named nodes."""
     return set(names) <= set(cluster.store.newest_values("keyed.nodes"))
