--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -22,6 +22,9 @@
     only: Annotated[
         list[str] | None, typer.Option(help="Name of a fault to inject, as in faults.")
     ] = None,
+    pause: Annotated[
+        float, typer.Option(help="Longest pause of a client in seconds.")
+    ] = 0.08,
     tree: Annotated[Path, typer.Option(help="Checkout that the nodes run.")] = ROOT,
     logs: Annotated[
         Path | None, typer.Option(help="Keep settings and logs in this folder.")
@@ -44,6 +47,7 @@
             tree.resolve(),
             own_folder,
             tuple(only or ()),
+            pause,
         )
         report = asyncio.run(run_soak(options))
         total = sum(report.statuses.values())
