--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -25,6 +25,9 @@
     pause: Annotated[
         float, typer.Option(help="Longest pause of a client in seconds.")
     ] = 0.08,
+    links: Annotated[
+        bool, typer.Option(help="Whether nodes reach each other through proxies.")
+    ] = True,
     tree: Annotated[Path, typer.Option(help="Checkout that the nodes run.")] = ROOT,
     logs: Annotated[
         Path | None, typer.Option(help="Keep settings and logs in this folder.")
@@ -48,6 +51,7 @@
             own_folder,
             tuple(only or ()),
             pause,
+            links,
         )
         report = asyncio.run(run_soak(options))
         total = sum(report.statuses.values())
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -60,6 +60,8 @@
         folder: Receives settings and logs.
         only: Names of the faults to inject; empty for all.
         max_pause_s: Longest pause of a client between two requests.
+        has_links: Whether nodes reach each other through proxies. Each connection
+            takes two descriptors there, which bounds the number of nodes.
     """
 
     seed: int
@@ -71,6 +73,7 @@
     folder: Path
     only: tuple[str, ...] = ()
     max_pause_s: float = 0.08
+    has_links: bool = True
 
 
 class Report(NamedTuple):
@@ -133,7 +136,7 @@
             NodeProcess(machine, options.folder, options.tree),
             TargetHost(machine, self.runs, self.rng, now_ms),
             link,
-            StoreView(self.store, machine),
+            StoreView(self.store, machine, has_links=options.has_links),
         )
 
     async def start(self) -> None:
--- a/tests/soak/stores.py
+++ b/tests/soak/stores.py
@@ -36,21 +36,21 @@
 class StoreView:
     """The store at the address where one node reaches it.
 
-    Other nodes are named with the addresses of their proxies.
-
     Args:
         store: The store.
         machine: Machine of the node.
+        has_links: Whether other nodes are named with the addresses of their proxies.
 
     Attributes:
         fault: How calls of the node are treated.
     """
 
-    def __init__(self, store: FakeStore, machine: Machine):
+    def __init__(self, store: FakeStore, machine: Machine, *, has_links: bool):
         self.fault = StoreFault.NONE
         self.calls: list[str] = []
         self._store = store
         self._machine = machine
+        self._has_links = has_links
         self._server: HTTPServer | None = None
         self._waiting: set = set()
 
@@ -120,7 +120,7 @@
         await self._store.wait_for_record(topic, offset, handler)
 
     def _translate(self, key: str, value: bytes) -> bytes:
-        if key == self._machine.name:
+        if key == self._machine.name or not self._has_links:
             return value
         return value.replace(OWN_PREFIX, PROXY_PREFIX)
 
