--- a/libs/mimosaloom-relay/mimosaloom_relay/metrics.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/metrics.py
@@ -1,6 +1,8 @@
 """Metrics of a node on the platform, for Prometheus."""
 
-from prometheus_client import CollectorRegistry, Counter, Histogram
+from collections.abc import Callable
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
 from mimosaloom_mesh import MeshMetrics
 
@@ -44,6 +46,12 @@
             "store_unreachable_readers", "Loops that can't read the store now"
         )
         self.store_era = self._gauge("store_era", "Era of the store at the last read")
+        self._store_answer_age = Gauge(
+            "mimosaloom_store_answer_age_seconds",
+            "Time since the store last answered a read of a topic",
+            ["topic"],
+            registry=self.registry,
+        )
         self.ready = self._gauge("ready", "Whether the node takes clients")
 
     def count_outcome(self, request_class: str, outcome: str, elapsed_s: float) -> None:
@@ -65,6 +73,10 @@
         """Count a message that was ignored because it is not valid."""
         self._ignored.labels(source).inc()
 
+    def show_store_answer_age(self, topic: str, age_s: Callable[[], float]) -> None:
+        """Export the time since the store last answered a read of a topic."""
+        self._store_answer_age.labels(topic).set_function(age_s)
+
     def count_connection(self, peer: str) -> None:
         """Count an opened connection by the kind of its peer: target or node."""
         self._connections.labels(peer).inc()
--- a/libs/mimosaloom-relay/mimosaloom_relay/topic_follower.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/topic_follower.py
@@ -97,6 +97,7 @@
             with whether it can be read and, if not, the reason.
         report_newest_read: Called after each read of the newest records, with its
             result and why these were read.
+        report_answer: Called after each read that the store has answered.
     """
 
     apply: Callable[[KeyedRecord], None]
@@ -104,6 +105,7 @@
     apply_keys: Callable[[set[str]], None] = lambda keys: None
     report_store_state: Callable[[bool, str], None] = lambda is_readable, reason: None
     report_newest_read: Callable[[Batch, str], None] = lambda batch, reason: None
+    report_answer: Callable[[], None] = lambda: None
 
 
 class _Position(NamedTuple):
@@ -227,6 +229,8 @@
             reason = "" if is_readable else outcome.reason
             self._handlers.report_store_state(is_readable, reason)
             self._was_readable = is_readable
+        if is_readable:
+            self._handlers.report_answer()
 
     def _start_again(self, reason: str) -> None:
         """Read the newest record of each key next, which is all that is needed."""
