--- a/tests/platform_adapter/store_standin.py
+++ b/tests/platform_adapter/store_standin.py
@@ -33,6 +33,9 @@
             offsets.
         first_offsets: First offset that is retained, by topic.
         is_down: Whether the store answers 503 to all calls.
+        is_silent: Whether the store never answers the calls that it receives, on
+            connections that stay open.
+        lost_reads: Reads that are never answered.
         loses_answers: Whether the store closes the connection after an append without
             an answer.
         era: Number in all answers; each restore from a copy raises it by one.
@@ -43,6 +46,8 @@
         self.topics: Topics = {}
         self.first_offsets: dict[str, int] = {}
         self.is_down = False
+        self.is_silent = False
+        self.lost_reads: set[RequestHandler] = set()
         self.loses_answers = False
         self.era = 1
         self.calls: list[str] = []
@@ -81,6 +86,10 @@
         for handler in list(self._waiting_reads):
             handler.request.connection.stream.close()
 
+    def lose_open_reads(self) -> None:
+        """Never answer the reads that wait now; their connections stay open."""
+        self.lost_reads |= self._waiting_reads
+
     def newest_values(self, topic: str) -> dict[str, bytes]:
         """Return the newest value of each key, without the keys that were removed."""
         found = dict(self.topics.get(topic, []))
@@ -124,13 +133,19 @@
     def initialize(self, store: FakeStore):
         self.store = store
 
-    def prepare(self):
+    async def prepare(self):
         self.store.calls.append(self.request.path)
+        await self.wait_if_lost()
         self._set_era()
         if self.store.is_down:
             self.set_status(503)
             self.finish()
 
+    async def wait_if_lost(self) -> None:
+        """Wait for ever if this call is never answered."""
+        if self.store.is_silent or self in self.store.lost_reads:
+            await asyncio.Event().wait()
+
     def answer(self, body: bytes | dict) -> None:
         # The store may have been restored since the request arrived.
         self._set_era()
@@ -165,6 +180,7 @@
             waiting = self.store.wait_for_record(topic, start, self)
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(waiting, wait_s)
+            await self.wait_if_lost()
         first = self.store.first_offsets.get(topic, 0)
         if not self.store.has_offset(topic, start):
             self.set_status(410)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -177,13 +177,21 @@
             count = self._rng.choice([1, len(self._members) // 2, len(self._members)])
             members = self._rng.sample(self._members, max(1, count))
             fault = self._rng.choice(
-                [StoreFault.BUSY, StoreFault.AWAY, StoreFault.SLOW, StoreFault.LOSSY]
+                [
+                    StoreFault.BUSY,
+                    StoreFault.AWAY,
+                    StoreFault.SLOW,
+                    StoreFault.LOSSY,
+                    StoreFault.SILENT,
+                ]
             )
             with self._disturb("", f"store {fault}"):
                 if fault is StoreFault.AWAY:
                     await asyncio.gather(*(m.store.close() for m in members))
                 for member in members:
                     member.store.fault = fault
+                    if fault is StoreFault.SILENT:
+                        member.store.lose_open_reads()
                 await asyncio.sleep(self._rng.uniform(0.3, 2.5))
                 for member in members:
                     if fault is StoreFault.AWAY:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -234,9 +234,11 @@
             await asyncio.sleep(0.2)
         return False
 
-    async def wait_for_version(self, member: Member, number: int) -> int | None:
+    async def wait_for_version(
+        self, member: Member, number: int, timeout_s: float = END_TIMEOUT_S
+    ) -> int | None:
         """Return the version in force when it is the expected one, or at last."""
-        end_s = self.loop.time() + END_TIMEOUT_S
+        end_s = self.loop.time() + timeout_s
         while True:
             version = await self._read_version(member)
             if version == number or self.loop.time() > end_s:
--- a/tests/soak/stores.py
+++ b/tests/soak/stores.py
@@ -23,6 +23,8 @@
         BUSY: It answers 503.
         AWAY: It refuses connections and has reset the open ones.
         SLOW: It answers late.
+        SILENT: It never answers the calls that it has or receives, on connections that
+            stay open.
         LOSSY: It makes appends take effect and does not answer them.
     """
 
@@ -30,6 +32,7 @@
     BUSY = "busy"
     AWAY = "away"
     SLOW = "slow"
+    SILENT = "silent"
     LOSSY = "lossy"
 
 
@@ -52,6 +55,7 @@
         self._machine = machine
         self._has_links = has_links
         self._server: HTTPServer | None = None
+        self.lost_reads: set = set()
         self._waiting: set = set()
 
     @property
@@ -64,6 +68,11 @@
         """Whether calls get 503."""
         return self.fault is StoreFault.BUSY
 
+    @property
+    def is_silent(self) -> bool:
+        """Whether calls get no answer."""
+        return self.fault is StoreFault.SILENT
+
     @property
     def loses_answers(self) -> bool:
         """Whether appends get no answer."""
@@ -85,6 +94,7 @@
     def open(self) -> None:
         """Start to serve."""
         self.fault = StoreFault.NONE
+        self.lost_reads.clear()
         self._server = HTTPServer(build_store_application(self))
         self._server.add_sockets(bind_sockets(STORE_PORT, self._machine.proxy_host))
 
@@ -96,6 +106,10 @@
             server.stop()
             await server.close_all_connections()
 
+    def lose_open_reads(self) -> None:
+        """Never answer the reads that wait now; their connections stay open."""
+        self.lost_reads |= self._waiting
+
     def put(self, topic: str, key: str, value: bytes) -> int:
         """Append a record."""
         return self._store.put(topic, key, value)
@@ -117,7 +131,11 @@
         """Wait until there is a record at an offset."""
         if self.fault is StoreFault.SLOW:
             await asyncio.sleep(SLOW_S)
-        await self._store.wait_for_record(topic, offset, handler)
+        self._waiting.add(handler)
+        try:
+            await self._store.wait_for_record(topic, offset, handler)
+        finally:
+            self._waiting.discard(handler)
 
     def _translate(self, key: str, value: bytes) -> bytes:
         if key == self._machine.name or not self._has_links:
--- a/tests/soak/test_drill.py
+++ b/tests/soak/test_drill.py
@@ -1,14 +1,19 @@
-"""The drill of the store with real processes, without other faults."""
+"""Single faults of the store with real processes, without other faults."""
 
 import asyncio
 from pathlib import Path
 
 import pytest
-from soak.run import Soak, SoakOptions
+from soak.checks import STABLE_S
+from soak.run import END_TIMEOUT_S, Soak, SoakOptions
+from soak.stores import StoreFault
 
 pytestmark = pytest.mark.sockets
 
 ROOT = Path(__file__).parents[2]
+# A version has to be in force 2 s after it is published. The rest is for the processes
+# of a busy machine; a node that waits for a lost answer takes longer still.
+IN_FORCE_TIMEOUT_S = 6.0
 
 
 @pytest.mark.parametrize("has_paused_node", [False, True])
@@ -44,8 +49,38 @@
     asyncio.run(play())
 
 
-async def wait_for_newest(soak):
+@pytest.mark.parametrize("silence_s", [0.3, 2.0])
+def test_version_published_after_a_silence_of_the_store_is_put_in_force(
+    silence_s, tmp_path
+):
+    """Guards against nodes that wait for a poll whose answer is lost.
+
+    The store answers all calls that it receives after the silence.
+    """
+
+    async def play():
+        options = SoakOptions(8, 0.0, 1, 0, 0, ROOT, tmp_path)
+        soak = Soak(options)
+        try:
+            await soak.start()
+            stores = [member.store for member in soak.members]
+            for store in stores:
+                store.fault = StoreFault.SILENT
+                store.lose_open_reads()
+            await asyncio.sleep(silence_s)
+            for store in stores:
+                store.fault = StoreFault.NONE
+            await asyncio.sleep(STABLE_S)
+            soak.operations.publish()
+            await wait_for_newest(soak, IN_FORCE_TIMEOUT_S)
+        finally:
+            await soak.close()
+
+    asyncio.run(play())
+
+
+async def wait_for_newest(soak, timeout_s=END_TIMEOUT_S):
     """Wait until the newest version is in force at all nodes."""
     newest = soak.operations.newest.number
     for member in soak.members:
-        assert await soak.wait_for_version(member, newest) == newest
+        assert await soak.wait_for_version(member, newest, timeout_s) == newest
