Give up a poll for the configuration before a version is late

Callers got 404 for routes that had been added, and were served by services that only an older version allows: nodes stayed on the old version for up to 23 s while the store was healthy.

Cause: the answer of a long poll can be lost on a connection that stays open, and a node learned of no change until the poll's own timeout, 20 s and a margin of 3 s. The time that it was deaf had no relation to the 2 s within which a version has to be in force. Class: a wait whose bound is longer than the promise that depends on it.

In-process, test_version_is_put_in_force_although_an_open_poll_is_never_answered fails if the poll keeps its 20 s.

Ruled out: restores of the store as the only cause.

Change: the timeout of a poll for the configuration is the time within which a version has to be in force (configApplyMs), of which 0.75 s are left for the answer. With many nodes, polls are longer, so that all of them take 5% of the store's read rate; calls between nodes pass versions on. Where the operator's settings leave out the bound, 2 s hold.

--- a/libs/mimosaloom-relay/mimosaloom_relay/__init__.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/__init__.py
@@ -11,6 +11,7 @@
 from .node import RelayNode
 from .own_target import Announcement, HeartbeatResult, OwnTarget, TargetState
 from .peers import PeerRecord, PeerTable, decode_record
+from .poll_timing import PollTiming, choose_poll_timing
 from .publisher import Publisher
 from .retry_share import RetryBudgetShare, SharedRetryBudget
 from .routes import (
@@ -25,6 +26,7 @@
 from .status import describe_configuration
 from .store_era import StoreEra
 from .topic_follower import (
+    LONG_POLL,
     Batch,
     KeyedRecord,
     OffsetExpired,
@@ -35,6 +37,7 @@
 
 __all__ = [
     "CONFIGURATION_PATH",
+    "LONG_POLL",
     "Announcement",
     "Answer",
     "Batch",
@@ -53,6 +56,7 @@
     "OwnTarget",
     "PeerRecord",
     "PeerTable",
+    "PollTiming",
     "Publisher",
     "ReadFailed",
     "RelayMetrics",
@@ -68,6 +72,7 @@
     "TargetState",
     "TopicFollower",
     "TopicHandlers",
+    "choose_poll_timing",
     "configure_garbage_collection",
     "decode_record",
     "describe_configuration",
--- /dev/null
+++ b/libs/mimosaloom-relay/mimosaloom_relay/poll_timing.py
@@ -0,0 +1,47 @@
+"""How long a node waits for the answer of a long poll of the store.
+
+An answer that is lost on an open connection can't be told from one that is still to
+come. Until the poll is given up, the node learns of no change.
+"""
+
+from typing import NamedTuple
+
+__all__ = ["PollTiming", "choose_poll_timing"]
+
+# Part of the timeout that is left for the answer after the store has stopped waiting.
+ANSWER_MARGIN_S = 0.75
+MAX_POLL_WAIT_S = 20.0
+# Share of the store's read rate that the polls of all nodes take while nothing changes.
+POLL_RATE_RATIO = 0.05
+
+
+class PollTiming(NamedTuple):
+    """Times of a long poll.
+
+    Attributes:
+        wait_s: How long the store may hold the poll while there is no record.
+        timeout_s: When the poll is given up.
+    """
+
+    wait_s: float
+    timeout_s: float
+
+
+def choose_poll_timing(
+    max_delay_s: float, nodes: int, store_reads_per_s: float
+) -> PollTiming:
+    """Return the times of a poll for records that must not be late.
+
+    A node whose poll is lost is late by at most `max_delay_s`. Where that would take
+    too large a part of the store's read rate, polls are longer: with many nodes, some
+    of them poll anew soon after a loss, and calls between nodes pass the version on.
+
+    Args:
+        max_delay_s: Time within which a record has to arrive.
+        nodes: Number of nodes that poll.
+        store_reads_per_s: Reads that the store allows all nodes together, in reads/s.
+    """
+    fleet_wait_s = nodes / (POLL_RATE_RATIO * store_reads_per_s)
+    wait_s = max(max_delay_s - ANSWER_MARGIN_S, fleet_wait_s, 0.0)
+    wait_s = min(wait_s, MAX_POLL_WAIT_S)
+    return PollTiming(wait_s, wait_s + ANSWER_MARGIN_S)
--- a/libs/mimosaloom-relay/mimosaloom_relay/settings.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/settings.py
@@ -38,6 +38,7 @@
         listen: Addresses where the node listens.
         retry_budget: Retry budget over all nodes.
         grace_s: Time between the stop signal and the kill of the process.
+        config_apply_s: Time within which a published configuration is in force.
     """
 
     name: str
@@ -47,3 +48,4 @@
     listen: Listeners
     retry_budget: SharedRetryBudget
     grace_s: float
+    config_apply_s: float = 2.0
--- a/libs/mimosaloom-relay/mimosaloom_relay/topic_follower.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/topic_follower.py
@@ -6,9 +6,11 @@
 
 from mimosaloom_policy import Backoff
 
+from .poll_timing import PollTiming
 from .store_era import StoreEra
 
 __all__ = [
+    "LONG_POLL",
     "Batch",
     "KeyedRecord",
     "OffsetExpired",
@@ -18,7 +20,8 @@
     "TopicHandlers",
 ]
 
-POLL_WAIT_S = 20.0
+# For records whose loss is noticed by other means.
+LONG_POLL = PollTiming(wait_s=20.0, timeout_s=23.0)
 
 
 class KeyedRecord(NamedTuple):
@@ -79,7 +82,7 @@
         """Return the newest record of each key."""
 
     async def read(
-        self, topic: str, start: int, *, wait_s: float
+        self, topic: str, start: int, timing: PollTiming
     ) -> Batch | OffsetExpired | ReadFailed:
         """Return the records from an offset on; wait for one if there is none."""
 
@@ -109,7 +112,13 @@
 
 
 class _Position(NamedTuple):
-    """Where the next read starts, which has a meaning only within one era."""
+    """Where the next read starts, which has a meaning only within one era.
+
+    Attributes:
+        offset: Offset of the next record.
+        era: Era of the store in which the offset has a meaning.
+        hints: Value of `StoreEra.hints` before the read that returned the era.
+    """
 
     offset: int
     era: int
@@ -127,6 +136,7 @@
         backoff: Delays between reads while the store can't be read.
         batch_delay_s: Delay in seconds before the next read after one that returned
             records. Records that are appended meanwhile arrive in one call.
+        choose_timing: Returns the times of the next long poll.
     """
 
     def __init__(
@@ -138,6 +148,7 @@
         *,
         backoff: Backoff,
         batch_delay_s: float = 0.0,
+        choose_timing: Callable[[], PollTiming] = lambda: LONG_POLL,
     ):
         self._store = store
         self._era = era
@@ -145,6 +156,7 @@
         self._handlers = handlers
         self._backoff = backoff
         self._batch_delay_s = batch_delay_s
+        self._choose_timing = choose_timing
         self._position: _Position | None = None
         self._applied_era = 0
         self._reason = "start"
@@ -184,7 +196,7 @@
             await asyncio.sleep(self._batch_delay_s)
 
     async def _read_on(self, position: _Position) -> None:
-        outcome = await self._read_within_era(position)
+        outcome = await self._read_while_valid(position)
         if outcome is None:
             self._start_again(f"the store has left era {position.era}")
             return
@@ -206,22 +218,22 @@
                 # have reported the end offset.
                 await self._retry(outcome.reason)
 
-    async def _read_within_era(
+    async def _read_while_valid(
         self, position: _Position
     ) -> Batch | OffsetExpired | ReadFailed | None:
         """Return the records from a position on; None if its era has ended."""
         reading = asyncio.ensure_future(
-            self._store.read(self._topic, position.offset, wait_s=POLL_WAIT_S)
+            self._store.read(self._topic, position.offset, self._choose_timing())
         )
-        ending = asyncio.ensure_future(
+        changing = asyncio.ensure_future(
             self._era.wait_for_end(position.era, position.hints)
         )
         try:
-            await asyncio.wait({reading, ending}, return_when=asyncio.FIRST_COMPLETED)
-            return None if ending.done() else reading.result()
+            await asyncio.wait({reading, changing}, return_when=asyncio.FIRST_COMPLETED)
+            return None if changing.done() else reading.result()
         finally:
             reading.cancel()
-            ending.cancel()
+            changing.cancel()
 
     def _report_state(self, outcome: Batch | OffsetExpired | ReadFailed) -> None:
         is_readable = not isinstance(outcome, ReadFailed)
--- a/tests/platform_adapter/cluster.py
+++ b/tests/platform_adapter/cluster.py
@@ -161,7 +161,9 @@
         )
         store = StoreClient(self.store_url)
         backoff = lambda: Backoff(rng, base_s=0.01, cap_s=0.05)  # noqa: E731
-        self.tasks += connect_store(node, store, backoff, SystemClock())
+        self.tasks += connect_store(
+            node, store, backoff, SystemClock(), store_reads_per_s=2000
+        )
         handler = build_announcement_handler(
             node.apply_heartbeat, node.mark_target_left, node.metrics.count_ignored
         )
--- a/tests/platform_adapter/store_standin.py
+++ b/tests/platform_adapter/store_standin.py
@@ -90,6 +90,10 @@
         """Never answer the reads that wait now; their connections stay open."""
         self.lost_reads |= self._waiting_reads
 
+    def has_waiting_reads(self, count: int) -> bool:
+        """Whether at least this number of reads wait for a record."""
+        return len(self._waiting_reads) >= count
+
     def newest_values(self, topic: str) -> dict[str, bytes]:
         """Return the newest value of each key, without the keys that were removed."""
         found = dict(self.topics.get(topic, []))
--- a/tests/platform_adapter/test_control.py
+++ b/tests/platform_adapter/test_control.py
@@ -61,6 +61,21 @@
     run_cluster(scenario)
 
 
+def test_version_is_put_in_force_although_an_open_poll_is_never_answered():
+    """Guards against a node that waits for a poll whose answer is lost."""
+
+    async def scenario(cluster):
+        front = await cluster.add_member("front-1", "front")
+        await cluster.configure(1, [FRONT_ROUTE])
+        await wait_until(lambda: cluster.store.has_waiting_reads(2))
+        cluster.store.lose_open_reads()
+        document = build_document(2, [FRONT_ROUTE], ["front"])
+        cluster.store.put("keyed.op", "config", document)
+        await wait_until(lambda: front.node.version == 2)
+
+    run_cluster(scenario)
+
+
 def test_newer_version_spreads_with_requests_while_the_store_is_down():
     """Guards against nodes that miss a change because the store refuses their calls."""
 
--- a/tests/platform_adapter/test_store_restore.py
+++ b/tests/platform_adapter/test_store_restore.py
@@ -8,6 +8,7 @@
 from platform_adapter.standins import build_document
 
 from mimosaloom_platform.store import StoreClient
+from mimosaloom_relay import LONG_POLL
 from mimosaloom_relay.peers import encode_record
 
 pytestmark = pytest.mark.sockets
@@ -179,7 +180,7 @@
 
     async def scenario(cluster):
         store = StoreClient(cluster.store_url)
-        reading = asyncio.ensure_future(store.read("keyed.op", 0, wait_s=20))
+        reading = asyncio.ensure_future(store.read("keyed.op", 0, LONG_POLL))
         await wait_until(lambda: cluster.store.calls)
         reading.cancel()
         await asyncio.wait([reading])
--- a/tests/relay/test_topic_follower.py
+++ b/tests/relay/test_topic_follower.py
@@ -32,7 +32,7 @@
         self.starts.append("newest")
         return await self._answer(self._newest)
 
-    async def read(self, topic, start, *, wait_s):
+    async def read(self, topic, start, timing):
         """Return the next outcome of a read from an offset."""
         self.starts.append(start)
         return await self._answer(self._later)
--- a/tests/soak/machines.py
+++ b/tests/soak/machines.py
@@ -28,8 +28,8 @@
 portRange = [{metrics_port}, 7635]
 appAddr = "{host}:{target_port}"
 service = "{service}"
-bounds = ["graceS={grace_s}", "retryBudgetRatio=0.2", "budgetWindowS=10", \
-"retryBudgetBase=49"]
+bounds = ["graceS={grace_s}", "configApplyMs=2000", "retryBudgetRatio=0.2", \
+"budgetWindowS=10", "retryBudgetBase=49"]
 [listen]
 inbound = "{host}:{inbound_port}"
 outbound = "{host}:{outbound_port}"
