Repeat an open poll when the store answers again after a failure

The poll for the records of nodes waits 20 s too. One that the store has lost hid new nodes and targets that left for up to 23 s. These records bear more delay than the configuration, so the poll stays long; instead, a failure that any reader of the node meets makes the others repeat their open polls, from the same offset, as soon as the store answers again.

Evidence: test_node_is_found_although_the_open_polls_are_never_answered and test_recovery_is_reported_after_a_failed_read fail without the report of the recovery.

Left: a poll for records that is lost alone, while no other read of the node fails, is noticed after 23 s.

--- a/libs/mimosaloom-relay/mimosaloom_relay/store_era.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/store_era.py
@@ -15,11 +15,14 @@
     Attributes:
         number: Highest era in an answer of the store; 0 before the first.
         hints: Number of times that another node has named a higher one.
+        recoveries: Number of times that the store has answered a read again after one
+            that failed. A read that was open meanwhile may never be answered.
     """
 
     def __init__(self):
         self.number = 0
         self.hints = 0
+        self.recoveries = 0
         self._highest_hint = 0
         self._changed = asyncio.Event()
 
@@ -40,14 +43,29 @@
             self.hints += 1
             self._notify()
 
-    async def wait_for_end(self, number: int, hints: int) -> None:
-        """Wait until the store may have left an era.
+    def is_current(self, number: int, hints: int) -> bool:
+        """Return whether nothing shows that the store has left an era.
 
         Args:
             number: The era.
             hints: Value of `hints` before the read that returned the era.
         """
-        while (self.number, self.hints) == (number, hints):
+        return (self.number, self.hints) == (number, hints)
+
+    def report_recovery(self) -> None:
+        """Note that the store answers again."""
+        self.recoveries += 1
+        self._notify()
+
+    async def wait_for_change(self, number: int, hints: int, recoveries: int) -> None:
+        """Wait until the store may have left an era or lost an open read.
+
+        Args:
+            number: The era.
+            hints: Value of `hints` before the read that returned the era.
+            recoveries: Value of `recoveries` before the open read.
+        """
+        while self.is_current(number, hints) and self.recoveries == recoveries:
             await self._changed.wait()
 
     def _notify(self) -> None:
--- a/libs/mimosaloom-relay/mimosaloom_relay/topic_follower.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/topic_follower.py
@@ -198,7 +198,9 @@
     async def _read_on(self, position: _Position) -> None:
         outcome = await self._read_while_valid(position)
         if outcome is None:
-            self._start_again(f"the store has left era {position.era}")
+            if not self._era.is_current(position.era, position.hints):
+                self._start_again(f"the store has left era {position.era}")
+            # Otherwise the store has recovered, and is read from the same offset again.
             return
         self._report_state(outcome)
         match outcome:
@@ -221,12 +223,18 @@
     async def _read_while_valid(
         self, position: _Position
     ) -> Batch | OffsetExpired | ReadFailed | None:
-        """Return the records from a position on; None if its era has ended."""
+        """Return the records from a position on.
+
+        None if the era has ended, or if the store has recovered from a failure in which
+        it may have lost this read.
+        """
         reading = asyncio.ensure_future(
             self._store.read(self._topic, position.offset, self._choose_timing())
         )
         changing = asyncio.ensure_future(
-            self._era.wait_for_end(position.era, position.hints)
+            self._era.wait_for_change(
+                position.era, position.hints, self._era.recoveries
+            )
         )
         try:
             await asyncio.wait({reading, changing}, return_when=asyncio.FIRST_COMPLETED)
@@ -241,6 +249,8 @@
             reason = "" if is_readable else outcome.reason
             self._handlers.report_store_state(is_readable, reason)
             self._was_readable = is_readable
+            if is_readable:
+                self._era.report_recovery()
         if is_readable:
             self._handlers.report_answer()
 
--- a/tests/platform_adapter/test_control.py
+++ b/tests/platform_adapter/test_control.py
@@ -76,6 +76,24 @@
     run_cluster(scenario)
 
 
+def test_node_is_found_although_the_open_polls_are_never_answered():
+    """Guards against a node that misses others because it lost the poll for them."""
+
+    async def scenario(cluster):
+        front = await cluster.add_member("front-1", "front")
+        await cluster.configure(1, [FRONT_ROUTE])
+        await front.announce()
+        await wait_until(
+            lambda: "front-1" in cluster.store.newest_values("keyed.nodes")
+        )
+        await wait_until(lambda: cluster.store.has_waiting_reads(2))
+        cluster.store.lose_open_reads()
+        await cluster.add_member("back-1", "back")
+        await cluster.announce_all()
+
+    run_cluster(scenario)
+
+
 def test_newer_version_spreads_with_requests_while_the_store_is_down():
     """Guards against nodes that miss a change because the store refuses their calls."""
 
--- a/tests/relay/test_topic_follower.py
+++ b/tests/relay/test_topic_follower.py
@@ -133,3 +133,21 @@
     starts, applied = follow([batch(0, 1, "a")], [batch(0, 2, "b")])
     assert starts == ["newest", 1, 2]
     assert applied == [("new", "a"), ("new", "b")]
+
+
+def test_read_that_was_open_during_a_failure_is_repeated():
+    """Guards against waiting for a read that the store lost while it was away."""
+    starts, applied = follow([batch(1, 5, "a")], [], lambda era: era.report_recovery())
+    assert starts == ["newest", 5, 5]
+    assert applied == [("new", "a")]
+
+
+def test_recovery_is_reported_after_a_failed_read():
+    """Guards against other readers that keep waiting for reads of before a failure."""
+    recoveries = []
+
+    def note_recoveries(era):
+        recoveries.append(era.recoveries)
+
+    follow([ReadFailed("silent"), batch(1, 5, "a")], [], note_recoveries)
+    assert recoveries == [1]
