Give up a read of the newest records before the store counts as stable

A read of the newest records that the store lost at the end of a silence was given up after 3 s and repeated up to 1 s later, while a node is expected to follow the store again after 3 s.

test_lost_read_of_the_newest_records_is_repeated_in_time fails on the constants of before (3 + 1 s).

--- a/tests/platform_adapter/test_control.py
+++ b/tests/platform_adapter/test_control.py
@@ -9,15 +9,18 @@
 from platform_adapter.standins import build_document
 
 from mimosaloom_model import SystemClock
-from mimosaloom_platform.program import RECORD_BATCH_DELAY_S
+from mimosaloom_platform import store as store_module
+from mimosaloom_platform.program import MAX_BACKOFF_S, RECORD_BATCH_DELAY_S
 from mimosaloom_platform.store import StoreClient
 from mimosaloom_policy import Backoff
-from mimosaloom_relay import StoreEra, TopicFollower, TopicHandlers
+from mimosaloom_relay import ReadFailed, StoreEra, TopicFollower, TopicHandlers
 from mimosaloom_relay.peers import encode_record
 
 pytestmark = pytest.mark.sockets
 
 FRONT_ROUTE = {"pathPrefix": "/f/", "service": "front"}
+# After this time without a disturbance, the rules with a time bound hold.
+STABLE_S = 3.0
 
 
 def test_configuration_version_never_decreases():
@@ -76,6 +79,22 @@
     run_cluster(scenario)
 
 
+def test_lost_read_of_the_newest_records_is_repeated_in_time(monkeypatch):
+    """Guards against a node that is behind when the store counts as stable again."""
+    assert store_module.NEWEST_TIMEOUT_S + MAX_BACKOFF_S < STABLE_S
+    monkeypatch.setattr(store_module, "NEWEST_TIMEOUT_S", 0.05)
+
+    async def scenario(cluster):
+        cluster.store.is_silent = True
+        store = StoreClient(cluster.store_url)
+        async with asyncio.timeout(STABLE_S):
+            outcome = await store.read_newest("keyed.op")
+        assert isinstance(outcome, ReadFailed)
+        store.close()
+
+    run_cluster(scenario)
+
+
 def test_node_is_found_although_the_open_polls_are_never_answered():
     """Guards against a node that misses others because it lost the poll for them."""
 
