Publish versions in the calm times of a soak, when their bound is checked

The soak published at the end of each calm time, so that the versions of calm times were checked only after the next faults had begun.

--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -9,7 +9,7 @@
 
 from platform_adapter.store_standin import FakeStore
 from soak.callers import Caller, Exchange, call_once
-from soak.checks import Finding, count_statuses, find_broken_rules
+from soak.checks import STABLE_S, Finding, count_statuses, find_broken_rules
 from soak.faults import Faults, Member
 from soak.links import LinkProxy
 from soak.machines import (
@@ -21,7 +21,13 @@
     NodeProcess,
     build_machines,
 )
-from soak.operations import HOST, Operations, describe_version, kind_of
+from soak.operations import (
+    APPLY_S,
+    HOST,
+    Operations,
+    describe_version,
+    kind_of,
+)
 from soak.stores import CopyKeeper, StoreView
 from soak.targets import Run, TargetHost
 
@@ -38,9 +44,10 @@
 SETTLE_S = 6.0
 # A state that never comes is told from a late one.
 END_TIMEOUT_S = 20.0
-# Faults come in bursts. The rules with a time bound hold a while after each of them.
+# Faults come in bursts. The rules with a time bound hold a while after each of them,
+# also for what is published then.
 ACTIVE_S = (3.0, 8.0)
-CALM_S = 6.0
+CALM_S = APPLY_S + 2.0
 # Share of the calm times that begin with a drill of the store.
 DRILL_RATIO = 0.5
 # Soaks that run side by side use loopback networks of their own.
@@ -191,8 +198,9 @@
             await asyncio.gather(*(self._run_series(active_end_s) for _ in series))
             if self.rng.random() < DRILL_RATIO:
                 await self.faults.drill_store()
-            await asyncio.sleep(CALM_S)
+            await asyncio.sleep(STABLE_S)
             await self.faults.publish()
+            await asyncio.sleep(CALM_S)
         await asyncio.sleep(SETTLE_S)
         for task in (*callers, copying):
             task.cancel()
