Log and count what a target says about itself in its answers

The headers by which a target names a rate limit or says that it leaves are read into target_signals_changed and mimosaloom_target_rate_limit, so that a limit that is not read can be told from one that is not kept.

--- a/libs/mimosaloom-bench/mimosaloom_bench/path_cost/names.py
+++ b/libs/mimosaloom-bench/mimosaloom_bench/path_cost/names.py
@@ -27,6 +27,8 @@
     not_executed="Bench-Not-Executed",
     signature="Bench-Signature",
     target_id="Bench-Target-Id",
+    rate_limit="Bench-Rate-Limit",
+    leaving="Bench-Leaving",
 )
 
 
--- a/libs/mimosaloom-relay/mimosaloom_relay/__init__.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/__init__.py
@@ -25,6 +25,7 @@
 from .settings import Listeners, RelaySettings
 from .status import describe_configuration
 from .store_era import StoreEra
+from .target_signals import TargetSignals, read_target_signals
 from .topic_follower import (
     LONG_POLL,
     Batch,
@@ -69,6 +70,7 @@
     "ShareRotation",
     "SharedRetryBudget",
     "StoreEra",
+    "TargetSignals",
     "TargetState",
     "TopicFollower",
     "TopicHandlers",
@@ -79,4 +81,5 @@
     "log_to_descriptor",
     "match_route",
     "new_event_loop",
+    "read_target_signals",
 ]
--- a/libs/mimosaloom-relay/mimosaloom_relay/hop_messages.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/hop_messages.py
@@ -36,6 +36,8 @@
         not_executed: Set by a target that rejected a request before running it.
         signature: Set by a target on each answer that it gives itself.
         target_id: Id of the target that answers a health check.
+        rate_limit: Requests a second that a target takes from all nodes together.
+        leaving: Set to 1 by a target that leaves.
     """
 
     request_id: str
@@ -45,6 +47,8 @@
     not_executed: str
     signature: str
     target_id: str
+    rate_limit: str
+    leaving: str
 
 
 class HopContext(msgspec.Struct, frozen=True, omit_defaults=True):
--- a/libs/mimosaloom-relay/mimosaloom_relay/metrics.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/metrics.py
@@ -52,6 +52,9 @@
             ["topic"],
             registry=self.registry,
         )
+        self.target_rate_limit = self._gauge(
+            "target_rate_limit", "Requests a second that the target takes"
+        )
         self.ready = self._gauge("ready", "Whether the node takes clients")
 
     def count_outcome(self, request_class: str, outcome: str, elapsed_s: float) -> None:
--- a/libs/mimosaloom-relay/mimosaloom_relay/target_side.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/target_side.py
@@ -33,6 +33,7 @@
 from .http_server import Incoming
 from .metrics import RelayMetrics
 from .own_target import OwnTarget
+from .target_signals import TargetSignals, read_target_signals
 
 __all__ = ["HopReply", "TargetSide"]
 
@@ -118,6 +119,7 @@
         self._call_counts = CallCountEstimate()
         self._parents_with_failed_call: set[str] = set()
         self._rejected_until_s: dict[str, float] = {}
+        self._signals = TargetSignals(None, is_leaving=False)
         # The target must see only the values that this node sets.
         self._replaced = frozenset(
             {
@@ -345,11 +347,26 @@
             )
         if isinstance(outcome, FailedSend):
             return self._build_failed_reply(context, outcome, start_s)
+        self._note_signals(outcome.response.headers)
         reply = self._build_answered_reply(context, outcome, start_s)
         if reply.result.kind == ErrorKind.TARGET_REJECTED:
             self._remember_rejection(context.request_id, deadline_s)
         return reply
 
+    def _note_signals(self, headers: Headers) -> None:
+        """Note what the target says about itself in an answer."""
+        signals = read_target_signals(headers, self._names)
+        if signals == self._signals:
+            return
+        self._signals = signals
+        self._metrics.target_rate_limit.set(signals.rate_limit_per_s or 0.0)
+        self._log.change(
+            "target_signals_changed",
+            target_id=self.own_target.target_id,
+            rate_limit_per_s=signals.rate_limit_per_s,
+            is_leaving=signals.is_leaving,
+        )
+
     def _remember_rejection(self, request_id: str, deadline_s: float) -> None:
         """Remember until its deadline that the target has rejected a request."""
         now_s = self._clock.monotonic_s()
