--- a/tests/platform_adapter/standins.py
+++ b/tests/platform_adapter/standins.py
@@ -22,6 +22,7 @@
         disconnected: Ids of the requests whose connection closed while they were held.
         connections: Number of connections accepted so far.
         is_healthy: Whether its health check succeeds.
+        signals: Header lines in all of its answers.
         port: Port on which it listens.
     """
 
@@ -34,6 +35,7 @@
         self.disconnected: list[str] = []
         self.connections = 0
         self.is_healthy = True
+        self.signals: list[str] = []
         self.port = 0
         self._server = None
         self._late_answers: dict[asyncio.StreamWriter, bytes] = {}
@@ -74,7 +76,8 @@
         if line.startswith("GET /healthz "):
             status = "200 OK" if self.is_healthy else "503 Leaving"
             lines = (f"HTTP/1.1 {status}", f"Mimosaloom-Instance-Id: {self.target_id}")
-            writer.write("\r\n".join((*lines, "Content-Length: 0\r\n\r\n")).encode())
+            lines += (*self.signals, "Content-Length: 0\r\n\r\n")
+            writer.write("\r\n".join(lines).encode())
             return True
         mode = self.next_mode()
         request_id = headers.get("Mimosaloom-Attempt-Id", "")
@@ -95,6 +98,7 @@
             rejection = (
                 b"HTTP/1.1 503 Busy\r\nMimosaloom-Not-Executed: 1\r\n"
                 + f"Mimosaloom-Attempt-Id: {request_id}\r\n".encode()
+                + self._encode_signals()
                 + b"Content-Length: 0\r\n\r\n"
             )
             writer.write(rejection)
@@ -132,9 +136,13 @@
         return (
             f"HTTP/1.1 200 OK\r\nMimosaloom-Attempt-Id: {request_id}\r\n"
             f"Mimosaloom-Response-Signature: sig.{self.target_id}\r\n"
+            f"{self._encode_signals().decode()}"
             f"Content-Length: {len(body)}\r\n\r\n"
         ).encode() + body
 
+    def _encode_signals(self) -> bytes:
+        return "".join(f"{line}\r\n" for line in self.signals).encode()
+
 
 def _encode_chunked(answer: bytes) -> bytes:
     head, _, body = answer.partition(b"\r\n\r\n")
