Let polls for the configuration use the time that a node has to recover

The timeout of these polls is now the time after a disturbance within which a node has to follow the store again (stableMs, 3 s), less 0.25 s for the next read, instead of configApplyMs. A poll that is lost at the end of a disturbance is given up 2.75 s later and the newest version is read before the 3 s are over, whatever was acknowledged meanwhile.

--- a/libs/mimosaloom-relay/mimosaloom_relay/poll_timing.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/poll_timing.py
@@ -10,6 +10,8 @@
 
 # Part of the timeout that is left for the answer after the store has stopped waiting.
 ANSWER_MARGIN_S = 0.75
+# Time for the read that follows a poll that was given up, and for the delay before it.
+REPEAT_MARGIN_S = 0.25
 MAX_POLL_WAIT_S = 20.0
 # Share of the store's read rate that the polls of all nodes take while nothing changes.
 POLL_RATE_RATIO = 0.05
@@ -28,20 +30,21 @@
 
 
 def choose_poll_timing(
-    max_delay_s: float, nodes: int, store_reads_per_s: float
+    recovery_s: float, nodes: int, store_reads_per_s: float
 ) -> PollTiming:
     """Return the times of a poll for records that must not be late.
 
-    A node whose poll is lost is late by at most `max_delay_s`. Where that would take
-    too large a part of the store's read rate, polls are longer: with many nodes, some
-    of them poll anew soon after a loss, and calls between nodes pass the version on.
+    A node whose poll is lost has read the store again after `recovery_s`. Where that
+    would take too large a part of the store's read rate, polls are longer: with many
+    nodes, some of them poll anew soon after a loss, and calls between nodes pass the
+    version on.
 
     Args:
-        max_delay_s: Time within which a record has to arrive.
+        recovery_s: Time after a disturbance within which a node follows the store.
         nodes: Number of nodes that poll.
         store_reads_per_s: Reads that the store allows all nodes together, in reads/s.
     """
     fleet_wait_s = nodes / (POLL_RATE_RATIO * store_reads_per_s)
-    wait_s = max(max_delay_s - ANSWER_MARGIN_S, fleet_wait_s, 0.0)
-    wait_s = min(wait_s, MAX_POLL_WAIT_S)
+    longest_s = recovery_s - REPEAT_MARGIN_S - ANSWER_MARGIN_S
+    wait_s = min(max(longest_s, fleet_wait_s, 0.0), MAX_POLL_WAIT_S)
     return PollTiming(wait_s, wait_s + ANSWER_MARGIN_S)
--- a/libs/mimosaloom-relay/mimosaloom_relay/settings.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/settings.py
@@ -38,7 +38,8 @@
         listen: Addresses where the node listens.
         retry_budget: Retry budget over all nodes.
         grace_s: Time between the stop signal and the kill of the process.
-        config_apply_s: Time within which a published configuration is in force.
+        recovery_s: Time after a disturbance within which the node follows the store
+            again.
     """
 
     name: str
@@ -48,4 +49,4 @@
     listen: Listeners
     retry_budget: SharedRetryBudget
     grace_s: float
-    config_apply_s: float = 2.0
+    recovery_s: float = 3.0
