Keep the rate limit that a target names

Cause: nothing reads the header by which targets name their limit, and admission bounds calls in flight, not their rate, so that a fast target with free slots gets any rate. Class: a limit that a peer states in its answers has no place in the state that decides.

Change: admission has a rate limit, a token bucket beside the limit of calls in flight. Only the node beside a target sends to it, so the rate is kept there for all nodes; calls start by priority, few wait, the others are refused unsent, and the admission level falls as it does for a slow target, so that the entry sheds by rank if all targets are limited. Each result tells the origin how long to prefer other upstreams, a different time to each. An origin that has passed on a limit repeats it with its hops, so that a node that has restarted keeps it from the first of them on. One answer without the limit does not lift it within a second of the last that named it.

--- a/libs/mimosaloom-policy/mimosaloom_policy/__init__.py
+++ b/libs/mimosaloom-policy/mimosaloom_policy/__init__.py
@@ -24,6 +24,7 @@
 from .keys import CallerKey, MintedKey, format_caller_key, mint_key, parse_key
 from .levels import LevelTable
 from .rank import PRIORITY_COUNT, rank_request
+from .rate_limit import RateLimit, TokenBucket
 from .retries import (
     FailedAttempt,
     GiveUp,
@@ -84,6 +85,7 @@
     "MintedKey",
     "NotAccepted",
     "NotRun",
+    "RateLimit",
     "ReceivedVerdicts",
     "Refuse",
     "Replay",
@@ -106,6 +108,7 @@
     "StampBook",
     "Start",
     "StopReason",
+    "TokenBucket",
     "Unclaimed",
     "Undecided",
     "Unknown",
--- a/libs/mimosaloom-policy/mimosaloom_policy/admission.py
+++ b/libs/mimosaloom-policy/mimosaloom_policy/admission.py
@@ -13,6 +13,7 @@
 from .limiter import ConcurrencyLimit
 from .queue import WaitingQueue
 from .rank import PRIORITY_COUNT
+from .rate_limit import RateLimit
 from .shedding import WINDOW_S, LevelControl, WindowStats
 
 __all__ = ["Admission", "Arrival", "Decision", "Refuse", "Start"]
@@ -121,9 +122,13 @@
             starts at a share of it.
         now_s: Current time on the monotonic clock.
         queue_capacity: Maximum number of calls that wait.
+
+    Attributes:
+        rate_limit: Rate at which calls may start.
     """
 
     def __init__(self, slots: int, now_s: float, *, queue_capacity: int = 256):
+        self.rate_limit = RateLimit()
         self._limit = ConcurrencyLimit(slots)
         self._queue_capacity = queue_capacity
         # The throughput of the target is not measured yet, so only the maximum wait
@@ -220,7 +225,7 @@
 
     def _start_waiting(self, now_s: float) -> list[Decision]:
         decisions: list[Decision] = []
-        while len(self._running) < self.limit:
+        while len(self._running) < self.limit and self.rate_limit.may_start(now_s):
             is_reserved = len(self._running) >= self.limit - self._free_reserved_slots()
             arrival = self._queue.pop(now_s, only_protected=is_reserved)
             if arrival is None:
@@ -233,6 +238,7 @@
                 continue
             self._meter.advance(len(self._running), now_s)
             self._running[arrival.call_key] = _Running(arrival, now_s)
+            self.rate_limit.record_start(now_s)
             self._protected_running += arrival.is_protected
             decisions.append(Start(arrival.call_key))
         return decisions
@@ -252,6 +258,9 @@
         self._meter.advance(len(self._running), now_s)
         peak = self._meter.peak
         window = self._meter.end_window(self.limit, len(self._queue), now_s)
+        # Under a rate limit, the calls that end take a share of the rate, not of slots.
+        rate_ratio = window.completed / (self.rate_limit.rate_per_s * window.elapsed_s)
+        window = window._replace(busy_ratio=max(window.busy_ratio, rate_ratio))
         self._limit.end_window(peak)
         self._control.end_window(window, self._protected_level())
         if self._control.capacity_per_s:
@@ -260,6 +269,9 @@
             # calls waiting than running: a waiting call holds slots of its callers,
             # which other classes need.
             min_capacity = min(MIN_QUEUE_CAPACITY, self.limit)
+            if math.isfinite(self.rate_limit.rate_per_s):
+                # Calls above the rate are better served by another target.
+                min_capacity = 1
             capacity = max(min_capacity, capacity)
             self._queue.capacity = min(self._queue_capacity, capacity)
 
--- a/libs/mimosaloom-policy/mimosaloom_policy/routing.py
+++ b/libs/mimosaloom-policy/mimosaloom_policy/routing.py
@@ -75,6 +75,7 @@
         ramp_start_s: Time from which the share of calls grows.
         load_ratio: Last reported load, 1 for all slots in use.
         load_at_s: Time of that report.
+        paused_until_s: Time until which the upstream asks for no calls.
     """
 
     in_flight: int = 0
@@ -85,6 +86,7 @@
     ramp_start_s: float = -math.inf
     load_ratio: float = 0.0
     load_at_s: float = -math.inf
+    paused_until_s: float = -math.inf
 
 
 class Router:
@@ -181,6 +183,7 @@
         names = self._names
         if exclude:
             names = [name for name in names if name not in exclude]
+        names = [n for n in names if self._stats[n].paused_until_s <= now_s] or names
         if self._local_load_limit:
             max_latency_s = MAX_LOCAL_LATENCY_RATIO * objective_s
             preferred = [
@@ -244,6 +247,17 @@
             stats.load_ratio = min(1.0, max(0.0, load_ratio))
             stats.load_at_s = now_s
 
+    def pause(self, name: str, until_s: float) -> None:
+        """Prefer other upstreams for a time, as an upstream has asked for.
+
+        Args:
+            name: Name of the upstream.
+            until_s: End of that time, on the monotonic clock.
+        """
+        stats = self._stats.get(name)
+        if stats is not None:
+            stats.paused_until_s = until_s
+
     def cost(self, name: str, now_s: float) -> float:
         """Return the cost of sending a call to an upstream: expected latency in s.
 
--- a/libs/mimosaloom-relay/mimosaloom_relay/decision_log.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/decision_log.py
@@ -14,6 +14,7 @@
 )
 
 from mimosaloom_model import Clock
+from mimosaloom_policy import TokenBucket
 
 __all__ = ["DecisionLog", "Importance", "log_to_descriptor"]
 
@@ -36,25 +37,6 @@
 MAX_LINE_BYTES = 4096
 
 
-class _TokenBucket:
-    def __init__(self, rate_per_s: float, now_s: float):
-        self._rate_per_s = rate_per_s
-        self._tokens = rate_per_s * _BURST_S
-        self._at_s = now_s
-
-    def has_token(self, now_s: float) -> bool:
-        self._tokens += (now_s - self._at_s) * self._rate_per_s
-        self._tokens = min(self._tokens, self._rate_per_s * _BURST_S)
-        self._at_s = now_s
-        return self._tokens >= 1
-
-    def try_take(self, now_s: float) -> bool:
-        if not self.has_token(now_s):
-            return False
-        self._tokens -= 1
-        return True
-
-
 class DecisionLog:
     """Logs decisions with a rate limit for each importance.
 
@@ -67,7 +49,10 @@
         self._clock = clock
         self._count_dropped = count_dropped
         now_s = clock.monotonic_s()
-        self._buckets = {i: _TokenBucket(_RATES_PER_S[i], now_s) for i in Importance}
+        self._buckets = {
+            importance: TokenBucket(rate, rate * _BURST_S, rate * _BURST_S, now_s)
+            for importance, rate in _RATES_PER_S.items()
+        }
         self._dropped: Counter[Importance] = Counter()
 
     def has_room(self, importance: Importance) -> bool:
--- a/libs/mimosaloom-relay/mimosaloom_relay/hop_messages.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/hop_messages.py
@@ -70,6 +70,8 @@
         origin: Address of the origin, as HOST:PORT.
         version: Version of the configuration in force at the origin.
         store_era: Era of the store at the origin's last call to it; 0 if not known.
+        rate_limit_per_s: Rate limit that the target has named in an answer to the
+            origin; 0 for none. A node that has restarted since does not know it.
     """
 
     request_id: str
@@ -86,6 +88,7 @@
     origin: str = ""
     version: int = 0
     store_era: int = 0
+    rate_limit_per_s: float = 0.0
 
 
 class HopResult(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -105,6 +108,8 @@
         load: Running and queued calls, relative to the slots that admission uses.
         is_own_failure: Whether the target failed although all of its calls were
             answered.
+        rate_limit_per_s: Rate limit that the target has named; 0 for none.
+        pause_s: How long the origin is to prefer other upstreams.
     """
 
     kind: str = ""
@@ -118,6 +123,8 @@
     level_below: float = 1.0
     load: float = 0.0
     is_own_failure: bool = False
+    rate_limit_per_s: float = 0.0
+    pause_s: float = 0.0
 
 
 def encode_header(value: msgspec.Struct) -> str:
--- a/libs/mimosaloom-relay/mimosaloom_relay/origin.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/origin.py
@@ -100,6 +100,8 @@
         self._log = log
         self._metrics = metrics
         self._rotation = ShareRotation()
+        # Rate limits that targets have named in answers, by the name of the upstream.
+        self._rate_limits_per_s: dict[str, float] = {}
 
     def apply_configuration(self, configuration: Configuration) -> None:
         """Apply a configuration to all requests from now on."""
@@ -289,6 +291,7 @@
             origin=self._own_address(),
             version=self.configuration.version,
             store_era=self._store_era.number,
+            rate_limit_per_s=self._rate_limits_per_s.get(candidate.name, 0.0),
         )
         router.start(candidate.name, start_s)
         kind: ErrorKind | None = ErrorKind.CANCELLED
@@ -318,6 +321,10 @@
     ) -> None:
         if not result.incarnation:
             return
+        if result.was_sent:
+            self._rate_limits_per_s.pop(candidate.name, None)
+            if result.rate_limit_per_s:
+                self._rate_limits_per_s[candidate.name] = result.rate_limit_per_s
         self._store_era.hint(result.store_era)
         if result.version > self.configuration.version:
             self.on_newer_version(result.version, candidate)
@@ -330,6 +337,8 @@
             # would hide the lower levels of the targets that do.
             return
         router.record_load(candidate.name, result.load, now_s)
+        if result.pause_s:
+            router.pause(candidate.name, now_s + result.pause_s)
         self._upstreams.levels.record_levels(
             call.service,
             call.route.request_class.name,
--- a/libs/mimosaloom-relay/mimosaloom_relay/target_side.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/target_side.py
@@ -207,6 +207,8 @@
             return self._refuse(context, refusal)
         gate = self._gate
         now_s = self._clock.monotonic_s()
+        if context.rate_limit_per_s:
+            gate.admission.rate_limit.assume(context.rate_limit_per_s, now_s)
         deadline_s = now_s + context.remaining_ms / 1000
         key = f"{context.request_id}/{next(self._attempt_numbers)}"
         decision = await gate.wait_for_admission(
@@ -276,11 +278,15 @@
         *,
         was_sent: bool = False,
     ) -> HopResult:
-        level, load = 1.0, 0.0
+        level, load, rate_limit_per_s, pause_s = 1.0, 0.0, 0.0, 0.0
         if self._gate is not None:
             admission = self._gate.admission
             level = admission.level
             load = (admission.in_flight + admission.queued) / self._used_slots
+            if math.isfinite(admission.rate_limit.rate_per_s):
+                rate_limit_per_s = admission.rate_limit.rate_per_s
+                now_s = self._clock.monotonic_s()
+                pause_s = admission.rate_limit.reserve_pause_s(now_s)
         return HopResult(
             kind="" if kind is None else kind.value,
             detail=detail,
@@ -290,6 +296,8 @@
             level=level,
             level_below=self.level_below(context.route),
             load=load,
+            rate_limit_per_s=rate_limit_per_s,
+            pause_s=pause_s,
         )
 
     async def _send_and_release(
@@ -303,7 +311,7 @@
         is_success = False
         self._running[context.request_id] = context
         try:
-            reply = await self._send_to_target(context, incoming, deadline_s)
+            reply = await self._send_to_target(gate, context, incoming, deadline_s)
             is_success = reply.answer is not None
             return reply
         finally:
@@ -318,7 +326,11 @@
             gate.finish(key, is_success=is_success)
 
     async def _send_to_target(
-        self, context: HopContext, incoming: Incoming, deadline_s: float
+        self,
+        gate: AdmissionGate,
+        context: HopContext,
+        incoming: Incoming,
+        deadline_s: float,
     ) -> HopReply:
         start_s = self._clock.monotonic_s()
         remaining_s = deadline_s - start_s
@@ -347,15 +359,18 @@
             )
         if isinstance(outcome, FailedSend):
             return self._build_failed_reply(context, outcome, start_s)
-        self._note_signals(outcome.response.headers)
+        self._apply_signals(gate, outcome.response.headers)
         reply = self._build_answered_reply(context, outcome, start_s)
         if reply.result.kind == ErrorKind.TARGET_REJECTED:
             self._remember_rejection(context.request_id, deadline_s)
         return reply
 
-    def _note_signals(self, headers: Headers) -> None:
-        """Note what the target says about itself in an answer."""
+    def _apply_signals(self, gate: AdmissionGate, headers: Headers) -> None:
+        """Apply what the target of a gate says about itself in an answer."""
         signals = read_target_signals(headers, self._names)
+        gate.admission.rate_limit.observe(
+            signals.rate_limit_per_s, self._clock.monotonic_s()
+        )
         if signals == self._signals:
             return
         self._signals = signals
