Send nothing more to a target that says in an answer that it leaves

Change: the node beside the target marks it as leaving, as for a heartbeat, and names the start of the target in the result of the hop. The origin excludes that start for good, by its id and start time, whatever the node beside it knows later: what binds an origin is the answer that it has passed on. A target that starts again is another start.

--- a/libs/mimosaloom-relay/mimosaloom_relay/hop_messages.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/hop_messages.py
@@ -110,6 +110,8 @@
             answered.
         rate_limit_per_s: Rate limit that the target has named; 0 for none.
         pause_s: How long the origin is to prefer other upstreams.
+        left_start: Key of the start of the target that leaves, as it has said in this
+            answer; empty if it has not.
     """
 
     kind: str = ""
@@ -125,6 +127,7 @@
     is_own_failure: bool = False
     rate_limit_per_s: float = 0.0
     pause_s: float = 0.0
+    left_start: str = ""
 
 
 def encode_header(value: msgspec.Struct) -> str:
--- a/libs/mimosaloom-relay/mimosaloom_relay/node.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/node.py
@@ -109,6 +109,7 @@
             metrics=metrics,
         )
         self.target_side.on_unreachable = self._publish_own_record
+        self.target_side.on_leaving = self._publish_own_record
         self.own_record = OwnRecord(
             settings,
             incarnation,
--- a/libs/mimosaloom-relay/mimosaloom_relay/origin.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/origin.py
@@ -323,6 +323,8 @@
             return
         if result.was_sent:
             self._rate_limits_per_s.pop(candidate.name, None)
+            if result.left_start:
+                self._upstreams.mark_left(candidate.name, result.left_start)
             if result.rate_limit_per_s:
                 self._rate_limits_per_s[candidate.name] = result.rate_limit_per_s
         self._store_era.hint(result.store_era)
--- a/libs/mimosaloom-relay/mimosaloom_relay/own_target.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/own_target.py
@@ -5,7 +5,13 @@
 
 from mimosaloom_model import Address
 
-__all__ = ["Announcement", "HeartbeatResult", "OwnTarget", "TargetState"]
+__all__ = [
+    "Announcement",
+    "HeartbeatResult",
+    "OwnTarget",
+    "TargetState",
+    "format_start_key",
+]
 
 
 # Number of starts of targets at one address whose last sequence numbers are kept, so
@@ -94,6 +100,14 @@
             self.announcement is not None and self.is_reachable and not self.is_leaving
         )
 
+    @property
+    def start_key(self) -> str:
+        """Key of the current start of the target; empty before its first heartbeat."""
+        current = self.announcement
+        if current is None:
+            return ""
+        return format_start_key(current.target_id, current.born_ms)
+
     @property
     def target_id(self) -> str:
         """Id of the target; empty before its first heartbeat."""
@@ -172,6 +186,16 @@
             del self._sequences[next(iter(self._sequences))]
 
 
+def format_start_key(target_id: str, born_ms: int) -> str:
+    """Return a text that identifies one start of a target between nodes.
+
+    Args:
+        target_id: Id of the target; a restarted target may have the same id.
+        born_ms: Start time of the target in Unix milliseconds; 0 if not known.
+    """
+    return f"{target_id}/{born_ms}"
+
+
 def _start_key(announcement: Announcement) -> tuple[str, int]:
     """Return what identifies the start of the target that sent a heartbeat."""
     return announcement.target_id, announcement.born_ms
--- a/libs/mimosaloom-relay/mimosaloom_relay/peers.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/peers.py
@@ -5,6 +5,8 @@
 from mimosaloom_model import Address
 from mimosaloom_policy import Candidate
 
+from .own_target import format_start_key
+
 __all__ = [
     "PeerRecord",
     "PeerTable",
@@ -55,6 +57,11 @@
         """Address where the node accepts hops."""
         return Address(self.host, self.port)
 
+    @property
+    def start_key(self) -> str:
+        """Key of the start of the target."""
+        return format_start_key(self.target_id, self.target_born_ms)
+
 
 def encode_record(record: PeerRecord) -> bytes:
     """Return the published form of a record."""
@@ -83,6 +90,8 @@
     def __init__(self):
         self._records: dict[str, PeerRecord] = {}
         self._unreachable: set[str] = set()
+        # Last start of each node's target that has said in an answer that it leaves.
+        self._left_starts: dict[str, str] = {}
 
     def __len__(self) -> int:
         """Return the number of nodes."""
@@ -109,6 +118,7 @@
     def remove(self, name: str) -> set[str]:
         """Remove a node; return the services whose upstreams have changed."""
         known = self._records.pop(name, None)
+        self._left_starts.pop(name, None)
         self._unreachable.discard(name)
         return {known.service} if known else set()
 
@@ -123,6 +133,17 @@
         self._unreachable.add(name)
         return True
 
+    def mark_left(self, name: str, start_key: str) -> bool:
+        """Exclude one start of a node's target from the candidates for good.
+
+        Returns:
+            False if the node is not known or the start already excluded.
+        """
+        if name not in self._records or self._left_starts.get(name) == start_key:
+            return False
+        self._left_starts[name] = start_key
+        return True
+
     def mark_reachable(self, name: str) -> None:
         """Include a node in the candidates again."""
         self._unreachable.discard(name)
@@ -147,4 +168,5 @@
             if record.service == service
             and record.is_available
             and record.name not in self._unreachable
+            and record.start_key != self._left_starts.get(record.name)
         ]
--- a/libs/mimosaloom-relay/mimosaloom_relay/target_side.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/target_side.py
@@ -81,6 +81,7 @@
     Attributes:
         is_stopping: Whether hops are refused because the node is stopping.
         on_unreachable: Called when the target has become unreachable.
+        on_leaving: Called when the target has said in an answer that it leaves.
         level_below: Returns the lowest admission level of the services that a request
             class calls.
         find_missing_service: Returns a service that a request class calls and that has
@@ -102,6 +103,7 @@
         self.incarnation = incarnation
         self.is_stopping = False
         self.on_unreachable = lambda: None
+        self.on_leaving = lambda: None
         self.level_below: Callable[[str], float] = lambda class_name: 1.0
         self.find_missing_service: Callable[[str], str | None] = lambda class_name: None
         self._names = names
@@ -333,6 +335,7 @@
         deadline_s: float,
     ) -> HopReply:
         start_s = self._clock.monotonic_s()
+        start_key = self.own_target.start_key
         remaining_s = deadline_s - start_s
         was_rejected = context.request_id in self._rejected_until_s
         request = self._build_request(context, incoming.request, remaining_s)
@@ -359,15 +362,24 @@
             )
         if isinstance(outcome, FailedSend):
             return self._build_failed_reply(context, outcome, start_s)
-        self._apply_signals(gate, outcome.response.headers)
+        signals = read_target_signals(outcome.response.headers, self._names)
+        self._apply_signals(gate, start_key, signals)
         reply = self._build_answered_reply(context, outcome, start_s)
+        if signals.is_leaving:
+            result = msgspec.structs.replace(reply.result, left_start=start_key)
+            reply = reply._replace(result=result)
         if reply.result.kind == ErrorKind.TARGET_REJECTED:
             self._remember_rejection(context.request_id, deadline_s)
         return reply
 
-    def _apply_signals(self, gate: AdmissionGate, headers: Headers) -> None:
-        """Apply what the target of a gate says about itself in an answer."""
-        signals = read_target_signals(headers, self._names)
+    def _apply_signals(
+        self, gate: AdmissionGate, start_key: str, signals: TargetSignals
+    ) -> None:
+        """Apply what a start of the target says about itself in an answer."""
+        own = self.own_target
+        if signals.is_leaving and own.start_key == start_key and not own.is_leaving:
+            own.mark_leaving(own.target_id)
+            self.on_leaving()
         gate.admission.rate_limit.observe(
             signals.rate_limit_per_s, self._clock.monotonic_s()
         )
--- a/libs/mimosaloom-relay/mimosaloom_relay/upstreams.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/upstreams.py
@@ -78,6 +78,16 @@
             return False
         return self._refresh_routers({record.service})
 
+    def mark_left(self, name: str, start_key: str) -> bool:
+        """Exclude one start of a node's target for good.
+
+        Returns:
+            False if the node is not known or the start already excluded.
+        """
+        if not self.peers.mark_left(name, start_key):
+            return False
+        return self._refresh_routers({self.peers.get(name).service})
+
     def mark_reachable(self, name: str) -> None:
         """Include a node that was marked unreachable."""
         record = self.peers.get(name)
--- a/tests/platform_adapter/test_target_signals.py
+++ b/tests/platform_adapter/test_target_signals.py
@@ -97,3 +97,75 @@
             served = served + 1 if response.status == 200 else 0
 
     run_cluster(scenario)
+
+
+async def start_leaving_back(cluster):
+    """Start a front and two targets, the first of which has said that it leaves."""
+    front = await cluster.add_member("front-1", "front")
+    for name in ("back-1", "back-2"):
+        await cluster.add_member(name, "back")
+    await cluster.configure(1, [BACK_ROUTE])
+    await cluster.announce_all()
+    leaving = cluster.members["back-1"]
+    leaving.target.signals = ["Server-Leaving: 1"]
+    number = 0
+    while not leaving.target.runs:
+        await front.send_request("/b/x", f"first-{number}")
+        number += 1
+    leaving.target.runs.clear()
+    return front, leaving
+
+
+async def send_rounds(member, prefix):
+    """Send requests, a few at a time; each has to be answered with 200."""
+    for turn in range(5):
+        sending = (
+            member.send_request("/b/x", f"{prefix}-{turn}-{number}")
+            for number in range(6)
+        )
+        assert {response.status for response in await asyncio.gather(*sending)} == {200}
+
+
+def test_target_that_says_in_an_answer_that_it_leaves_gets_no_more_requests():
+    """Guards against requests to a target that leaves without a heartbeat."""
+
+    async def scenario(cluster):
+        front, leaving = await start_leaving_back(cluster)
+        await leaving.announce()
+        await send_rounds(front, "id")
+        assert leaving.target.runs == []
+
+    run_cluster(scenario)
+
+
+def test_origin_remembers_that_a_target_leaves_although_its_node_has_forgotten():
+    """Guards against an origin that relies on what a restarted node knows."""
+
+    async def scenario(cluster):
+        front, leaving = await start_leaving_back(cluster)
+        records = cluster.store.topics["keyed.nodes"]
+        records[:] = [(k, b"" if k == "back-1" else value) for k, value in records]
+        restarted = await cluster.restart("back-1")
+        await restarted.announce()
+        peers, incarnation = front.node.upstreams.peers, restarted.node.incarnation
+        await wait_until(lambda: peers.get("back-1").incarnation == incarnation)
+        await send_rounds(front, "id")
+        assert leaving.target.runs == []
+
+    run_cluster(scenario)
+
+
+def test_target_that_starts_again_gets_requests():
+    """Guards against a target that stays idle because its last start has left."""
+
+    async def scenario(cluster):
+        front, leaving = await start_leaving_back(cluster)
+        leaving.target.signals = []
+        leaving.sequence = 0
+        await leaving.announce(born=2)
+        number = 0
+        while not leaving.target.runs:
+            await front.send_request("/b/x", f"id-{number}")
+            number += 1
+
+    run_cluster(scenario)
