Remember over a restart of a node that its target leaves

A node that restarted took up a leaving target again with its next heartbeat, if that says ready. Its record then invited the requests of all nodes that had not been told themselves.

Evidence: test_restarted_node_does_not_forget_that_its_target_leaves fails if the stored record is not used, in both cases; in one, the store is away at the restart.

Change: the record of a node says whether its target leaves, by which the next incarnation recognises the same start, also if it can read the store only later.

--- a/libs/mimosaloom-relay/mimosaloom_relay/node.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/node.py
@@ -258,6 +258,8 @@
         self._unconfirmed.pop(name, None)
         if name == self.settings.name:
             self.own_record.handle_stored_record(value)
+            if self._restore_leaving():
+                self._publish_own_record()
             self._resume_target()
             return
         if value is None:
@@ -309,6 +311,7 @@
         result = self.own_target.apply_heartbeat(heartbeat)
         if result is HeartbeatResult.NEW:
             self.target_side.reset_admission(heartbeat.slots)
+            self._restore_leaving()
         if result in (HeartbeatResult.NEW, HeartbeatResult.CHANGED):
             self._publish_own_record()
         if result is not HeartbeatResult.UNCHANGED:
@@ -323,6 +326,13 @@
             )
         return result
 
+    def _restore_leaving(self) -> bool:
+        """Exclude a target that left before this node started; return if it is new."""
+        own = self.own_target
+        if own.is_leaving or not self.own_record.has_left(own.start_key):
+            return False
+        return own.mark_leaving(own.target_id)
+
     def mark_target_left(self, target_id: str, born_ms: int | None = None) -> bool:
         """Mark a target as leaving; return False if it is not the current target."""
         is_own = self.own_target.mark_leaving(target_id, born_ms)
--- a/libs/mimosaloom-relay/mimosaloom_relay/own_record.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/own_record.py
@@ -45,6 +45,7 @@
         self._has_handed_over = has_handed_over
         self._published: bytes | None = None
         self._previous_record: PeerRecord | None = None
+        self._left_start = ""
 
     def build(self) -> PeerRecord:
         """Return the current record of the node."""
@@ -62,6 +63,7 @@
             is_available=target.is_available and not has_handed_over,
             is_handed_over=target.is_available and has_handed_over,
             target_born_ms=announcement.born_ms if announcement else 0,
+            is_leaving=target.is_leaving,
         )
 
     def publish(self) -> PeerRecord:
@@ -85,12 +87,19 @@
         Args:
             value: The record in its published form; None if the store has none.
         """
+        record = None if value is None else decode_record(value)
+        if record is not None and record.is_leaving:
+            self._left_start = record.start_key
         if self._own_target.announcement is not None:
             if value != self._published:
                 # A late write of an earlier incarnation has replaced the own record.
                 self.send(self._published)
             return
-        self._previous_record = None if value is None else decode_record(value)
+        self._previous_record = record
+
+    def has_left(self, start_key: str) -> bool:
+        """Return whether a stored record says that a start of the target has left."""
+        return start_key == self._left_start
 
     def publish_again(self) -> None:
         """Publish the last record again, as the store does not have it."""
--- a/libs/mimosaloom-relay/mimosaloom_relay/peers.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/peers.py
@@ -38,6 +38,7 @@
         is_handed_over: Whether the node stops while its target keeps running, so that
             the next incarnation of the node can resume the target.
         target_born_ms: Start time of the target in Unix milliseconds; 0 if not known.
+        is_leaving: Whether the target is draining or has left.
     """
 
     name: str
@@ -51,6 +52,7 @@
     is_available: bool
     is_handed_over: bool = False
     target_born_ms: int = 0
+    is_leaving: bool = False
 
     @property
     def address(self) -> Address:
--- a/tests/platform_adapter/test_target_signals.py
+++ b/tests/platform_adapter/test_target_signals.py
@@ -5,6 +5,8 @@
 import pytest
 from platform_adapter.cluster import run_cluster, wait_until
 
+from mimosaloom_relay import decode_record
+
 pytestmark = pytest.mark.sockets
 
 BACK_ROUTE = {"pathPrefix": "/b/", "service": "back"}
@@ -138,6 +140,26 @@
     run_cluster(scenario)
 
 
+@pytest.mark.parametrize("is_store_late", [False, True])
+def test_restarted_node_does_not_forget_that_its_target_leaves(is_store_late):
+    """Guards against requests to a leaving target because its node has restarted."""
+
+    async def scenario(cluster):
+        front, leaving = await start_leaving_back(cluster)
+        await wait_until(lambda: is_leaving_in_store(cluster, "back-1"))
+        cluster.store.is_down = is_store_late
+        restarted = await cluster.restart("back-1")
+        await restarted.announce()
+        cluster.store.is_down = False
+        await wait_until(lambda: not restarted.node.own_target.is_available)
+        peers, incarnation = front.node.upstreams.peers, restarted.node.incarnation
+        await wait_until(lambda: peers.get("back-1").incarnation == incarnation)
+        await send_rounds(front, "id")
+        assert leaving.target.runs == []
+
+    run_cluster(scenario)
+
+
 def test_origin_remembers_that_a_target_leaves_although_its_node_has_forgotten():
     """Guards against an origin that relies on what a restarted node knows."""
 
@@ -169,3 +191,9 @@
             number += 1
 
     run_cluster(scenario)
+
+
+def is_leaving_in_store(cluster, name):
+    """Whether the record of a node in the store says that its target leaves."""
+    value = cluster.store.newest_values("keyed.nodes").get(name)
+    return value is not None and decode_record(value).is_leaving
