Give up an answer whose head never ends

Cause: the parser passes on whole fields only, buffers an unfinished one, and collects headers without a bound; nothing counted the bytes. Class: input of a peer that is held without a limit.

--- a/libs/mimosaloom-relay/mimosaloom_relay/connections.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/connections.py
@@ -15,6 +15,7 @@
 
 __all__ = [
     "FlowControl",
+    "HeadMeter",
     "configure_socket",
     "encode_chunk",
     "encode_head",
@@ -31,6 +32,8 @@
 # time covers one packet loss, since two in a row are rare, and it leaves time to send
 # the request to a second node if the first is cut off.
 SILENCE_MS = 600
+# Larger than the limits that operators set for clients.
+MAX_HEAD_BYTES = 65536
 LAST_CHUNK = b"0\r\n\r\n"
 
 
@@ -74,6 +77,30 @@
     return b"%x\r\n%b\r\n" % (len(piece), piece)
 
 
+class HeadMeter:
+    """Counts the bytes of a head that a parser may hold.
+
+    The parser passes on whole fields only and buffers an unfinished one, so a field
+    that never ends would take all memory.
+    """
+
+    def __init__(self):
+        self._bytes = 0
+
+    @property
+    def is_exceeded(self) -> bool:
+        """Whether more bytes than `MAX_HEAD_BYTES` have arrived without a result."""
+        return self._bytes > MAX_HEAD_BYTES
+
+    def add(self, size: int) -> None:
+        """Count bytes, before they are passed to the parser."""
+        self._bytes += size
+
+    def reset(self) -> None:
+        """Start anew after the end of a head, a piece of a body or a whole message."""
+        self._bytes = 0
+
+
 class FlowControl(asyncio.Protocol):
     """Protocol whose writers wait while the peer reads more slowly than they write."""
 
--- a/libs/mimosaloom-relay/mimosaloom_relay/http_client.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/http_client.py
@@ -20,6 +20,7 @@
 from .bodies import Body
 from .connections import (
     FlowControl,
+    HeadMeter,
     configure_socket,
     encode_head,
     find_connection_options,
@@ -112,6 +113,7 @@
         self._pending: _PendingResponse | None = None
         self._headers: list[tuple[str, str]] = []
         self._skips_response = False
+        self._head_meter = HeadMeter()
 
     def connection_made(self, transport):
         self.transport = transport
@@ -133,13 +135,19 @@
             # These bytes answer no request. The next response could be a wrong one.
             self.drop()
             return
+        self._head_meter.add(len(data))
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
-            pending, self._pending = self._pending, None
-            if pending is not None:
-                pending.body.fail(f"the answer is not valid HTTP: {error}")
-            self.drop()
+            self._fail_response(f"the answer is not valid HTTP: {error}")
+        if self._head_meter.is_exceeded:
+            self._fail_response("the head of the answer is larger than the limit")
+
+    def _fail_response(self, reason: str) -> None:
+        pending, self._pending = self._pending, None
+        if pending is not None:
+            pending.body.fail(reason)
+        self.drop()
 
     def expect_response(
         self, is_head_request: bool, belongs_to_request: ResponseMatcher
@@ -179,6 +187,7 @@
                 pending.body.fail("too many answers to other requests")
                 self.drop()
             return
+        self._head_meter.reset()
         pending.status, pending.headers = status, headers
         options = find_connection_options(headers)
         if (
@@ -193,11 +202,13 @@
             self._finish_response()
 
     def on_body(self, body):
+        self._head_meter.reset()
         if self._pending is not None and not self._skips_response:
             self.feed_with_backpressure(self._pending.body.feed, body)
 
     def on_message_complete(self):
         if not self._skips_response:
+            self._head_meter.reset()
             self._finish_response()
 
     def _finish_response(self) -> None:
--- a/tests/platform_adapter/standins.py
+++ b/tests/platform_adapter/standins.py
@@ -17,10 +17,12 @@
             without running it, "reject-twice" also sends a copy of that answer when the
             next request on the connection arrives, "hold" and "hold-error" run it and
             answer once `released` is set, "hang" never answers and does not run it;
+            those of `_ENDLESS_ANSWERS` write until the connection closes;
             `_ANSWER_BUILDERS` has the others.
         released: Event that lets held requests end.
         disconnected: Ids of the requests whose connection closed while they were held.
         connections: Number of connections accepted so far.
+        endless_bytes: Number of bytes written in endless answers.
         is_healthy: Whether its health check succeeds.
         signals: Header lines in all of its answers.
         port: Port on which it listens.
@@ -34,6 +36,7 @@
         self.released = asyncio.Event()
         self.disconnected: list[str] = []
         self.connections = 0
+        self.endless_bytes = 0
         self.is_healthy = True
         self.signals: list[str] = []
         self.port = 0
@@ -109,6 +112,9 @@
             await reader.read()
             return False
         await self.run(request_id)
+        if mode in _ENDLESS_ANSWERS:
+            await self._write_endlessly(request_id, writer, *_ENDLESS_ANSWERS[mode])
+            return False
         answer = self._build_answer(request_id, b"done:" + body)
         if mode.startswith("hold"):
             if mode == "hold-error":
@@ -120,6 +126,16 @@
         writer.write(_ANSWER_BUILDERS[mode](answer, unsolicited))
         return mode not in _CLOSING_MODES
 
+    async def _write_endlessly(self, request_id, writer, start, piece) -> None:
+        writer.write(start.replace(b"ID", request_id.encode()))
+        while not writer.transport.is_closing():
+            writer.write(piece)
+            self.endless_bytes += len(piece)
+            await writer.drain()
+            # Lets the node run, which shares the event loop.
+            await asyncio.sleep(0)
+        self.disconnected.append(request_id)
+
     async def _hold_request(self, request_id, answer, reader, writer) -> bool:
         closed = asyncio.ensure_future(reader.read(1))
         released = asyncio.ensure_future(self.released.wait())
@@ -168,6 +184,23 @@
     "error": lambda answer, unsolicited: answer.replace(b"200 OK", b"500 Error"),
     "chunked": lambda answer, unsolicited: _encode_chunked(answer),
 }
+_SIGNED_START = (
+    b"HTTP/1.1 200 OK\r\nMimosaloom-Attempt-Id: ID\r\n"
+    b"Mimosaloom-Response-Signature: s\r\n"
+)
+_PIECE_BYTES = 65536
+# What the target writes once, and what it then repeats until the connection closes.
+_ENDLESS_ANSWERS = {
+    "endless-status": (b"HTTP/1.1 200 ", b"O" * _PIECE_BYTES),
+    "endless-header": (_SIGNED_START + b"X: ", b"x" * _PIECE_BYTES),
+    "endless-headers": (_SIGNED_START, b"X: y\r\n" * (_PIECE_BYTES // 6)),
+    "endless-interim": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 2000),
+    "endless-trailers": (
+        _SIGNED_START + b"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n",
+        b"X: y\r\n" * (_PIECE_BYTES // 6),
+    ),
+    "endless-body": (_SIGNED_START + b"\r\n", b"b" * _PIECE_BYTES),
+}
 _CLOSING_MODES = frozenset({"lose", "cut", "garbage", "no-length"})
 
 
