Refuse a request whose head never ends

Of a request's head, complete headers and the path were counted, but not a header that never ends.

Evidence: test_node_refuses_a_request_whose_head_never_ends fails without this change for a header of 16 MB, and passes with it: 400, and the connection is closed. A path without end was refused before.

--- a/libs/mimosaloom-relay/mimosaloom_relay/connections.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/connections.py
@@ -14,6 +14,7 @@
 from .bodies import Body
 
 __all__ = [
+    "MAX_HEAD_BYTES",
     "FlowControl",
     "HeadMeter",
     "configure_socket",
--- a/libs/mimosaloom-relay/mimosaloom_relay/http_server.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/http_server.py
@@ -14,15 +14,19 @@
 from mimosaloom_model import Address
 
 from .bodies import Body
-from .connections import FlowControl, configure_socket, encode_head
+from .connections import (
+    MAX_HEAD_BYTES,
+    FlowControl,
+    HeadMeter,
+    configure_socket,
+    encode_head,
+)
 from .hop_messages import forwarded_headers
 from .http_client import Answer
 
 __all__ = ["Handler", "Incoming", "RelayServer"]
 
 LISTEN_BACKLOG = 1024
-# Larger than the limits that operators set for clients.
-MAX_HEAD_BYTES = 65536
 # Time for which the rest of a request is still read after an early answer. Closing a
 # connection with unread bytes resets it, and the client would lose the answer.
 LINGER_S = 0.5
@@ -144,6 +148,7 @@
         self._waiting: deque[_Exchange] = deque()
         self._current: _Exchange | None = None
         self._head_bytes = 0
+        self._head_meter = HeadMeter()
         self._has_stopped_parsing = False
         self._error_response = BAD_REQUEST_RESPONSE
 
@@ -163,6 +168,7 @@
     def data_received(self, data):
         if self._has_stopped_parsing:
             return
+        self._head_meter.add(len(data))
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -172,6 +178,9 @@
             self._error_response = b""
         except httptools.HttpParserError:
             self._reject()
+            return
+        if self._head_meter.is_exceeded:
+            self._reject()
 
     def on_message_begin(self):
         self._incoming = _Exchange(self)
@@ -187,6 +196,7 @@
         self._incoming.headers.append(header)
 
     def on_headers_complete(self):
+        self._head_meter.reset()
         exchange = self._incoming
         exchange.method = self._parser.get_method().decode("latin-1")
         exchange.is_kept_alive = (
@@ -200,6 +210,7 @@
             self.transport.write(CONTINUE_RESPONSE)
 
     def on_body(self, body):
+        self._head_meter.reset()
         self._incoming.size += len(body)
         if self._incoming.size > self._server.max_body_bytes():
             self._error_response = CONTENT_TOO_LARGE_RESPONSE
@@ -207,6 +218,7 @@
         self.feed_with_backpressure(self._incoming.body.feed, body)
 
     def on_message_complete(self):
+        self._head_meter.reset()
         exchange, self._incoming = self._incoming, None
         exchange.body.finish()
 
--- a/tests/platform_adapter/test_endless_messages.py
+++ b/tests/platform_adapter/test_endless_messages.py
@@ -3,7 +3,7 @@
 import asyncio
 
 import pytest
-from platform_adapter.cluster import run_cluster, wait_until
+from platform_adapter.cluster import WAIT_TIMEOUT_S, run_cluster, wait_until
 
 pytestmark = pytest.mark.sockets
 
@@ -63,3 +63,19 @@
         await wait_until(lambda: any(target.disconnected for target in targets))
 
     run_cluster(scenario)
+
+
+@pytest.mark.parametrize("start", [b"GET /", b"GET /b/x HTTP/1.1\r\nX: "])
+def test_node_refuses_a_request_whose_head_never_ends(start):
+    """Guards against a node that runs out of memory because of one client."""
+
+    async def scenario(cluster):
+        front = await start_nodes(cluster)
+        address = front.node.addresses.outbound
+        reader, writer = await asyncio.open_connection(address.host, address.port)
+        writer.write(start + b"x" * MAX_READ_BYTES)
+        async with asyncio.timeout(WAIT_TIMEOUT_S):
+            assert (await reader.readline()).startswith(b"HTTP/1.1 400 ")
+        writer.transport.abort()
+
+    run_cluster(scenario)
