Let the targets of a soak name limits and leave by their answers

The soak draws targets that name a rate limit for 5 to 10 s, also while their node is killed or stopped, and leaving targets that say so up to 3.5 s before their heartbeat. It checks LIMIT and DRAIN by what callers were told and targets got.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -34,6 +34,9 @@
         status: Status of the answer; 0 if there is no complete answer.
         is_own_answer: Whether body and id are those of the request.
         was_accepted: Whether the whole request was written on an open connection.
+        target_id: Target that gave the answer; empty if none did.
+        names_limit: Whether the answer names a rate limit.
+        is_target_leaving: Whether the answer says that the target leaves.
     """
 
     request_id: str
@@ -46,6 +49,9 @@
     status: int
     is_own_answer: bool
     was_accepted: bool
+    target_id: str = ""
+    names_limit: bool = False
+    is_target_leaving: bool = False
 
 
 class _Answer(NamedTuple):
@@ -127,6 +133,8 @@
             self._close()
         if answer is not None and answer.headers.get("connection") == "close":
             self._close()
+        headers = {} if answer is None else answer.headers
+        signature = headers.get("mimosaloom-response-signature", "")
         exchange = Exchange(
             request_id,
             self._machine,
@@ -138,10 +146,12 @@
             0 if answer is None else answer.status,
             answer is not None and _is_own(answer, request_id, is_idempotent),
             was_accepted,
+            signature.removeprefix("sig."),
+            "server-limit" in headers,
+            headers.get("server-leaving") == "1",
         )
         self._exchanges.append(exchange)
-        retry_after = "" if answer is None else answer.headers.get("retry-after", "")
-        return exchange, float(retry_after or 0)
+        return exchange, float(headers.get("retry-after") or 0)
 
     async def _open(self):
         if self._streams is None:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -13,6 +13,7 @@
 from soak.links import LinkMode, LinkProxy
 from soak.machines import READY_PORT, Machine, NodeProcess
 from soak.operations import CONFIG_TOPIC, Operations
+from soak.signals import LimitSpan
 from soak.stores import CopyKeeper, StoreFault, StoreView
 from soak.targets import TargetHost
 
@@ -21,6 +22,7 @@
 # All nodes have read a record of the store after this time.
 READ_S = 0.3
 START_TIMEOUT_S = 20.0
+LIMITED_S = (5.0, 10.0)
 
 Fault = Callable[[], Awaitable[None]]
 
@@ -61,6 +63,7 @@
 
     Attributes:
         disturbances: All faults so far.
+        limits: All rate limits of targets so far.
     """
 
     def __init__(
@@ -73,6 +76,7 @@
         only: tuple[str, ...] = (),
     ):
         self.disturbances: list[Disturbance] = []
+        self.limits: list[LimitSpan] = []
         self._members = members
         self._store = store
         self._copies = copies
@@ -92,6 +96,7 @@
             (self.crash_target, 2),
             (self.replace_target, 2),
             (self.spoil_answers, 3),
+            (self.limit_target, 3),
             (self.publish, 8),
         ]
         if only:
@@ -289,6 +294,24 @@
                 if member.host.target:
                     member.host.target.is_faulty = False
 
+    async def limit_target(self) -> None:
+        """Let a target name a rate limit, also while its node has other faults."""
+        host = self._rng.choice(self._members).host
+        target = host.target
+        if target is None or target.signals:
+            return
+        loop = asyncio.get_running_loop()
+        rate_per_s, start_s = round(self._rng.uniform(1, 8), 1), loop.time()
+        target.signals = [f"Server-Limit: {rate_per_s}"]
+        end_s = start_s + self._rng.uniform(*LIMITED_S)
+        while host.target is target and loop.time() < end_s:
+            await asyncio.sleep(0.05)
+        self.limits.append(
+            LimitSpan(target.target_id, rate_per_s, start_s, loop.time())
+        )
+        if any("Limit" in line for line in target.signals):
+            target.signals = []
+
     async def _kill_and_start(self, member: Member) -> None:
         await member.node.kill()
         await asyncio.sleep(self._rng.uniform(0.05, 1.0))
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -28,6 +28,7 @@
     describe_version,
     kind_of,
 )
+from soak.signals import find_broken_signals
 from soak.stores import CopyKeeper, StoreView
 from soak.targets import Run, TargetHost
 
@@ -283,10 +284,13 @@
     findings = find_broken_rules(
         soak.exchanges, soak.runs, soak.operations, soak.faults.disturbances
     )
+    findings += find_broken_signals(
+        soak.exchanges, soak.runs, soak.faults.limits, soak.faults.disturbances
+    )
     return Report(
         findings + at_end,
         count_statuses(soak.exchanges),
-        soak.faults.count_faults(),
+        soak.faults.count_faults() | {"target limited": len(soak.faults.limits)},
         soak.store.era - 1,
         len(soak.operations.versions),
     )
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -19,6 +19,8 @@
 # A draining target serves for this long after the acknowledgement.
 DRAIN_S = 2.0
 LINGER_S = 1.0
+# A leaving target says so in its answers for up to this long before its heartbeat does.
+MAX_EARLY_LEAVING_S = 3.5
 SLOTS = 16
 WORK_S = (0.005, 0.06)
 # Modes of `FakeTarget` while it is faulty.
@@ -143,6 +145,8 @@
 
     async def drain(self) -> None:
         """Announce that the target leaves, serve for a while, and end it."""
+        self.target.signals = ["Server-Leaving: 1"]
+        await asyncio.sleep(self._rng.choice([0, 0.1, MAX_EARLY_LEAVING_S]))
         self._announcing.cancel()
         while not await self._send_heartbeat("draining"):
             await asyncio.sleep(HEARTBEAT_S)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -12,7 +12,7 @@
 FAULTS_S = 14.0
 # What the load of the machine can't break. The rules with a time bound are checked in
 # the soaks that are run by hand.
-TIMELESS_RULES = {"TWICE", "REFUSED", "MIXED", "RECOVER"}
+TIMELESS_RULES = {"TWICE", "REFUSED", "MIXED", "RECOVER", "LIMIT", "DRAIN"}
 
 
 @pytest.mark.parametrize("seed", [1, 22])
