--- a/tests/platform_adapter/test_store_restore.py
+++ b/tests/platform_adapter/test_store_restore.py
@@ -69,6 +69,22 @@
     run_cluster(scenario)
 
 
+def test_node_without_any_traffic_notices_a_restore_with_its_next_poll():
+    """Guards against a node that waits in the lost history for the length of a poll."""
+
+    async def scenario(cluster):
+        front = await cluster.add_member("front-1", "front")
+        await cluster.configure(1, [FRONT_ROUTE])
+        copy = cluster.store.take_copy()
+        await cluster.configure(4, [FRONT_ROUTE])
+        cluster.store.restore(copy)
+        document = build_document(6, [FRONT_ROUTE, ADDED_ROUTE], ["front"])
+        cluster.store.put("keyed.op", "config", document)
+        await wait_until(lambda: front.node.version == 6)
+
+    run_cluster(scenario)
+
+
 def test_nodes_publish_their_records_again_after_a_restore():
     """Guards against services without an upstream because the records are gone."""
 
