--- a/libs/mimosaloom-relay/mimosaloom_relay/target_side.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/target_side.py
@@ -268,6 +268,7 @@
             queued=gate.admission.queued if gate else 0,
             limit=gate.admission.limit if gate else 0,
             level=gate.admission.level if gate else 0.0,
+            rate_limit_per_s=self._rate_limit_per_s(),
         )
         return HopReply(None, self._build_result(context, kind, detail, retry_after_s))
 
@@ -280,15 +281,13 @@
         *,
         was_sent: bool = False,
     ) -> HopResult:
-        level, load, rate_limit_per_s, pause_s = 1.0, 0.0, 0.0, 0.0
+        level, load, pause_s = 1.0, 0.0, 0.0
         if self._gate is not None:
             admission = self._gate.admission
             level = admission.level
             load = (admission.in_flight + admission.queued) / self._used_slots
-            if math.isfinite(admission.rate_limit.rate_per_s):
-                rate_limit_per_s = admission.rate_limit.rate_per_s
-                now_s = self._clock.monotonic_s()
-                pause_s = admission.rate_limit.reserve_pause_s(now_s)
+            now_s = self._clock.monotonic_s()
+            pause_s = admission.rate_limit.reserve_pause_s(now_s)
         return HopResult(
             kind="" if kind is None else kind.value,
             detail=detail,
@@ -298,10 +297,17 @@
             level=level,
             level_below=self.level_below(context.route),
             load=load,
-            rate_limit_per_s=rate_limit_per_s,
+            rate_limit_per_s=self._rate_limit_per_s(),
             pause_s=pause_s,
         )
 
+    def _rate_limit_per_s(self) -> float:
+        """Return the rate limit of the target in requests/s; 0 for none."""
+        if self._gate is None:
+            return 0.0
+        rate_per_s = self._gate.admission.rate_limit.rate_per_s
+        return rate_per_s if math.isfinite(rate_per_s) else 0.0
+
     async def _send_and_release(
         self,
         gate: AdmissionGate,
