--- a/tests/platform_adapter/store_standin.py
+++ b/tests/platform_adapter/store_standin.py
@@ -36,6 +36,7 @@
         is_silent: Whether the store never answers the calls that it receives, on
             connections that stay open.
         lost_reads: Reads that are never answered.
+        silent_connections: Connections on which no further call is answered.
         loses_answers: Whether the store closes the connection after an append without
             an answer.
         era: Number in all answers; each restore from a copy raises it by one.
@@ -48,6 +49,8 @@
         self.is_down = False
         self.is_silent = False
         self.lost_reads: set[RequestHandler] = set()
+        self.silent_connections: set[object] = set()
+        self._connections: set[object] = set()
         self.loses_answers = False
         self.era = 1
         self.calls: list[str] = []
@@ -94,6 +97,16 @@
         """Whether at least this number of reads wait for a record."""
         return len(self._waiting_reads) >= count
 
+    def note_connection(self, connection: object) -> bool:
+        """Note a connection that a call came on; return whether it is silent."""
+        self._connections.add(connection)
+        return connection in self.silent_connections
+
+    def silence_open_connections(self) -> None:
+        """Answer nothing more on the connections of now; new ones work."""
+        self.silent_connections |= self._connections
+        self.lose_open_reads()
+
     def newest_values(self, topic: str) -> dict[str, bytes]:
         """Return the newest value of each key, without the keys that were removed."""
         found = dict(self.topics.get(topic, []))
@@ -147,7 +160,8 @@
 
     async def wait_if_lost(self) -> None:
         """Wait for ever if this call is never answered."""
-        if self.store.is_silent or self in self.store.lost_reads:
+        is_silent = self.store.note_connection(self.request.connection.stream)
+        if is_silent or self.store.is_silent or self in self.store.lost_reads:
             await asyncio.Event().wait()
 
     def answer(self, body: bytes | dict) -> None:
--- a/tests/platform_adapter/test_control.py
+++ b/tests/platform_adapter/test_control.py
@@ -95,6 +95,25 @@
     run_cluster(scenario)
 
 
+def test_version_is_read_although_all_open_connections_are_silent():
+    """Guards against a read on one silent connection after the other."""
+
+    async def scenario(cluster):
+        front = await cluster.add_member("front-1", "front")
+        await cluster.configure(1, [FRONT_ROUTE])
+        await front.announce()
+        await wait_until(lambda: cluster.store.has_waiting_reads(2))
+        cluster.store.silence_open_connections()
+        calls = len(cluster.store.calls)
+        document = build_document(2, [FRONT_ROUTE], ["front"])
+        cluster.store.put("keyed.op", "config", document)
+        await wait_until(lambda: front.node.version == 2)
+        newest = cluster.store.calls[calls:].count("/-/log-newest")
+        assert newest == 1
+
+    run_cluster(scenario)
+
+
 def test_node_is_found_although_the_open_polls_are_never_answered():
     """Guards against a node that misses others because it lost the poll for them."""
 
--- a/tests/soak/stores.py
+++ b/tests/soak/stores.py
@@ -106,6 +106,10 @@
             server.stop()
             await server.close_all_connections()
 
+    def note_connection(self, connection: object) -> bool:
+        """Return whether a connection is silent; here, none is."""
+        return False
+
     def lose_open_reads(self) -> None:
         """Never answer the reads that wait now; their connections stay open."""
         self.lost_reads |= self._waiting
