Abort calls to the store that nobody waits for

A poll that was given up, since its era had ended or the store had recovered, went on until its own timeout, up to 23 s, and kept one of the 16 handles of the client.

Evidence: test_reads_that_were_given_up_take_no_place fails without this change (a read of the newest records waits for more than 5 s) and passes with it.

Change: cancelling a call aborts it in libcurl and closes its connection.

--- a/libs/mimosaloom-mesh/mimosaloom_mesh/curl_client.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/curl_client.py
@@ -10,7 +10,7 @@
 
 import pycurl
 from tornado.curl_httpclient import CurlAsyncHTTPClient
-from tornado.httpclient import AsyncHTTPClient, HTTPError, HTTPRequest, HTTPResponse
+from tornado.httpclient import HTTPError, HTTPRequest, HTTPResponse
 
 from .messages import Headers, Request
 
@@ -79,7 +79,20 @@
 
 
 class ClosableCurlClient(CurlAsyncHTTPClient):
-    """Tornado's client, of which no timer remains after it is closed."""
+    """Tornado's client, whose calls can be aborted.
+
+    No timer remains after it is closed.
+    """
+
+    def abort(self, request: HTTPRequest) -> None:
+        """Abort a call that is in progress, and close its connection."""
+        for curl in self._curls:
+            # Tornado sets it when it first uses a handle.
+            info = getattr(curl, "info", None)
+            if info is not None and info["request"].request is request:
+                self._finish(curl, pycurl.E_ABORTED_BY_CALLBACK, "aborted")
+                self._process_queue()
+                return
 
     def close(self) -> None:
         """Close all connections; calls in progress never complete."""
@@ -204,8 +217,13 @@
         info["callback"](None)
 
 
-async def fetch_response(client: AsyncHTTPClient, request: HTTPRequest) -> HTTPResponse:
-    """Return the response to a request; `NO_ANSWER_STATUS` if there is none."""
+async def fetch_response(
+    client: ClosableCurlClient, request: HTTPRequest
+) -> HTTPResponse:
+    """Return the response to a request; `NO_ANSWER_STATUS` if there is none.
+
+    Cancelling the awaiting task aborts the call.
+    """
     fetching = client.fetch(request, raise_error=False)
     try:
         return await asyncio.shield(fetching)
@@ -213,8 +231,9 @@
         # `raise_error` applies only to responses, not to connection failures.
         return HTTPResponse(request, NO_ANSWER_STATUS, error=error)
     except asyncio.CancelledError:
-        # The call goes on, but nobody needs to know if it fails.
+        # Nobody needs to know how the call ends.
         fetching.add_done_callback(lambda done: done.cancelled() or done.exception())
+        client.abort(request)
         raise
 
 
--- a/tests/platform_adapter/test_store_restore.py
+++ b/tests/platform_adapter/test_store_restore.py
@@ -4,11 +4,11 @@
 
 import msgspec
 import pytest
-from platform_adapter.cluster import run_cluster, wait_until
+from platform_adapter.cluster import WAIT_TIMEOUT_S, run_cluster, wait_until
 from platform_adapter.standins import build_document
 
-from mimosaloom_platform.store import StoreClient
-from mimosaloom_relay import LONG_POLL
+from mimosaloom_platform.store import MAX_CONCURRENT_CALLS, StoreClient
+from mimosaloom_relay import LONG_POLL, Batch
 from mimosaloom_relay.peers import encode_record
 
 pytestmark = pytest.mark.sockets
@@ -212,3 +212,20 @@
 def has_records(cluster, *names):
     """Whether the store holds the records of the named nodes."""
     return set(names) <= set(cluster.store.newest_values("keyed.nodes"))
+
+
+def test_reads_that_were_given_up_take_no_place():
+    """Guards against calls that wait behind polls that nobody needs any more."""
+
+    async def scenario(cluster):
+        store = StoreClient(cluster.store_url)
+        for _ in range(MAX_CONCURRENT_CALLS):
+            reading = asyncio.ensure_future(store.read("keyed.op", 0, LONG_POLL))
+            await asyncio.sleep(0.01)
+            reading.cancel()
+            await asyncio.wait([reading])
+        async with asyncio.timeout(WAIT_TIMEOUT_S):
+            assert isinstance(await store.read_newest("keyed.op"), Batch)
+        store.close()
+
+    run_cluster(scenario)
