--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -204,7 +204,11 @@
                     member.store.fault = StoreFault.NONE
 
     async def restore_store(self) -> None:
-        """Bring the store back from an older copy, with some nodes paused meanwhile."""
+        """Bring the store back from an older copy, at times with further faults.
+
+        Some nodes are paused meanwhile, and to some the store is silent, busy, slow or
+        loses answers.
+        """
         async with self._store_lock:
             with contextlib.ExitStack() as stack:
                 stack.enter_context(self._disturb("", "store restored"))
@@ -224,10 +228,24 @@
                     self._go_back()
                     # The store is back before a node can tell that it was away.
                     self._store.cut_reads()
+                self._break_for_some()
                 await asyncio.sleep(self._rng.choice([0, 0.5, 1.5]))
+                for member in self._members:
+                    member.store.fault = StoreFault.NONE
                 for member in paused:
                     member.node.resume()
 
+    def _break_for_some(self) -> None:
+        """Let the store serve some nodes badly, half of the time none."""
+        count = self._rng.choice([0, 0, 1, len(self._members) // 2])
+        fault = self._rng.choice(
+            [StoreFault.SILENT, StoreFault.BUSY, StoreFault.SLOW, StoreFault.LOSSY]
+        )
+        for member in self._rng.sample(self._members, count):
+            member.store.fault = fault
+            if fault is StoreFault.SILENT:
+                member.store.lose_open_reads()
+
     async def drill_store(self) -> None:
         """Restore the store unnoticed, so that its log ends where the nodes have read.
 
