Remember a start of a target that has left after its node's record is gone

A node that stops beside a leaving target removes its record, and the origins forgot with it that they had passed on an answer which says so. When the node was back, requests reached the target again.

Change: the starts that have left are kept by the name of the node, 4,096 at most.

--- a/libs/mimosaloom-relay/mimosaloom_relay/peers.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/peers.py
@@ -20,6 +20,8 @@
 # connection limit of a target applies only to the node beside it, which opens no more
 # connections to the target than the target has slots.
 MAX_HOP_CONNECTIONS = 256
+# Of the nodes whose targets have left; more than leave during the life of a target.
+MAX_LEFT_STARTS = 4096
 
 
 class PeerRecord(msgspec.Struct, frozen=True):
@@ -92,7 +94,8 @@
     def __init__(self):
         self._records: dict[str, PeerRecord] = {}
         self._unreachable: set[str] = set()
-        # Last start of each node's target that has said in an answer that it leaves.
+        # Last start of each node's target that has said in an answer that it leaves. It
+        # is kept without a record of the node, which may restart and publish one again.
         self._left_starts: dict[str, str] = {}
 
     def __len__(self) -> int:
@@ -120,7 +123,6 @@
     def remove(self, name: str) -> set[str]:
         """Remove a node; return the services whose upstreams have changed."""
         known = self._records.pop(name, None)
-        self._left_starts.pop(name, None)
         self._unreachable.discard(name)
         return {known.service} if known else set()
 
@@ -143,7 +145,10 @@
         """
         if name not in self._records or self._left_starts.get(name) == start_key:
             return False
+        self._left_starts.pop(name, None)
         self._left_starts[name] = start_key
+        while len(self._left_starts) > MAX_LEFT_STARTS:
+            del self._left_starts[next(iter(self._left_starts))]
         return True
 
     def mark_reachable(self, name: str) -> None:
--- a/tests/platform_adapter/test_target_signals.py
+++ b/tests/platform_adapter/test_target_signals.py
@@ -105,7 +105,7 @@
     """Start a front and two targets, the first of which has said that it leaves."""
     front = await cluster.add_member("front-1", "front")
     for name in ("back-1", "back-2"):
-        await cluster.add_member(name, "back")
+        await cluster.add_member(name, "back", grace_s=6.0)
     await cluster.configure(1, [BACK_ROUTE])
     await cluster.announce_all()
     leaving = cluster.members["back-1"]
@@ -177,6 +177,23 @@
     run_cluster(scenario)
 
 
+def test_origin_remembers_that_a_target_leaves_over_a_planned_restart_of_its_node():
+    """Guards against an origin that forgets a start together with its record."""
+
+    async def scenario(cluster):
+        front, leaving = await start_leaving_back(cluster)
+        await leaving.node.stop()
+        peers = front.node.upstreams.peers
+        await wait_until(lambda: peers.get("back-1") is None)
+        restarted = await cluster.restart("back-1")
+        await restarted.announce()
+        await wait_until(lambda: front.sees_all_available(cluster.members))
+        await send_rounds(front, "id")
+        assert leaving.target.runs == []
+
+    run_cluster(scenario)
+
+
 def test_target_that_starts_again_gets_requests():
     """Guards against a target that stays idle because its last start has left."""
 
