--- a/libs/mimosaloom-relay/mimosaloom_relay/target_side.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/target_side.py
@@ -33,7 +33,7 @@
 from .http_server import Incoming
 from .metrics import RelayMetrics
 from .own_target import OwnTarget
-from .target_signals import TargetSignals, read_target_signals
+from .target_signals import SignalMonitor
 
 __all__ = ["HopReply", "TargetSide"]
 
@@ -121,7 +121,14 @@
         self._call_counts = CallCountEstimate()
         self._parents_with_failed_call: set[str] = set()
         self._rejected_until_s: dict[str, float] = {}
-        self._signals = TargetSignals(None, is_leaving=False)
+        self._signals = SignalMonitor(
+            own_target,
+            names,
+            lambda: self.on_leaving(),
+            clock=clock,
+            log=log,
+            metrics=metrics,
+        )
         # The target must see only the values that this node sets.
         self._replaced = frozenset(
             {
@@ -368,8 +375,9 @@
             )
         if isinstance(outcome, FailedSend):
             return self._build_failed_reply(context, outcome, start_s)
-        signals = read_target_signals(outcome.response.headers, self._names)
-        self._apply_signals(gate, start_key, signals)
+        signals = self._signals.apply(
+            outcome.response.headers, start_key, gate.admission.rate_limit
+        )
         reply = self._build_answered_reply(context, outcome, start_s)
         if signals.is_leaving:
             result = msgspec.structs.replace(reply.result, left_start=start_key)
@@ -378,28 +386,6 @@
             self._remember_rejection(context.request_id, deadline_s)
         return reply
 
-    def _apply_signals(
-        self, gate: AdmissionGate, start_key: str, signals: TargetSignals
-    ) -> None:
-        """Apply what a start of the target says about itself in an answer."""
-        own = self.own_target
-        if signals.is_leaving and own.start_key == start_key and not own.is_leaving:
-            own.mark_leaving(own.target_id)
-            self.on_leaving()
-        gate.admission.rate_limit.observe(
-            signals.rate_limit_per_s, self._clock.monotonic_s()
-        )
-        if signals == self._signals:
-            return
-        self._signals = signals
-        self._metrics.target_rate_limit.set(signals.rate_limit_per_s or 0.0)
-        self._log.change(
-            "target_signals_changed",
-            target_id=self.own_target.target_id,
-            rate_limit_per_s=signals.rate_limit_per_s,
-            is_leaving=signals.is_leaving,
-        )
-
     def _remember_rejection(self, request_id: str, deadline_s: float) -> None:
         """Remember until its deadline that the target has rejected a request."""
         now_s = self._clock.monotonic_s()
--- a/libs/mimosaloom-relay/mimosaloom_relay/target_signals.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/target_signals.py
@@ -1,13 +1,19 @@
 """What a target says about itself in the headers of its answers."""
 
 import math
+from collections.abc import Callable
 from typing import NamedTuple
 
 from mimosaloom_mesh.messages import Headers, find_header
+from mimosaloom_model import Clock
+from mimosaloom_policy import RateLimit
 
+from .decision_log import DecisionLog
 from .hop_messages import HeaderNames
+from .metrics import RelayMetrics
+from .own_target import OwnTarget
 
-__all__ = ["TargetSignals", "read_target_signals"]
+__all__ = ["SignalMonitor", "TargetSignals", "read_target_signals"]
 
 
 class TargetSignals(NamedTuple):
@@ -23,6 +29,64 @@
     is_leaving: bool
 
 
+class SignalMonitor:
+    """Applies the signals of the target beside a node, and logs their changes.
+
+    Args:
+        own_target: State of the target.
+        names: Header names that the target uses.
+        on_leaving: Called when the target has said for the first time that it leaves.
+        clock: Source of time.
+        log: Receives a line for each change.
+        metrics: Shows the rate limit.
+    """
+
+    def __init__(
+        self,
+        own_target: OwnTarget,
+        names: HeaderNames,
+        on_leaving: Callable[[], None],
+        *,
+        clock: Clock,
+        log: DecisionLog,
+        metrics: RelayMetrics,
+    ):
+        self._own_target = own_target
+        self._names = names
+        self._on_leaving = on_leaving
+        self._clock = clock
+        self._log = log
+        self._metrics = metrics
+        self._last = TargetSignals(None, is_leaving=False)
+
+    def apply(
+        self, headers: Headers, start_key: str, rate_limit: RateLimit
+    ) -> TargetSignals:
+        """Apply and return the signals in an answer.
+
+        Args:
+            headers: Headers of the answer.
+            start_key: Start of the target that the request was sent to.
+            rate_limit: Rate limit of that start.
+        """
+        signals = read_target_signals(headers, self._names)
+        own = self._own_target
+        if signals.is_leaving and own.start_key == start_key and not own.is_leaving:
+            own.mark_leaving(own.target_id)
+            self._on_leaving()
+        rate_limit.observe(signals.rate_limit_per_s, self._clock.monotonic_s())
+        if signals != self._last:
+            self._last = signals
+            self._metrics.target_rate_limit.set(signals.rate_limit_per_s or 0.0)
+            self._log.change(
+                "target_signals_changed",
+                target_id=own.target_id,
+                rate_limit_per_s=signals.rate_limit_per_s,
+                is_leaving=signals.is_leaving,
+            )
+        return signals
+
+
 def read_target_signals(headers: Headers, names: HeaderNames) -> TargetSignals:
     """Return the signals in the headers of an answer; ignore values that make no sense.
 
