--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -194,9 +194,7 @@
                 if fault is StoreFault.AWAY:
                     await asyncio.gather(*(m.store.close() for m in members))
                 for member in members:
-                    member.store.fault = fault
-                    if fault is StoreFault.SILENT:
-                        member.store.lose_open_reads()
+                    member.store.start_fault(fault)
                 await asyncio.sleep(self._rng.uniform(0.3, 2.5))
                 for member in members:
                     if fault is StoreFault.AWAY:
@@ -242,9 +240,7 @@
             [StoreFault.SILENT, StoreFault.BUSY, StoreFault.SLOW, StoreFault.LOSSY]
         )
         for member in self._rng.sample(self._members, count):
-            member.store.fault = fault
-            if fault is StoreFault.SILENT:
-                member.store.lose_open_reads()
+            member.store.start_fault(fault)
 
     async def drill_store(self) -> None:
         """Restore the store unnoticed, so that its log ends where the nodes have read.
--- a/tests/soak/stores.py
+++ b/tests/soak/stores.py
@@ -110,9 +110,11 @@
         """Return whether a connection is silent; here, none is."""
         return False
 
-    def lose_open_reads(self) -> None:
-        """Never answer the reads that wait now; their connections stay open."""
-        self.lost_reads |= self._waiting
+    def start_fault(self, fault: StoreFault) -> None:
+        """Treat the calls of the node in another way, also those that wait now."""
+        self.fault = fault
+        if fault is StoreFault.SILENT:
+            self.lost_reads |= self._waiting
 
     def put(self, topic: str, key: str, value: bytes) -> int:
         """Append a record."""
--- a/tests/soak/test_drill.py
+++ b/tests/soak/test_drill.py
@@ -65,8 +65,7 @@
             await soak.start()
             stores = [member.store for member in soak.members]
             for store in stores:
-                store.fault = StoreFault.SILENT
-                store.lose_open_reads()
+                store.start_fault(StoreFault.SILENT)
             await asyncio.sleep(silence_s)
             for store in stores:
                 store.fault = StoreFault.NONE
