Ignore an abort after the client of the store is closed

At each stop of a node its open polls were cancelled after the client had been closed, and each printed a traceback.

--- a/libs/mimosaloom-mesh/mimosaloom_mesh/curl_client.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/curl_client.py
@@ -86,6 +86,8 @@
 
     def abort(self, request: HTTPRequest) -> None:
         """Abort a call that is in progress, and close its connection."""
+        if self._closed:
+            return
         for curl in self._curls:
             # Tornado sets it when it first uses a handle.
             info = getattr(curl, "info", None)
--- a/tests/platform_adapter/test_store_restore.py
+++ b/tests/platform_adapter/test_store_restore.py
@@ -229,3 +229,18 @@
         store.close()
 
     run_cluster(scenario)
+
+
+def test_call_that_is_cancelled_after_the_client_is_closed_raises_nothing():
+    """Guards against a traceback at each stop of a node, whose polls are open then."""
+
+    async def scenario(cluster):
+        store = StoreClient(cluster.store_url)
+        reading = asyncio.ensure_future(store.read("keyed.op", 0, LONG_POLL))
+        await wait_until(lambda: cluster.store.has_waiting_reads(1))
+        store.close()
+        reading.cancel()
+        await asyncio.wait([reading])
+        assert reading.cancelled()
+
+    run_cluster(scenario)
