--- a/libs/mimosaloom-relay/mimosaloom_relay/__init__.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/__init__.py
@@ -11,7 +11,7 @@
 from .node import RelayNode
 from .own_target import Announcement, HeartbeatResult, OwnTarget, TargetState
 from .peers import PeerRecord, PeerTable, decode_record
-from .poll_timing import PollTiming, choose_poll_timing
+from .poll_timing import LONG_POLL, PollTiming, choose_poll_timing
 from .publisher import Publisher
 from .retry_share import RetryBudgetShare, SharedRetryBudget
 from .routes import (
@@ -27,7 +27,6 @@
 from .store_era import StoreEra
 from .target_signals import TargetSignals, read_target_signals
 from .topic_follower import (
-    LONG_POLL,
     Batch,
     KeyedRecord,
     OffsetExpired,
--- a/libs/mimosaloom-relay/mimosaloom_relay/poll_timing.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/poll_timing.py
@@ -6,7 +6,7 @@
 
 from typing import NamedTuple
 
-__all__ = ["PollTiming", "choose_poll_timing"]
+__all__ = ["LONG_POLL", "PollTiming", "choose_poll_timing"]
 
 # Part of the timeout that is left for the answer after the store has stopped waiting.
 ANSWER_MARGIN_S = 0.75
@@ -29,6 +29,10 @@
     timeout_s: float
 
 
+# For records that may be late until another read of the node has shown a failure.
+LONG_POLL = PollTiming(MAX_POLL_WAIT_S, MAX_POLL_WAIT_S + 3.0)
+
+
 def choose_poll_timing(
     recovery_s: float, nodes: int, store_reads_per_s: float
 ) -> PollTiming:
--- a/libs/mimosaloom-relay/mimosaloom_relay/topic_follower.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/topic_follower.py
@@ -6,11 +6,10 @@
 
 from mimosaloom_policy import Backoff
 
-from .poll_timing import PollTiming
+from .poll_timing import LONG_POLL, PollTiming
 from .store_era import StoreEra
 
 __all__ = [
-    "LONG_POLL",
     "Batch",
     "KeyedRecord",
     "OffsetExpired",
@@ -20,9 +19,6 @@
     "TopicHandlers",
 ]
 
-# For records whose loss is noticed by other means.
-LONG_POLL = PollTiming(wait_s=20.0, timeout_s=23.0)
-
 
 class KeyedRecord(NamedTuple):
     """A record of a keyed topic.
