--- a/libs/mimosaloom-policy/mimosaloom_policy/admission.py
+++ b/libs/mimosaloom-policy/mimosaloom_policy/admission.py
@@ -269,7 +269,7 @@
             # calls waiting than running: a waiting call holds slots of its callers,
             # which other classes need.
             min_capacity = min(MIN_QUEUE_CAPACITY, self.limit)
-            if math.isfinite(self.rate_limit.rate_per_s):
+            if self.rate_limit.named_per_s is not None:
                 # Calls above the rate are better served by another target.
                 min_capacity = 1
             capacity = max(min_capacity, capacity)
--- a/libs/mimosaloom-policy/mimosaloom_policy/rate_limit.py
+++ b/libs/mimosaloom-policy/mimosaloom_policy/rate_limit.py
@@ -72,6 +72,11 @@
         self._was_answered = False
         self._next_return_s = 0.0
 
+    @property
+    def named_per_s(self) -> float | None:
+        """Limit in force in requests/s; None without a limit."""
+        return None if self._bucket is None else self.rate_per_s
+
     def observe(self, named_per_s: float | None, now_s: float) -> None:
         """Record the limit in an answer of the target; None if it names none."""
         self._was_answered = True
--- a/libs/mimosaloom-relay/mimosaloom_relay/peers.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/peers.py
@@ -20,7 +20,7 @@
 # connection limit of a target applies only to the node beside it, which opens no more
 # connections to the target than the target has slots.
 MAX_HOP_CONNECTIONS = 256
-# Of the nodes whose targets have left; more than leave during the life of a target.
+# Bounds the memory for targets that have left; the oldest ones have ended by then.
 MAX_LEFT_STARTS = 4096
 
 
--- a/libs/mimosaloom-relay/mimosaloom_relay/status.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/status.py
@@ -1,7 +1,5 @@
 """State that a node reports to operators, as JSON-compatible values."""
 
-import math
-
 from mimosaloom_policy import Admission
 
 from .own_target import OwnTarget
@@ -56,15 +54,11 @@
             "in_flight": admission.in_flight,
             "queued": admission.queued,
             "level": admission.level,
-            "rate_limit_per_s": _describe_rate(admission.rate_limit.rate_per_s),
+            "rate_limit_per_s": admission.rate_limit.named_per_s,
         }
     return state
 
 
-def _describe_rate(rate_per_s: float) -> float | None:
-    return rate_per_s if math.isfinite(rate_per_s) else None
-
-
 def _describe_route(route: Route) -> dict:
     request_class = route.request_class
     return {
--- a/libs/mimosaloom-relay/mimosaloom_relay/target_side.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/target_side.py
@@ -312,8 +312,7 @@
         """Return the rate limit of the target in requests/s; 0 for none."""
         if self._gate is None:
             return 0.0
-        rate_per_s = self._gate.admission.rate_limit.rate_per_s
-        return rate_per_s if math.isfinite(rate_per_s) else 0.0
+        return self._gate.admission.rate_limit.named_per_s or 0.0
 
     async def _send_and_release(
         self,
