Move the choice of readers below the control plane and the relay

The nodes of the users' platform are to choose readers in the same way, and importing the control plane for one function would add to each start.

--- a/libs/mimosaloom-control/mimosaloom_control/__init__.py
+++ b/libs/mimosaloom-control/mimosaloom_control/__init__.py
@@ -4,7 +4,6 @@
     Position,
     RecentRecords,
     SyncAction,
-    choose_readers,
     compare_positions,
 )
 from .heartbeats import HeartbeatMonitor
@@ -97,7 +96,6 @@
     "SyncMessage",
     "SyncResponse",
     "adopt_snapshot",
-    "choose_readers",
     "choose_snapshot",
     "compare_positions",
     "decode_member_update",
--- a/libs/mimosaloom-control/mimosaloom_control/fanout.py
+++ b/libs/mimosaloom-control/mimosaloom_control/fanout.py
@@ -1,21 +1,16 @@
-"""Fan-out of the configuration: which nodes read the log, how the others catch up."""
+"""Fan-out of the configuration: how nodes that do not read the log catch up."""
 
 from collections import deque
-from collections.abc import Iterable
 from enum import StrEnum
-from hashlib import blake2b
 from typing import NamedTuple
 
 __all__ = [
     "Position",
     "RecentRecords",
     "SyncAction",
-    "choose_readers",
     "compare_positions",
 ]
 
-READERS_PER_DOMAIN = 2
-HASH_BYTES = 8
 MAX_RECENT_RECORDS = 1_024
 MAX_RECENT_BYTES = 4 << 20
 
@@ -48,27 +43,6 @@
     DIVERGED = "diverged"
 
 
-def choose_readers(
-    domain: str, names: Iterable[str], *, count: int = READERS_PER_DOMAIN
-) -> tuple[str, ...]:
-    """Choose the nodes of a failure domain that read the log.
-
-    The choice uses rendezvous hashing, so the departure of a node that is not a reader
-    changes nothing, and that of a reader replaces this reader only. Nodes whose member
-    tables differ may choose different readers, so that more nodes than needed read the
-    log. This costs additional reads and does no harm.
-
-    Args:
-        domain: Name of the failure domain.
-        names: Names of the live members in the failure domain, in any order.
-        count: Number of readers; if there are fewer members, all of them are readers.
-
-    Returns:
-        Names of the readers, in order of their hash.
-    """
-    return tuple(sorted(set(names), key=lambda n: _rendezvous_key(domain, n))[:count])
-
-
 def compare_positions(own: Position, neighbor: Position) -> SyncAction:
     """Decide how this node and a neighbour reach the same position.
 
@@ -128,8 +102,3 @@
         if not self._records or next_offset < self._records[0][0]:
             return None
         return [record for record in self._records if record[0] >= next_offset]
-
-
-def _rendezvous_key(domain: str, name: str) -> tuple[bytes, str]:
-    text = f"{domain}/{name}".encode()
-    return blake2b(text, digest_size=HASH_BYTES).digest(), name
--- a/libs/mimosaloom-node/mimosaloom_node/member_index.py
+++ b/libs/mimosaloom-node/mimosaloom_node/member_index.py
@@ -15,9 +15,8 @@
     Overlay,
     Status,
     Suspect,
-    choose_readers,
 )
-from mimosaloom_policy import Candidate
+from mimosaloom_policy import Candidate, choose_readers
 
 from .link_messages import BUCKET_COUNT
 
--- a/libs/mimosaloom-policy/mimosaloom_policy/__init__.py
+++ b/libs/mimosaloom-policy/mimosaloom_policy/__init__.py
@@ -26,6 +26,7 @@
 from .quarantine import ENDS_BEFORE_HOLD, EndEffect, Quarantine, SendPermission
 from .rank import PRIORITY_COUNT, rank_request
 from .rate_limit import RateLimit, TokenBucket
+from .readers import choose_readers
 from .retries import (
     FailedAttempt,
     GiveUp,
@@ -120,6 +121,7 @@
     "UseStored",
     "Verdict",
     "Withdrawal",
+    "choose_readers",
     "decide_retry",
     "format_caller_key",
     "format_stamp",
--- a/tests/control/test_overlay.py
+++ b/tests/control/test_overlay.py
@@ -10,9 +10,9 @@
     Position,
     RecentRecords,
     SyncAction,
-    choose_readers,
     compare_positions,
 )
+from mimosaloom_policy import choose_readers
 
 NAME_SETS = st.sets(st.from_regex(r"[a-z]{1,4}", fullmatch=True), max_size=40)
 
--- a/tests/control/test_sync.py
+++ b/tests/control/test_sync.py
@@ -14,11 +14,11 @@
     Overlay,
     RecentRecords,
     Replay,
-    choose_readers,
     decode_sync,
     encode_sync,
     replay_records,
 )
+from mimosaloom_policy import choose_readers
 
 NAMES = [f"node-{number:02}" for number in range(24)]
 DOMAINS = [NAMES[0:8], NAMES[8:16], NAMES[16:24]]
