--- a/libs/mimosaloom-relay/mimosaloom_relay/metrics.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/metrics.py
@@ -42,6 +42,12 @@
         )
         self.version = self._gauge("configuration_version", "Version in force")
         self.peers = self._gauge("known_nodes", "Nodes that are known")
+        self._store_calls = Counter(
+            "mimosaloom_store_calls",
+            "Calls to the store, by topic and kind",
+            ["topic", "kind"],
+            registry=self.registry,
+        )
         self.store_lost = self._gauge(
             "store_unreachable_readers", "Loops that can't read the store now"
         )
@@ -84,6 +90,10 @@
         """Count a message that was ignored because it is not valid."""
         self._ignored.labels(source).inc()
 
+    def count_store_call(self, topic: str, kind: str) -> None:
+        """Count a call to the store."""
+        self._store_calls.labels(topic, kind).inc()
+
     def show_store_answer_age(self, topic: str, age_s: Callable[[], float]) -> None:
         """Export the time since the store last answered a read of a topic."""
         self._store_answer_age.labels(topic).set_function(age_s)
