Read records of nodes through a few nodes of each failure domain

About half of them were each node's poll for the configuration every 2 s, which has to be short as the answer of an open poll may be lost without a sign; others came from a read at each node for each change of one node's record.

Now one node for 32 in each failure domain, three in all at least, polls at short intervals. The others hold a request there, whose reply brings the records, the version in force and the age of the store's last answers, and keep a long poll of 30 s for the configuration. A node that is asked becomes a reader, so nobody has to agree; two readers without a usable answer make a node read the store itself.

Ruled out: no poll at all at the other nodes (a reader that the store turns away would delay a change by its timeout without any loss), pushes from readers alone (nothing shows that they are gone), TCP keep-alive (the connection of a lost answer lives).

--- a/libs/mimosaloom-relay/mimosaloom_relay/__init__.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/__init__.py
@@ -11,7 +11,12 @@
 from .node import QUARANTINE_RECORD, RelayNode
 from .own_target import Announcement, HeartbeatResult, OwnTarget, TargetState
 from .peers import PeerRecord, PeerTable, decode_record
-from .poll_timing import LONG_POLL, PollTiming, choose_poll_timing
+from .poll_timing import (
+    LONG_POLL,
+    READER_RECORDS_POLL,
+    PollTiming,
+    choose_poll_timing,
+)
 from .publisher import Publisher
 from .quarantine_exchange import read_held_keys
 from .read_progress import ReadProgress
@@ -25,22 +30,24 @@
     match_route,
 )
 from .settings import Listeners, RelaySettings
+from .shared_reads import SharedReads
 from .status import describe_configuration
 from .store_era import StoreEra
-from .target_signals import TargetSignals, read_target_signals
-from .topic_follower import (
+from .store_records import (
     Batch,
     KeyedRecord,
     OffsetExpired,
     ReadFailed,
-    TopicFollower,
-    TopicHandlers,
+    StoreReader,
 )
+from .target_signals import TargetSignals, read_target_signals
+from .topic_follower import TopicFollower, TopicHandlers
 
 __all__ = [
     "CONFIGURATION_PATH",
     "LONG_POLL",
     "QUARANTINE_RECORD",
+    "READER_RECORDS_POLL",
     "Announcement",
     "Answer",
     "Batch",
@@ -71,8 +78,10 @@
     "Route",
     "ServiceProfile",
     "ShareRotation",
+    "SharedReads",
     "SharedRetryBudget",
     "StoreEra",
+    "StoreReader",
     "TargetSignals",
     "TargetState",
     "TopicFollower",
--- a/libs/mimosaloom-relay/mimosaloom_relay/incoming_hops.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/incoming_hops.py
@@ -24,6 +24,8 @@
 from .peers import PeerRecord
 from .quarantine_exchange import QUARANTINE_PATH, QuarantineExchange
 from .read_progress import ReadProgress
+from .reader_messages import FOLLOW_PATH
+from .record_fanout import RecordFanout
 from .refusals import build_refusal
 from .store_era import StoreEra
 from .target_side import TargetSide
@@ -51,6 +53,7 @@
         store_era: Era of the store; other nodes are told of it, and tell theirs.
         records_progress: How far the records of nodes have been read; likewise.
         quarantine: Requests that are held back; likewise.
+        record_fanout: Answers the nodes that read the store through this one.
         on_newer_version: Called when a hop names a newer configuration version, with
             that version and the address of the origin.
     """
@@ -69,6 +72,7 @@
         store_era: StoreEra,
         records_progress: ReadProgress,
         quarantine: QuarantineExchange,
+        record_fanout: RecordFanout,
         on_newer_version: Callable[[int, Address], None],
     ):
         self._names = names
@@ -82,11 +86,14 @@
         self._store_era = store_era
         self._records_progress = records_progress
         self._quarantine = quarantine
+        self._record_fanout = record_fanout
         self._on_newer_version = on_newer_version
 
     async def handle(self, incoming: Incoming) -> Answer:
         """Answer a hop or a query."""
         request = incoming.request
+        if request.path == FOLLOW_PATH:
+            return await self._record_fanout.handle(request)
         if request.path == SELF_PATH:
             return Answer(Response(200, (), msgspec.json.encode(self._own_record())))
         if request.path == NODES_PATH:
--- a/libs/mimosaloom-relay/mimosaloom_relay/node.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/node.py
@@ -27,6 +27,8 @@
 from .peers import decode_record
 from .quarantine_exchange import QuarantineExchange
 from .read_progress import ReadProgress
+from .reader_role import ReaderRole
+from .record_fanout import RecordFanout, StoreProgress
 from .refusals import build_refusal
 from .retry_policy import RetryPolicy
 from .routes import Configuration, Limits
@@ -96,6 +98,7 @@
         self.log = DecisionLog(clock, metrics.count_dropped_line)
         self.store_era = StoreEra()
         self.records_progress = ReadProgress()
+        self.configuration_progress = ReadProgress()
         self._names = names
         self._read_configuration = read_configuration
         self._clock = clock
@@ -118,6 +121,19 @@
         self.messenger = PeerMessenger(
             settings.name, hop_client, self.upstreams.peers.records, rng=rng
         )
+        self.reader_role = ReaderRole(
+            settings.name,
+            settings.failure_domain,
+            self.upstreams.peers.reachable_records,
+            clock=clock,
+        )
+        self.reader_role.on_start = self._start_reading
+        self.store_progress = StoreProgress(
+            self.store_era, self.records_progress, self.configuration_progress
+        )
+        self.record_fanout = RecordFanout(
+            self.reader_role, self.store_progress, lambda: self.version, clock=clock
+        )
         self._leaves = LeaveExchange(
             settings.name, self.messenger, self._handle_left_start
         )
@@ -207,6 +223,7 @@
             store_era=self.store_era,
             records_progress=self.records_progress,
             quarantine=self.quarantine,
+            record_fanout=self.record_fanout,
             on_newer_version=self.peer_prober.fetch_if_newer,
         )
         self._servers: dict[str, RelayServer] = {}
@@ -278,6 +295,7 @@
             source=source,
             routes=sum(len(routes) for routes in configuration.routes.values()),
         )
+        self.record_fanout.note_version()
         self._resume_target()
 
     def put_record(self, name: str, value: bytes | None) -> None:
@@ -402,6 +420,7 @@
         start_s = self._clock.monotonic_s()
         self.is_stopping = True
         self.log.change("stopping", in_flight=self.count_open_requests())
+        self.record_fanout.stop()
         for server in self._servers.values():
             server.announce_close()
         while True:
@@ -441,6 +460,12 @@
         self.upstreams.put(record)
         self._leaves.tell(record)
 
+    def _start_reading(self) -> None:
+        """Read the store at once, as other nodes now rely on it."""
+        self.log.change("reader_started")
+        self.records_progress.request_read()
+        self.configuration_progress.request_read()
+
     def _put_leaving_record(self, name: str, value: bytes) -> None:
         """Process the record of a node that says itself that its target leaves.
 
--- a/libs/mimosaloom-relay/mimosaloom_relay/peers.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/peers.py
@@ -110,6 +110,14 @@
         """Return the records of all nodes."""
         return list(self._records.values())
 
+    def reachable_records(self) -> list[PeerRecord]:
+        """Return the records of the nodes that can be reached and do not stop."""
+        return [
+            record
+            for record in self._records.values()
+            if record.name not in self._unreachable and not record.is_handed_over
+        ]
+
     def put(self, record: PeerRecord) -> set[str]:
         """Store a record; return the services whose upstreams may have changed."""
         known = self._records.get(record.name)
--- a/libs/mimosaloom-relay/mimosaloom_relay/read_progress.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/read_progress.py
@@ -19,12 +19,16 @@
         self.era = 0
         self.offset = 0
         self._peer_offset = 0
+        self._must_read = False
         self._became_behind = asyncio.Event()
 
     @property
     def is_behind(self) -> bool:
-        """Whether another node has read further in the same era."""
-        return self._peer_offset > self.offset
+        """Whether there may be records that this node has not read.
+
+        Another node has read further in the same era, or a read was requested.
+        """
+        return self._must_read or self._peer_offset > self.offset
 
     def offset_in(self, era: int) -> int:
         """Return how far this node has read in an era; 0 if it has read another one."""
@@ -34,6 +38,7 @@
         """Note how far this node has read."""
         if era != self.era:
             self.drop_hint()
+        self._must_read = False
         self.era, self.offset = era, offset
 
     def hint(self, era: int, offset: int) -> None:
@@ -46,6 +51,12 @@
     def drop_hint(self) -> None:
         """Forget how far others have read, as the store has no more records."""
         self._peer_offset = 0
+        self._must_read = False
+
+    def request_read(self) -> None:
+        """Read at once, without waiting for a record, as the open poll may be lost."""
+        self._must_read = True
+        self._became_behind.set()
 
     async def wait_until_behind(self, max_behind_s: float) -> None:
         """Wait until this node has made no progress for a time while it is behind.
@@ -57,6 +68,8 @@
             while not self.is_behind:
                 self._became_behind.clear()
                 await self._became_behind.wait()
+            if self._must_read:
+                return
             start = self.era, self.offset
             await asyncio.sleep(max_behind_s)
             if self.is_behind and start == (self.era, self.offset):
--- a/libs/mimosaloom-relay/mimosaloom_relay/topic_follower.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/topic_follower.py
@@ -2,23 +2,16 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import NamedTuple, Protocol
+from typing import NamedTuple
 
 from mimosaloom_policy import Backoff
 
 from .poll_timing import LONG_POLL, SHORT_POLL, PollTiming
 from .read_progress import ReadProgress
 from .store_era import StoreEra
+from .store_records import Batch, KeyedRecord, OffsetExpired, ReadFailed, StoreReader
 
-__all__ = [
-    "Batch",
-    "KeyedRecord",
-    "OffsetExpired",
-    "ReadFailed",
-    "StoreReader",
-    "TopicFollower",
-    "TopicHandlers",
-]
+__all__ = ["TopicFollower", "TopicHandlers"]
 
 
 # A read of the newest records without an answer for this long may be lost, and is
@@ -31,69 +24,6 @@
 MAX_BEHIND_S = 1.0
 
 
-class KeyedRecord(NamedTuple):
-    """A record of a keyed topic.
-
-    Attributes:
-        key: Its key.
-        value: Its value; None if the record removes the key.
-        era: Era of the store that it was read from; 0 if not known.
-        offset: Offset at which it was read.
-    """
-
-    key: str
-    value: bytes | None
-    era: int = 0
-    offset: int = 0
-
-
-class Batch(NamedTuple):
-    """Records that one read returned.
-
-    Attributes:
-        records: The records; those of a read from an offset are in the order of their
-            offsets.
-        next_offset: Offset at which the next read starts.
-        era: Era of the store; 0 if not known.
-    """
-
-    records: tuple[KeyedRecord, ...]
-    next_offset: int
-    era: int
-
-
-class OffsetExpired(NamedTuple):
-    """The store does not have the requested offset.
-
-    Attributes:
-        requested_offset: Offset at which the read was to start.
-    """
-
-    requested_offset: int
-
-
-class ReadFailed(NamedTuple):
-    """The store gave no usable answer.
-
-    Attributes:
-        reason: What went wrong, for log lines and messages.
-    """
-
-    reason: str
-
-
-class StoreReader(Protocol):
-    """Reads keyed topics of the store."""
-
-    async def read_newest(self, topic: str) -> Batch | ReadFailed:
-        """Return the newest record of each key."""
-
-    async def read(
-        self, topic: str, start: int, timing: PollTiming
-    ) -> Batch | OffsetExpired | ReadFailed:
-        """Return the records from an offset on; wait for one if there is none."""
-
-
 class TopicHandlers(NamedTuple):
     """What is done with the records of a topic.
 
@@ -107,6 +37,8 @@
             with whether it can be read and, if not, the reason.
         report_newest_read: Called after each read of the newest records, with its
             result and why these were read.
+        report_batch: Called after each read from an offset that returned records, with
+            its result.
         report_answer: Called after each read that the store has answered.
     """
 
@@ -115,6 +47,7 @@
     apply_keys: Callable[[set[str]], None] = lambda keys: None
     report_store_state: Callable[[bool, str], None] = lambda is_readable, reason: None
     report_newest_read: Callable[[Batch, str], None] = lambda batch, reason: None
+    report_batch: Callable[[Batch], None] = lambda batch: None
     report_answer: Callable[[], None] = lambda: None
 
 
@@ -141,8 +74,9 @@
         topic: The topic.
         handlers: What is done with the records.
         backoff: Delays between reads while the store can't be read.
-        batch_delay_s: Delay in seconds before the next read after one that returned
-            records. Records that are appended meanwhile arrive in one call.
+        choose_batch_delay_s: Returns the delay in seconds before the next read after
+            one of the newest records, or one that returned records. Records that are
+            appended meanwhile arrive in one call.
         choose_timing: Returns the times of the next long poll.
         progress: How far this node and others have read the topic.
     """
@@ -155,7 +89,7 @@
         handlers: TopicHandlers,
         *,
         backoff: Backoff,
-        batch_delay_s: float = 0.0,
+        choose_batch_delay_s: Callable[[], float] = lambda: 0.0,
         choose_timing: Callable[[], PollTiming] = lambda: LONG_POLL,
         progress: ReadProgress | None = None,
     ):
@@ -164,7 +98,7 @@
         self._topic = topic
         self._handlers = handlers
         self._backoff = backoff
-        self._batch_delay_s = batch_delay_s
+        self._choose_batch_delay_s = choose_batch_delay_s
         self._choose_timing = choose_timing
         self._progress = ReadProgress() if progress is None else progress
         self._position: _Position | None = None
@@ -203,8 +137,7 @@
         self._applied_era = era
         self._position = _Position(outcome.next_offset, era, hints)
         self._progress.advance(era, outcome.next_offset)
-        if outcome.records:
-            await asyncio.sleep(self._batch_delay_s)
+        await asyncio.sleep(self._choose_batch_delay_s())
 
     async def _read_newest_in_time(self) -> Batch | ReadFailed:
         """Return the outcome of the first read that ends, of several if need be.
@@ -249,7 +182,8 @@
                 self._position = position._replace(offset=outcome.next_offset)
                 self._progress.advance(position.era, outcome.next_offset)
                 if outcome.records:
-                    await asyncio.sleep(self._batch_delay_s)
+                    self._handlers.report_batch(outcome)
+                    await asyncio.sleep(self._choose_batch_delay_s())
                 else:
                     self._progress.drop_hint()
             case OffsetExpired():
--- a/tests/platform_adapter/store_standin.py
+++ b/tests/platform_adapter/store_standin.py
@@ -108,6 +108,11 @@
         """Whether at least this number of reads wait for a record."""
         return len(self._waiting_reads) >= count
 
+    def count_waiting_reads(self, topic: str) -> int:
+        """Return how many reads of a topic wait for a record."""
+        topics = [h.get_query_argument("topic") for h in self._waiting_reads]
+        return topics.count(topic)
+
     def note_connection(self, connection: object) -> bool:
         """Note a connection that a call came on; return whether it is silent."""
         self._connections.add(connection)
--- a/tests/platform_adapter/test_control.py
+++ b/tests/platform_adapter/test_control.py
@@ -504,7 +504,7 @@
             "keyed.news",
             TopicHandlers(record_key, record_key),
             backoff=Backoff(random.Random(1)),
-            batch_delay_s=RECORD_BATCH_DELAY_S,
+            choose_batch_delay_s=lambda: RECORD_BATCH_DELAY_S,
         )
         following = asyncio.ensure_future(follower.run())
         await wait_until(lambda: "/-/log-read" in cluster.store.calls)
