Go on reading the store after an unexpected error or a bad record

An operator of a similar system reported one malformed message that took a whole process down. Here no process ended, but its loops did: an answer with an era of thousands of digits, an exception in the store's client, or a record whose handler raises ended the reading of the store for good, with one line in the log, and the node served its last configuration until it was restarted. Tasks that probe other nodes ended without any line.

Three of the new tests fail before.

--- a/libs/mimosaloom-relay/mimosaloom_relay/node.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/node.py
@@ -102,7 +102,7 @@
         self._names = names
         self._read_configuration = read_configuration
         self._clock = clock
-        self._tasks = TaskSet()
+        self._tasks = TaskSet(self.log)
         # Records in the store, None for a missing one, that differ from what is known
         # of their nodes and that the nodes have not confirmed.
         self._unconfirmed: dict[str, bytes | None] = {}
@@ -119,7 +119,7 @@
             rng=rng,
         )
         self.messenger = PeerMessenger(
-            settings.name, hop_client, self.upstreams.peers.records, rng=rng
+            settings.name, hop_client, self.upstreams.peers.records, self.log, rng=rng
         )
         self.reader_role = ReaderRole(
             settings.name,
--- a/libs/mimosaloom-relay/mimosaloom_relay/peer_messenger.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/peer_messenger.py
@@ -8,6 +8,7 @@
 from mimosaloom_mesh.transport import FailedSend
 from mimosaloom_model import Address
 
+from .decision_log import DecisionLog
 from .http_client import HttpClient
 from .peers import PeerRecord
 from .task_set import TaskSet
@@ -26,6 +27,7 @@
         own_name: Name of this node.
         client: Sends the messages.
         records: Returns the records of all known nodes.
+        log: Receives the log lines of tasks that fail.
         rng: Source of the choice among nodes.
 
     Attributes:
@@ -37,6 +39,7 @@
         own_name: str,
         client: HttpClient,
         records: Callable[[], list[PeerRecord]],
+        log: DecisionLog,
         *,
         rng: random.Random,
     ):
@@ -44,7 +47,7 @@
         self._client = client
         self._records = records
         self._rng = rng
-        self.tasks = TaskSet()
+        self.tasks = TaskSet(log)
 
     def choose_peers(self) -> list[Address]:
         """Return the addresses of some other nodes, or of all if there are few."""
--- a/libs/mimosaloom-relay/mimosaloom_relay/topic_follower.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/topic_follower.py
@@ -40,6 +40,8 @@
         report_batch: Called after each read from an offset that returned records, with
             its result.
         report_answer: Called after each read that the store has answered.
+        report_failure: Called with the key of a record that could not be applied, and
+            the error. The records after it are applied all the same.
     """
 
     apply: Callable[[KeyedRecord], None]
@@ -49,6 +51,7 @@
     report_newest_read: Callable[[Batch, str], None] = lambda batch, reason: None
     report_batch: Callable[[Batch], None] = lambda batch: None
     report_answer: Callable[[], None] = lambda: None
+    report_failure: Callable[[str, Exception], None] = lambda key, error: None
 
 
 class _Position(NamedTuple):
@@ -131,7 +134,7 @@
         handlers = self._handlers
         apply = handlers.apply_restored if is_restored else handlers.apply
         for record in outcome.records:
-            apply(record)
+            self._apply(record, apply)
         handlers.report_newest_read(outcome, self._reason)
         handlers.apply_keys({record.key for record in outcome.records})
         self._applied_era = era
@@ -178,7 +181,7 @@
             case Batch():
                 self._backoff.reset()
                 for record in outcome.records:
-                    self._handlers.apply(record)
+                    self._apply(record, self._handlers.apply)
                 self._position = position._replace(offset=outcome.next_offset)
                 self._progress.advance(position.era, outcome.next_offset)
                 if outcome.records:
@@ -221,6 +224,13 @@
             for task in waits:
                 task.cancel()
 
+    def _apply(self, record: KeyedRecord, apply: Callable[[KeyedRecord], None]) -> None:
+        try:
+            apply(record)
+        except Exception as error:
+            # Reading on is worth more than this record: the next may be a new version.
+            self._handlers.report_failure(record.key, error)
+
     def _report_state(self, outcome: Batch | OffsetExpired | ReadFailed) -> None:
         is_readable = not isinstance(outcome, ReadFailed)
         if is_readable != self._was_readable:
--- a/tests/platform_adapter/test_control.py
+++ b/tests/platform_adapter/test_control.py
@@ -517,3 +517,44 @@
         assert cluster.store.calls.count("/-/log-read") < record_count / 4
 
     run_cluster(scenario)
+
+
+def test_node_follows_the_store_after_an_answer_with_an_absurd_era():
+    """Guards against one malformed answer that ends the reading of the store."""
+
+    async def scenario(cluster):
+        cluster.store.era = "9" * 5000
+        front = await cluster.add_member("front-1", "front")
+        await wait_until(lambda: len(cluster.store.calls) >= 2)
+        cluster.store.era = 1
+        await cluster.configure(1, [FRONT_ROUTE])
+        await cluster.announce_all()
+        assert (await front.send_request("/f/x")).status == 200
+
+    run_cluster(scenario)
+
+
+def test_node_follows_the_store_after_an_unexpected_error_of_its_client():
+    """Guards against a reading loop that ends for good by one exception."""
+
+    async def scenario(cluster):
+        read_newest = StoreClient.read_newest
+        failures = []
+
+        async def fail_at_first(self, topic):
+            if len(failures) < 2:
+                failures.append(topic)
+                raise RuntimeError("the handle is closed")
+            return await read_newest(self, topic)
+
+        StoreClient.read_newest = fail_at_first
+        try:
+            front = await cluster.add_member("front-1", "front")
+            await cluster.configure(1, [FRONT_ROUTE])
+            await cluster.announce_all()
+            assert (await front.send_request("/f/x")).status == 200
+        finally:
+            StoreClient.read_newest = read_newest
+        assert len(failures) == 2
+
+    run_cluster(scenario)
--- a/tests/relay/test_topic_follower.py
+++ b/tests/relay/test_topic_follower.py
@@ -151,3 +151,33 @@
 
     follow([ReadFailed("silent"), batch(1, 5, "a")], [], note_recoveries)
     assert recoveries == [1]
+
+
+def test_record_whose_handler_raises_does_not_end_the_following():
+    """Guards against one record that keeps a node from each later change."""
+
+    async def run():
+        era = StoreEra()
+        store = ScriptedStore(
+            era, [batch(1, 5, "bad", "a")], [batch(1, 7, "bad", "b"), batch(1, 8, "c")]
+        )
+        applied, failed = [], []
+
+        def apply(record):
+            if record.key == "bad":
+                raise OverflowError("a field is out of range")
+            applied.append(record.key)
+
+        handlers = TopicHandlers(
+            apply, apply, report_failure=lambda key, error: failed.append(key)
+        )
+        backoff = Backoff(random.Random(1), base_s=0.001, cap_s=0.001)
+        follower = TopicFollower(store, era, "t", handlers, backoff=backoff)
+        task = asyncio.ensure_future(follower.run())
+        for _ in range(20):
+            await asyncio.sleep(0.001)
+        assert not task.done()
+        task.cancel()
+        return applied, failed
+
+    assert asyncio.run(run()) == (["a", "b", "c"], ["bad", "bad"])
