--- a/tests/platform_adapter/test_shared_store.py
+++ b/tests/platform_adapter/test_shared_store.py
@@ -15,8 +15,8 @@
 # One failure domain with this many nodes has three readers.
 NODES = 7
 READERS = 3
-# While the nodes learn of each other, some are readers for a while, and each of these ends
-# its last poll.
+# While the nodes learn of each other, some are readers for a while, and each of these
+# ends its last poll.
 SETTLE_S = ASKED_S + READER_RECORDS_POLL.wait_s + WAIT_TIMEOUT_S
 
 
