Answer requests that are still arriving when a node stops

Operators of similar systems reported requests that were accepted and then cut off during a planned stop. Here a node ended as soon as no request was being handled, also with the head and a part of the body of one received: its client lost the connection without an answer. Such a request now counts as open, until shortly before the kill as all others. The test fails before.

New tests show that two other reports can't happen in the client of hops and targets: an answer that breaks off at any byte, in five framings, never counts as a whole one, and a second copy of an answer, split anywhere, behind the answer, on the idle connection or after the next request was sent, never reaches another caller.

--- a/libs/mimosaloom-relay/mimosaloom_relay/http_server.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/http_server.py
@@ -111,6 +111,11 @@
             for connection in self.connections
         )
 
+    @property
+    def is_receiving(self) -> bool:
+        """Whether part of a request has arrived and the rest has not."""
+        return any(connection.is_receiving for connection in self.connections)
+
     def close(self) -> None:
         """Close all connections after the data already written has been sent."""
         self.stop_accepting()
@@ -152,6 +157,11 @@
         self._has_stopped_parsing = False
         self._error_response = BAD_REQUEST_RESPONSE
 
+    @property
+    def is_receiving(self) -> bool:
+        """Whether part of a request has arrived and the rest has not."""
+        return self._incoming is not None and not self._has_stopped_parsing
+
     def connection_made(self, transport):
         self.transport = transport
         self._server.connections.add(self)
--- a/libs/mimosaloom-relay/mimosaloom_relay/node.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/node.py
@@ -450,9 +450,14 @@
             server.close()
 
     def count_open_requests(self) -> int:
-        """Return the number of open requests, hops and unsent answers."""
+        """Return the number of open requests, hops and unsent answers.
+
+        All requests that one listener is still receiving count as one.
+        """
         servers = [self._servers[name] for name in ("outbound", "inbound")]
-        open_answers = sum(len(s.tasks) + s.has_unsent for s in servers)
+        open_answers = sum(
+            len(s.tasks) + s.has_unsent + s.is_receiving for s in servers
+        )
         return open_answers + len(self.target_side.detached_runs)
 
     def _publish_own_record(self) -> None:
--- a/tests/platform_adapter/test_stops_and_restarts.py
+++ b/tests/platform_adapter/test_stops_and_restarts.py
@@ -5,6 +5,8 @@
 import pytest
 from platform_adapter.cluster import run_cluster, wait_until
 
+from mimosaloom_relay.node import KILL_MARGIN_S, MIN_STOP_S
+
 pytestmark = pytest.mark.sockets
 
 FRONT_ROUTE = {"pathPrefix": "/f/", "service": "front"}
@@ -203,3 +205,48 @@
         assert (await front.send_request("/b/x", "id-3")).status == 200
 
     run_cluster(scenario)
+
+
+def test_request_that_is_still_arriving_at_a_stop_gets_an_answer():
+    """Guards against a request that was accepted during a stop and then cut off.
+
+    Its head and a part of its body are there when nothing else is left to do.
+    """
+
+    async def scenario(cluster):
+        front = await cluster.add_member("front-1", "front", grace_s=6.0)
+        await cluster.configure(1, [FRONT_ROUTE])
+        await cluster.announce_all()
+        host, port = front.node.addresses.outbound
+        reader, writer = await asyncio.open_connection(host, port)
+        writer.write(
+            b"POST /f/x HTTP/1.1\r\nHost: h.example\r\nMimosaloom-Attempt-Id: late\r\n"
+            b"Content-Length: 4\r\n\r\nab"
+        )
+        stopping = asyncio.ensure_future(front.node.stop())
+        await asyncio.sleep(MIN_STOP_S + 0.2)
+        assert not stopping.done()
+        writer.write(b"cd")
+        status_line = await reader.readline()
+        assert status_line.split()[1] in (b"200", b"503")
+        await stopping
+        writer.close()
+
+    run_cluster(scenario)
+
+
+def test_request_that_never_arrives_whole_does_not_delay_a_stop_to_the_kill():
+    """Guards against one stalled client that makes a planned stop end by force."""
+
+    async def scenario(cluster):
+        front = await cluster.add_member("front-1", "front", grace_s=4.0)
+        await cluster.configure(1, [FRONT_ROUTE])
+        await cluster.announce_all()
+        host, port = front.node.addresses.outbound
+        _, writer = await asyncio.open_connection(host, port)
+        writer.write(b"POST /f/x HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nab")
+        async with asyncio.timeout(4.0 - KILL_MARGIN_S + 0.3):
+            await front.node.stop()
+        writer.close()
+
+    run_cluster(scenario)
--- /dev/null
+++ b/tests/relay/test_http_client.py
@@ -0,0 +1,140 @@
+"""Tests of the HTTP client against servers that write any bytes, over real sockets."""
+
+import asyncio
+import socket
+import struct
+
+import pytest
+
+from mimosaloom_mesh.messages import Request, find_header
+from mimosaloom_mesh.transport import FailedSend
+from mimosaloom_model import Address, SystemClock
+from mimosaloom_relay import Answer, HttpClient
+
+pytestmark = pytest.mark.sockets
+
+ID = "Request-Id"
+RESET = struct.pack("ii", 1, 0)
+BODY = b"0123456789"
+FRAMINGS = {
+    "length": b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n" + BODY,
+    "chunked": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    b"4\r\n0123\r\n6\r\n456789\r\n0\r\n\r\n",
+    "trailers": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    b"a\r\n0123456789\r\n0\r\nDigest: x\r\n\r\n",
+    "until reset": b"HTTP/1.1 200 OK\r\n\r\n" + BODY,
+    "compressed": b"HTTP/1.1 200 OK\r\nContent-Encoding: gzip\r\n"
+    b"Content-Length: 10\r\n\r\n" + BODY,
+}
+
+
+def build_answer(request_id, body):
+    """Return a whole answer with an id."""
+    head = f"HTTP/1.1 200 OK\r\n{ID}: {request_id}\r\nContent-Length: {len(body)}\r\n"
+    return head.encode() + b"\r\n" + body
+
+
+async def serve(answer):
+    """Start a server; `answer` writes after each head that it has read."""
+
+    async def handle(reader, writer):
+        number = 0
+        try:
+            while head := await reader.readuntil(b"\r\n\r\n"):
+                await answer(head, number, writer)
+                number += 1
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+
+    server = await asyncio.start_server(handle, "127.0.0.1", 0)
+    return server, Address("127.0.0.1", server.sockets[0].getsockname()[1])
+
+
+async def send(client, address, request_id):
+    """Send a request whose answer is recognized by its id; return the outcome."""
+    return await client.send(
+        address,
+        Request("GET", "/", ((ID, request_id),)),
+        belongs_to_request=lambda headers: (
+            find_header(headers, ID) in (None, request_id)
+        ),
+    )
+
+
+@pytest.mark.parametrize("framing", FRAMINGS)
+def test_answer_that_breaks_off_at_any_byte_is_never_a_whole_one(framing):
+    """Guards against a broken-off answer that reaches the caller as a success."""
+    whole = FRAMINGS[framing]
+    has_end = framing != "until reset"
+
+    async def run():
+        async def answer(head, number, writer):
+            writer.write(whole[: cuts.pop(0)])
+            await writer.drain()
+            if not has_end:
+                sock = writer.get_extra_info("socket")
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            writer.close()
+
+        cuts = list(range(len(whole) + (not has_end)))
+        server, address = await serve(answer)
+        client = HttpClient(SystemClock(), lambda: None)
+        outcomes = [await send(client, address, "a") for _ in list(cuts)]
+        cuts.append(len(whole))
+        last = await send(client, address, "a")
+        client.close()
+        server.close()
+        return outcomes, last
+
+    outcomes, last = asyncio.run(run())
+    assert all(isinstance(outcome, FailedSend) for outcome in outcomes)
+    if has_end:
+        assert isinstance(last, Answer)
+        assert last.response.body == BODY
+
+
+@pytest.mark.parametrize("split", range(0, 60, 7))
+@pytest.mark.parametrize("moment", ["with the answer", "idle", "with the next"])
+def test_second_copy_of_an_answer_never_reaches_the_next_caller(split, moment):
+    """Guards against a late copy on a connection that is in use again.
+
+    The copy comes in two pieces: behind the answer, while the connection is idle, or
+    when the next request has been sent.
+    """
+
+    async def run():
+        copy = build_answer("a", b"answer of a")
+
+        async def answer(head, number, writer):
+            request_id = head.split(f"{ID}: ".encode())[1].split(b"\r\n")[0].decode()
+            body = f"answer of {request_id}".encode()
+            if number == 1 and moment == "with the next":
+                writer.write(copy[:split])
+                await asyncio.sleep(0)
+                writer.write(copy[split:])
+            writer.write(build_answer(request_id, body))
+            if number == 0 and moment == "with the answer":
+                writer.write(copy[:split])
+            if number == 0 and moment == "idle":
+                await asyncio.sleep(0.01)
+                writer.write(copy[:split])
+                await asyncio.sleep(0.01)
+                writer.write(copy[split:])
+
+        server, address = await serve(answer)
+        client = HttpClient(SystemClock(), lambda: None)
+        outcomes = []
+        for request_id in ("a", "b", "c", "d"):
+            outcomes.append(await send(client, address, request_id))
+            await asyncio.sleep(0.03 if moment == "idle" else 0)
+        client.close()
+        server.close()
+        return outcomes
+
+    for request_id, outcome in zip("abcd", asyncio.run(run()), strict=True):
+        if isinstance(outcome, Answer):
+            assert outcome.response.body == f"answer of {request_id}".encode()
+        else:
+            assert request_id != "a"
