Count a pause of the process against the time that a request has left

Here it was the deadline of a request: one that waited in a socket's buffer while the process was paused got its whole time anew, and a request that must not run twice also ran if its caller had left. A timer that fires late now shows the pause, and what is read within 0.1 s after it is taken to have waited for as long; if no time is left, the request is refused as not run.

--- a/libs/mimosaloom-relay/mimosaloom_relay/node.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/node.py
@@ -22,6 +22,7 @@
 from .origin import Origin
 from .own_record import OwnRecord
 from .own_target import Announcement, HeartbeatResult, OwnTarget
+from .pause_detector import PauseDetector
 from .peer_messenger import PeerMessenger
 from .peer_prober import PeerProber
 from .peers import decode_record
@@ -226,6 +227,9 @@
             record_fanout=self.record_fanout,
             on_newer_version=self.peer_prober.fetch_if_newer,
         )
+        self._pauses = PauseDetector(clock)
+        self.origin.recent_pause_s = self._pauses.recent_pause_s
+        self.target_side.recent_pause_s = self._pauses.recent_pause_s
         self._servers: dict[str, RelayServer] = {}
 
     @property
@@ -262,6 +266,7 @@
             self._servers[name] = server
             opened[name] = await server.listen(getattr(self.settings.listen, name))
         self.addresses = Listeners(**opened)
+        self._tasks.spawn(self._pauses.run())
         self.metrics.ready.set_function(lambda: self.is_ready)
         self.metrics.version.set_function(lambda: self.version)
         self.metrics.peers.set_function(lambda: len(self.upstreams.peers))
@@ -452,12 +457,14 @@
     def count_open_requests(self) -> int:
         """Return the number of open requests, hops and unsent answers.
 
-        All requests that one listener is still receiving count as one.
+        All requests that one listener is still receiving count as one, and nodes that
+        wait for news of the store don't count.
         """
         servers = [self._servers[name] for name in ("outbound", "inbound")]
         open_answers = sum(
             len(s.tasks) + s.has_unsent + s.is_receiving for s in servers
         )
+        open_answers -= self.record_fanout.waiting_count
         return open_answers + len(self.target_side.detached_runs)
 
     def _publish_own_record(self) -> None:
--- a/libs/mimosaloom-relay/mimosaloom_relay/origin.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/origin.py
@@ -74,6 +74,8 @@
     Attributes:
         configuration: Configuration in force; None before the first.
         is_closing: Whether new root requests are refused because the node is stopping.
+        recent_pause_s: Returns for how many seconds a request that is read now may have
+            waited for this process to run.
         on_newer_version: Called with the version and the node when a node answers with
             a newer configuration version than the one in force here.
         on_record_outdated: Called with a node whose record is outdated.
@@ -99,6 +101,7 @@
     ):
         self.configuration: Configuration | None = None
         self.is_closing = False
+        self.recent_pause_s: Callable[[], float] = lambda: 0.0
         self.on_newer_version: Callable[[int, Candidate], None] = lambda v, c: None
         self.on_record_outdated: Callable[[Candidate], None] = lambda c: None
         self._own_name = own_name
@@ -152,14 +155,14 @@
         return await self._answer_call(call)
 
     def _build_call(self, incoming: Incoming, request_id: str, route: Route) -> Call:
-        now_s = self._clock.monotonic_s()
+        start_s = self._clock.monotonic_s() - self.recent_pause_s()
         timeout_s = route.request_class.timeout_s
         timeout_ms = parse_decimal(incoming.request.header(self._names.timeout_ms))
         caller_timeout_s = timeout_s if timeout_ms is None else timeout_ms / 1000
         timeout_s = min(timeout_s, caller_timeout_s)
         service = self._rotation.pick(route)
         parent = self._target_side.find_parent(request_id)
-        deadline_s = now_s + timeout_s
+        deadline_s = start_s + timeout_s
         return Call(
             incoming,
             request_id,
@@ -167,7 +170,7 @@
             route,
             service,
             parent,
-            now_s,
+            start_s,
             deadline_s,
             caller_timeout_s,
         )
@@ -185,6 +188,12 @@
             )
             return self._finish_with_refusal(call, progress)
         progress.is_trial = permission.is_trial
+        if call.deadline_s <= self._clock.monotonic_s():
+            progress.last_result = HopResult(
+                ErrorKind.DEADLINE_TOO_SHORT.value,
+                "the time of the request ran out while this process was paused",
+            )
+            return self._finish_with_refusal(call, progress)
         if not self._is_admitted(call):
             progress.last_result = HopResult(
                 ErrorKind.OVERLOADED.value,
--- a/libs/mimosaloom-relay/mimosaloom_relay/record_fanout.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/record_fanout.py
@@ -50,6 +50,9 @@
         progress: How far this node has read.
         own_version: Returns the version of the configuration in force; 0 for none.
         clock: Source of time.
+
+    Attributes:
+        waiting_count: Number of nodes that wait for news.
     """
 
     def __init__(
@@ -65,6 +68,7 @@
         self._own_version = own_version
         self._clock = clock
         self._tail = RecordTail()
+        self.waiting_count = 0
         self._is_stopping = False
         self._has_news = asyncio.Event()
         start_s = clock.monotonic_s()
@@ -106,12 +110,15 @@
         self._role.note_asked()
         self._progress.era.hint(asked.era)
         self._progress.records.hint(asked.era, asked.offset)
+        self.waiting_count += 1
         try:
             async with asyncio.timeout(FOLLOW_WAIT_S):
                 while not self._is_stopping and not self._has_news_for(asked):
                     await self._has_news.wait()
         except TimeoutError:
             pass
+        finally:
+            self.waiting_count -= 1
         if self._is_stopping:
             return Answer(Response(503, ()))
         return Answer(Response(200, (), self._encode_reply(asked)))
--- a/libs/mimosaloom-relay/mimosaloom_relay/target_side.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/target_side.py
@@ -101,6 +101,8 @@
         on_leaving: Called when the target has said in an answer that it leaves.
         level_below: Returns the lowest admission level of the services that a request
             class calls.
+        recent_pause_s: Returns for how many seconds a request that is read now may have
+            waited for this process to run.
         find_missing_service: Returns a service that a request class calls and that has
             no upstream; None if there is none.
     """
@@ -123,6 +125,7 @@
         self.on_unreachable = lambda: None
         self.on_leaving = lambda: None
         self.level_below: Callable[[str], float] = lambda class_name: 1.0
+        self.recent_pause_s: Callable[[], float] = lambda: 0.0
         self.find_missing_service: Callable[[str], str | None] = lambda class_name: None
         self._names = names
         self._client = client
@@ -246,7 +249,7 @@
         now_s = self._clock.monotonic_s()
         if context.rate_limit_per_s:
             gate.admission.rate_limit.assume(context.rate_limit_per_s, now_s)
-        deadline_s = now_s + context.remaining_ms / 1000
+        deadline_s = now_s + context.remaining_ms / 1000 - self.recent_pause_s()
         key = f"{context.request_id}/{next(self._attempt_numbers)}"
         decision = await gate.wait_for_admission(
             _build_arrival(key, context, deadline_s)
--- a/tests/platform_adapter/test_shared_store.py
+++ b/tests/platform_adapter/test_shared_store.py
@@ -154,3 +154,16 @@
             await wait_until(lambda m=member: m.node.version == 2)
 
     run_cluster(scenario)
+
+
+def test_nodes_that_wait_for_news_are_no_open_requests():
+    """Guards against a planned stop that waits for other nodes until the kill."""
+
+    async def scenario(cluster):
+        readers, _ = await start_fleet(cluster)
+        fanouts = [member.node.record_fanout for member in readers]
+        await wait_until(lambda: sum(f.waiting_count for f in fanouts) > 0)
+        for member in cluster.members.values():
+            assert member.node.count_open_requests() == 0
+
+    run_cluster(scenario)
--- a/tests/platform_adapter/test_stops_and_restarts.py
+++ b/tests/platform_adapter/test_stops_and_restarts.py
@@ -250,3 +250,32 @@
         writer.close()
 
     run_cluster(scenario)
+
+
+@pytest.mark.parametrize("paused", ["front-1", "back-1"])
+def test_request_that_waited_out_a_pause_past_its_deadline_does_not_run(paused):
+    """Guards against work for a caller that gave up while the process was paused.
+
+    The process is paused as a whole, so the request waits in the socket's buffer.
+    """
+
+    async def scenario(cluster):
+        for name, service in (("front-1", "front"), ("back-1", "back")):
+            await cluster.add_member(name, service)
+        await cluster.configure(1, [{"pathPrefix": "/b/", "service": "back"}])
+        await cluster.announce_all()
+        back = cluster.members["back-1"]
+        for member in cluster.members.values():
+            pause_s = 1.5 if member.node.settings.name == paused else 0.0
+            member.node.origin.recent_pause_s = lambda s=pause_s: s
+            member.node.target_side.recent_pause_s = lambda s=pause_s: s
+        front = cluster.members["front-1"]
+        response = await front.send_request(
+            "/b/x", "late", method="POST", timeout_ms=1000
+        )
+        assert response.status in (503, 504)
+        assert back.target.runs == []
+        response = await front.send_request("/b/x", "in-time", method="POST")
+        assert response.status == 200
+
+    run_cluster(scenario)
