--- a/libs/mimosaloom-relay/mimosaloom_relay/__init__.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/__init__.py
@@ -38,7 +38,6 @@
     KeyedRecord,
     OffsetExpired,
     ReadFailed,
-    StoreReader,
 )
 from .target_signals import TargetSignals, read_target_signals
 from .topic_follower import TopicFollower, TopicHandlers
@@ -81,7 +80,6 @@
     "SharedReads",
     "SharedRetryBudget",
     "StoreEra",
-    "StoreReader",
     "TargetSignals",
     "TargetState",
     "TopicFollower",
--- a/libs/mimosaloom-relay/mimosaloom_relay/shared_reads.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/shared_reads.py
@@ -32,7 +32,7 @@
 
 
 class SharedReads:
-    """Store whose records are read through a reader, where there is one.
+    """Store whose records of nodes are read through a reader, where there is one.
 
     The newest records of each key, and all records if no reader gives a usable answer,
     come from the store itself. The replies also show whether there is a newer
@@ -40,7 +40,6 @@
 
     Args:
         store: The store.
-        topic: Topic that readers pass on.
         role: Tells the readers, and whether this node is one.
         progress: How far this node has read.
         recovery_s: Time in seconds within which a reader follows the configuration
@@ -54,7 +53,6 @@
     def __init__(
         self,
         store: StoreReader,
-        topic: str,
         role: ReaderRole,
         progress: StoreProgress,
         recovery_s: float,
@@ -65,7 +63,6 @@
         log: DecisionLog,
     ):
         self._store = store
-        self._topic = topic
         self._role = role
         self._progress = progress
         self._recovery_s = recovery_s
@@ -86,7 +83,7 @@
         """Return the records from an offset on; wait for one if there is none."""
         # A read that does not wait is one for records that other nodes have, and the
         # reader may be what is behind.
-        if topic == self._topic and timing.wait_s and not self._role.is_reader:
+        if timing.wait_s and not self._role.is_reader:
             batch = await self._read_from_reader(start)
             if batch is not None:
                 return batch
--- a/tests/relay/test_record_fanout.py
+++ b/tests/relay/test_record_fanout.py
@@ -53,8 +53,11 @@
     assert reply.configuration_age_s == pytest.approx(12)
 
 
-def test_reader_that_never_read_the_store_claims_nothing():
-    """Guards against the start of a reader that counts as an answer of the store."""
+def test_reader_that_never_read_the_store_does_not_stay_believed():
+    """Guards against a reader that is believed long after its start without a read.
+
+    Its age counts from its start, so that it is believed for a moment all the same.
+    """
     clock = ManualClock()
     fanout = build_fanout(clock)
     clock.advance(timedelta(seconds=60))
--- a/tests/relay/test_shared_reads.py
+++ b/tests/relay/test_shared_reads.py
@@ -107,7 +107,6 @@
     progress.era.observe(1)
     shared = SharedReads(
         store,
-        "t",
         role,
         progress,
         RECOVERY_S,
