--- a/libs/mimosaloom-bench/mimosaloom_bench/path_cost/names.py
+++ b/libs/mimosaloom-bench/mimosaloom_bench/path_cost/names.py
@@ -28,6 +28,8 @@
     signature="Bench-Signature",
     target_id="Bench-Target-Id",
     rate_limit="Bench-Rate-Limit",
+    load="Bench-Load",
+    organisation="Bench-Organisation",
     leaving="Bench-Leaving",
 )
 
--- a/libs/mimosaloom-model/mimosaloom_model/kinds.py
+++ b/libs/mimosaloom-model/mimosaloom_model/kinds.py
@@ -43,6 +43,9 @@
     TARGET_REJECTED = "target_rejected"
     BODY_TOO_LARGE = "body_too_large"
     KEY_CONFLICT = "key_conflict"
+    UNKNOWN_CREDENTIAL = "unknown_credential"
+    UNKNOWN_PARENT = "unknown_parent"
+    OVER_QUOTA = "over_quota"
     OVERLOADED = "overloaded"
     QUEUE_TIMEOUT = "queue_timeout"
     DRAINING = "draining"
@@ -123,6 +126,15 @@
     ErrorKind.KEY_CONFLICT: ErrorAnswer(
         422, False, Ran.NO, "The idempotency key was used with another body."
     ),
+    ErrorKind.UNKNOWN_CREDENTIAL: ErrorAnswer(
+        401, False, Ran.NO, "The request has no key that an organisation holds."
+    ),
+    ErrorKind.UNKNOWN_PARENT: ErrorAnswer(
+        503, True, Ran.NO, "The request that makes this call does not run here."
+    ),
+    ErrorKind.OVER_QUOTA: ErrorAnswer(
+        429, True, Ran.NO, "The organisation has used up its quota for now."
+    ),
     ErrorKind.OVERLOADED: ErrorAnswer(
         503, True, Ran.NO, "The service has no capacity for this request class now."
     ),
--- a/libs/mimosaloom-policy/mimosaloom_policy/__init__.py
+++ b/libs/mimosaloom-policy/mimosaloom_policy/__init__.py
@@ -21,9 +21,12 @@
     Verdict,
     Withdrawal,
 )
+from .fair_rank import FairRank
 from .keys import CallerKey, MintedKey, format_caller_key, mint_key, parse_key
 from .levels import LevelTable
+from .placement import FinishTable
 from .quarantine import ENDS_BEFORE_HOLD, EndEffect, Quarantine, SendPermission
+from .quota import Balance, HolderBucket, Quota, QuotaBounds
 from .rank import PRIORITY_COUNT, rank_request
 from .rate_limit import RateLimit, TokenBucket
 from .readers import choose_readers
@@ -58,6 +61,7 @@
     Unknown,
 )
 from .stamps import Stamp, StampBook, format_stamp, parse_stamp
+from .work_cost import FinishEstimate, WorkMeter
 
 __all__ = [
     "ENDS_BEFORE_HOLD",
@@ -66,6 +70,7 @@
     "AppendResult",
     "Arrival",
     "Backoff",
+    "Balance",
     "Blocked",
     "CallCountEstimate",
     "CallerKey",
@@ -83,13 +88,19 @@
     "Done",
     "EndEffect",
     "FailedAttempt",
+    "FairRank",
+    "FinishEstimate",
+    "FinishTable",
     "GiveUp",
+    "HolderBucket",
     "Join",
     "LevelTable",
     "MintedKey",
     "NotAccepted",
     "NotRun",
     "Quarantine",
+    "Quota",
+    "QuotaBounds",
     "RateLimit",
     "ReceivedVerdicts",
     "Refuse",
@@ -121,6 +132,7 @@
     "UseStored",
     "Verdict",
     "Withdrawal",
+    "WorkMeter",
     "choose_readers",
     "decide_retry",
     "format_caller_key",
--- a/libs/mimosaloom-relay/mimosaloom_relay/hop_messages.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/hop_messages.py
@@ -38,6 +38,9 @@
         target_id: Id of the target that answers a health check.
         rate_limit: Requests a second that a target takes from all nodes together.
         leaving: Set to 1 by a target that leaves.
+        load: Running and waiting requests and slots of a target, and the pace of its
+            machine in percent where it tells that.
+        organisation: Name of the organisation that a target is told.
     """
 
     request_id: str
@@ -49,6 +52,8 @@
     target_id: str
     rate_limit: str
     leaving: str
+    load: str
+    organisation: str
 
 
 class HopContext(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -78,6 +83,9 @@
         is_trial: Whether the request is sent although targets have ended under it, as
             the time for which it was held back is over.
         quarantine_digest: Digest of the requests that the origin holds back.
+        organisation: Name of the organisation of a request of a client; empty for none.
+        rank: Rank of the root request by fair share; below 0 if it follows from its id
+            and priority alone.
     """
 
     request_id: str
@@ -99,6 +107,8 @@
     request_key: str = ""
     is_trial: bool = False
     quarantine_digest: int = 0
+    organisation: str = ""
+    rank: float = -1.0
 
 
 class HopResult(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -127,6 +137,9 @@
         ended_start: Key of the start of the target that has ended while it had the
             request; empty if it has not.
         quarantine_digest: Digest of the requests that the node holds back.
+        wait_s: Expected wait in seconds of one more request of the class.
+        service_s: Own work of such a request in seconds at the present pace of the
+            target; 0 if not known.
     """
 
     kind: str = ""
@@ -146,6 +159,8 @@
     left_start: str = ""
     ended_start: str = ""
     quarantine_digest: int = 0
+    wait_s: float = 0.0
+    service_s: float = 0.0
 
 
 def encode_header(value: msgspec.Struct) -> str:
--- a/libs/mimosaloom-relay/mimosaloom_relay/routes.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/routes.py
@@ -4,6 +4,8 @@
 
 from mimosaloom_model import RequestClass
 
+from .organisations import OrganisationDirectory
+
 __all__ = [
     "Configuration",
     "Limits",
@@ -38,6 +40,7 @@
         shares: Services and their weights.
         max_targets: Largest number of targets that one request is sent to.
         objective_s: Latency objective in seconds; a later answer is of less use.
+        is_public: Whether its requests need no key where organisations are declared.
     """
 
     host: str
@@ -46,6 +49,7 @@
     shares: tuple[tuple[str, int], ...]
     max_targets: int
     objective_s: float
+    is_public: bool = False
 
 
 class Limits(NamedTuple):
@@ -69,6 +73,8 @@
         services: Services by name.
         limits: Limits on requests and connections of clients.
         document: The configuration as published, for nodes that do not have it yet.
+        organisations: Organisations by their keys; None if the operator declares none,
+            and requests need no key then.
     """
 
     version: int
@@ -76,6 +82,7 @@
     services: dict[str, ServiceProfile]
     limits: Limits
     document: bytes
+    organisations: OrganisationDirectory | None = None
 
 
 def match_route(configuration: Configuration, host: str, path: str) -> Route | None:
