Check the keys of organisations and tell targets who calls

Cause: with organisations in the configuration, each request ran without a check of its key, the key went on to the target, and the priority of an organisation was ignored. Ruled out: a check beside the target as well, which costs a second look-up and may follow another version than the origin. Change: the origin finds the organisation by a digest of the key; 401 without one, 503 for a call whose parent is not known after a restart of the node. Targets get the organisation's name whatever the caller sent, and never the key; the priority travels with the hop. Without organisations nothing changes on the path.

--- a/libs/mimosaloom-relay/mimosaloom_relay/__init__.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/__init__.py
@@ -9,6 +9,7 @@
 from .incoming_hops import CONFIGURATION_PATH
 from .metrics import RelayMetrics
 from .node import QUARANTINE_RECORD, RelayNode
+from .organisations import Organisation, OrganisationDirectory, digest_key
 from .own_target import Announcement, HeartbeatResult, OwnTarget, TargetState
 from .peers import PeerRecord, PeerTable, decode_record
 from .poll_timing import (
@@ -62,6 +63,8 @@
     "Limits",
     "Listeners",
     "OffsetExpired",
+    "Organisation",
+    "OrganisationDirectory",
     "OwnTarget",
     "PeerRecord",
     "PeerTable",
@@ -88,6 +91,7 @@
     "configure_garbage_collection",
     "decode_record",
     "describe_configuration",
+    "digest_key",
     "log_to_descriptor",
     "match_route",
     "new_event_loop",
--- a/libs/mimosaloom-relay/mimosaloom_relay/calls.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/calls.py
@@ -6,6 +6,7 @@
 
 from .hop_messages import HopContext, HopResult
 from .http_server import Incoming
+from .organisations import Organisation
 from .routes import Route
 
 __all__ = ["Call", "Progress"]
@@ -26,6 +27,8 @@
         deadline_s: When the final answer is due, on the monotonic clock.
         caller_timeout_s: How long the caller waits, from the arrival on: the timeout in
             the request, or the timeout of the route.
+        organisation: Organisation of a request of a client; None for none, and for
+            calls, which carry no key.
     """
 
     incoming: Incoming
@@ -37,6 +40,7 @@
     start_s: float
     deadline_s: float
     caller_timeout_s: float
+    organisation: Organisation | None = None
 
     @property
     def is_repeat(self) -> bool:
@@ -54,9 +58,15 @@
 
     @property
     def priority(self) -> int:
-        """Priority of the request; a call has the priority of its parent."""
+        """Priority of the request.
+
+        A call has the priority of its parent, and that of an organisation goes before
+        that of the route.
+        """
         if self.parent is not None:
             return self.parent.priority
+        if self.organisation is not None and self.organisation.priority is not None:
+            return self.organisation.priority
         return self.route.request_class.priority
 
 
--- a/libs/mimosaloom-relay/mimosaloom_relay/organisations.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/organisations.py
@@ -7,19 +7,25 @@
 import hashlib
 from typing import NamedTuple
 
-from mimosaloom_mesh.messages import Headers
+from mimosaloom_mesh.messages import Headers, Request
+from mimosaloom_model import ErrorKind
 from mimosaloom_policy import Quota
 
 __all__ = [
+    "CALL_SEPARATOR",
     "CREDENTIALS_HEADER",
     "Credential",
     "Organisation",
     "OrganisationDirectory",
     "digest_key",
+    "explain_missing_organisation",
+    "remove_headers",
 ]
 
 # Header with the key of a caller.
 CREDENTIALS_HEADER = "Authorization"
+# Between the id of a request and the suffix that its target adds for each call.
+CALL_SEPARATOR = "."
 _SCHEME = "bearer"
 _DIGEST_BYTES = 16
 
@@ -92,3 +98,29 @@
     """
     data = key.encode("latin-1", "replace")
     return hashlib.blake2b(data, digest_size=_DIGEST_BYTES).digest()
+
+
+def explain_missing_organisation(credential: Credential, request_id: str) -> ErrorKind:
+    """Return why a request that needs a key is refused.
+
+    A call of a target carries no key. Its parent is not known here after a restart of
+    the node, and the call may succeed once the target has noticed that.
+
+    Args:
+        credential: Credential of the request.
+        request_id: Id of the request.
+    """
+    if not credential.is_present and CALL_SEPARATOR in request_id:
+        return ErrorKind.UNKNOWN_PARENT
+    return ErrorKind.UNKNOWN_CREDENTIAL
+
+
+def remove_headers(request: Request, names: frozenset[str]) -> Request:
+    """Return a request without some headers.
+
+    Args:
+        request: The request.
+        names: Names of the headers, in lower case.
+    """
+    kept = tuple(item for item in request.headers if item[0].lower() not in names)
+    return request._replace(headers=kept)
--- a/libs/mimosaloom-relay/mimosaloom_relay/origin.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/origin.py
@@ -25,6 +25,12 @@
 from .http_client import Answer
 from .http_server import Incoming
 from .metrics import RelayMetrics
+from .organisations import (
+    CREDENTIALS_HEADER,
+    Organisation,
+    explain_missing_organisation,
+    remove_headers,
+)
 from .quarantine_exchange import QuarantineExchange
 from .read_progress import ReadProgress
 from .refusals import build_refusal
@@ -119,6 +125,10 @@
         self._log = log
         self._metrics = metrics
         self._rotation = ShareRotation()
+        # Targets get neither keys nor an organisation that the caller has named.
+        self._organisation_headers = frozenset(
+            {CREDENTIALS_HEADER.lower(), names.organisation.lower()}
+        )
         # Rate limits that targets have named in answers, by the name of the upstream.
         self._rate_limits_per_s: dict[str, float] = {}
 
@@ -144,35 +154,55 @@
             return self._refuse_early(ErrorKind.UNKNOWN_ROUTE, request_id, detail)
         if len(request.body) > configuration.limits.max_body_bytes:
             return self._refuse_early(ErrorKind.BODY_TOO_LARGE, request_id)
+        parent = self._target_side.find_parent(request_id)
+        organisation = None
+        if configuration.organisations is not None:
+            credential = configuration.organisations.find(request.headers)
+            organisation = credential.organisation if parent is None else None
+            if parent is None and organisation is None and not route.is_public:
+                kind = explain_missing_organisation(credential, request_id)
+                return self._refuse_early(kind, request_id)
         if not request_id:
             # The id is also used to check that an answer belongs to its request.
             request_id = new_request_id(self._upstreams.rng)
-        call = self._build_call(incoming, request_id, route)
+        call = self._build_call(incoming, request_id, route, parent, organisation)
         if self.is_closing and call.parent is None:
             return self._refuse_early(
                 ErrorKind.DRAINING, request_id, "the node is stopping"
             )
         return await self._answer_call(call)
 
-    def _build_call(self, incoming: Incoming, request_id: str, route: Route) -> Call:
+    def _build_call(
+        self,
+        incoming: Incoming,
+        request_id: str,
+        route: Route,
+        parent: HopContext | None,
+        organisation: Organisation | None,
+    ) -> Call:
         start_s = self._clock.monotonic_s() - self.recent_pause_s()
         timeout_s = route.request_class.timeout_s
         timeout_ms = parse_decimal(incoming.request.header(self._names.timeout_ms))
         caller_timeout_s = timeout_s if timeout_ms is None else timeout_ms / 1000
         timeout_s = min(timeout_s, caller_timeout_s)
         service = self._rotation.pick(route)
-        parent = self._target_side.find_parent(request_id)
         deadline_s = start_s + timeout_s
+        request_key = build_request_key(incoming.request, incoming.streamed_body)
+        if self.configuration.organisations is not None:
+            incoming = incoming._replace(
+                request=remove_headers(incoming.request, self._organisation_headers)
+            )
         return Call(
             incoming,
             request_id,
-            build_request_key(incoming.request, incoming.streamed_body),
+            request_key,
             route,
             service,
             parent,
             start_s,
             deadline_s,
             caller_timeout_s,
+            organisation,
         )
 
     async def _answer_call(self, call: Call) -> Answer:
@@ -241,7 +271,7 @@
         return self._upstreams.levels.admits(
             call.service,
             call.route.request_class.name,
-            rank_request(call.request_id, call.route.request_class.priority),
+            rank_request(call.request_id, call.priority),
             call.start_s,
         )
 
@@ -333,6 +363,7 @@
             request_key=call.request_key,
             is_trial=progress.is_trial,
             quarantine_digest=self._quarantine.table.digest,
+            organisation="" if call.organisation is None else call.organisation.name,
         )
         router.start(candidate.name, start_s)
         kind: ErrorKind | None = ErrorKind.CANCELLED
--- a/libs/mimosaloom-relay/mimosaloom_relay/refusals.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/refusals.py
@@ -1,5 +1,7 @@
 """Answer of a node to a request that no target has answered."""
 
+from http import HTTPStatus
+
 import msgspec
 
 from mimosaloom_mesh.messages import Response
@@ -33,6 +35,8 @@
         headers.append((names.request_id, request_id))
     if entry.is_retryable and entry.ran is Ran.NO and retry_after_s:
         headers.append(("Retry-After", f"{retry_after_s:.3g}"))
+    if entry.http_status == HTTPStatus.UNAUTHORIZED:
+        headers.append(("WWW-Authenticate", "Bearer"))
     body = msgspec.json.encode(
         {
             "kind": kind.value,
--- a/libs/mimosaloom-relay/mimosaloom_relay/request_key.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/request_key.py
@@ -5,12 +5,11 @@
 from mimosaloom_mesh.messages import Request
 
 from .bodies import MAX_BUFFERED_BYTES, Body
+from .organisations import CREDENTIALS_HEADER
 
 __all__ = ["build_request_key"]
 
 KEY_BYTES = 12
-# Header with the credentials of a caller, where callers have any.
-CREDENTIALS_HEADER = "Authorization"
 
 
 def build_request_key(request: Request, streamed_body: Body | None) -> str:
--- a/libs/mimosaloom-relay/mimosaloom_relay/status.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/status.py
@@ -12,7 +12,13 @@
 def describe_configuration(configuration: Configuration | None) -> dict:
     """Return the version of the configuration and its resources by kind and name."""
     if configuration is None:
-        return {"version": 0, "RequestClass": {}, "Service": {}, "limits": {}}
+        return {
+            "version": 0,
+            "RequestClass": {},
+            "Service": {},
+            "Organisation": {},
+            "limits": {},
+        }
     routes = [r for found in configuration.routes.values() for r in found]
     return {
         "version": configuration.version,
@@ -21,6 +27,7 @@
             profile.name: profile._asdict()
             for profile in configuration.services.values()
         },
+        "Organisation": _describe_organisations(configuration),
         "limits": configuration.limits._asdict(),
     }
 
@@ -59,6 +66,20 @@
     return state
 
 
+def _describe_organisations(configuration: Configuration) -> dict:
+    """Return the organisations by name; their keys are never shown."""
+    directory = configuration.organisations
+    if directory is None:
+        return {}
+    return {
+        found.name: {
+            "priority": found.priority,
+            "quota": None if found.quota is None else found.quota._asdict(),
+        }
+        for found in directory.organisations.values()
+    }
+
+
 def _describe_route(route: Route) -> dict:
     request_class = route.request_class
     return {
@@ -70,4 +91,5 @@
         "timeout_s": request_class.timeout_s,
         "objective_s": route.objective_s,
         "max_targets": route.max_targets,
+        "is_public": route.is_public,
     }
--- a/libs/mimosaloom-relay/mimosaloom_relay/target_side.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/target_side.py
@@ -33,6 +33,7 @@
 from .http_client import Answer, HttpClient
 from .http_server import Incoming
 from .metrics import RelayMetrics
+from .organisations import CALL_SEPARATOR
 from .own_target import OwnTarget
 from .quarantine_exchange import QuarantineExchange
 from .target_signals import SignalMonitor
@@ -48,7 +49,6 @@
 # A heartbeat of the target arrives about this often and carries the same information,
 # so a longer wait gains nothing.
 HEALTH_TIMEOUT_S = 1.0
-CALL_SEPARATOR = "."
 # A line with the keys of all lost calls could be longer than a line may be.
 MAX_LOGGED_KEYS = 16
 # Statuses after which another target may answer the same request successfully.
@@ -478,6 +478,8 @@
             (self._names.expected_target, self.own_target.target_id),
             (self._names.caller_service, context.caller_service),
         )
+        if context.organisation:
+            headers += ((self._names.organisation, context.organisation),)
         return received._replace(headers=headers)
 
     def _belongs_to_request(self, headers: Headers, request_id: str) -> bool:
--- a/tests/platform_adapter/cluster.py
+++ b/tests/platform_adapter/cluster.py
@@ -182,11 +182,17 @@
         new.sequence = old.sequence
         return new
 
-    async def configure(self, version: int, routes: list[dict]) -> None:
-        """Publish a configuration and wait until it is in force at all nodes."""
+    async def configure(self, version: int, routes: list[dict], **fields) -> None:
+        """Publish a configuration and wait until it is in force at all nodes.
+
+        Args:
+            version: Number of the version.
+            routes: Routes, see `build_document`.
+            **fields: Further fields of the document.
+        """
         services = {m.node.settings.service for m in self.members.values()}
         services |= {route["service"] for route in routes if "service" in route}
-        document = build_document(version, routes, sorted(services))
+        document = build_document(version, routes, sorted(services), **fields)
         self.store.put("keyed.op", "config", document)
         for member in self.members.values():
             await wait_until(lambda m=member: m.node.version >= version)
--- a/tests/platform_adapter/standins.py
+++ b/tests/platform_adapter/standins.py
@@ -246,11 +246,20 @@
     return await reader.readexactly(int(headers.get("Content-Length", "0")))
 
 
-def build_document(version: int, routes: list[dict], services: list[str]) -> bytes:
-    """Return a configuration document in the form that the operator publishes."""
+def build_document(
+    version: int, routes: list[dict], services: list[str], **fields
+) -> bytes:
+    """Return a configuration document in the form that the operator publishes.
+
+    Args:
+        version: Number of the version.
+        routes: Routes, each with the fields that differ from those given here.
+        services: Names of the services.
+        **fields: Further fields of the document.
+    """
     hosts: dict[str, list[dict]] = {}
     for route in routes:
-        fields = {
+        path = {
             "name": f"r-{route['pathPrefix'].strip('/')}",
             "routeType": "idempotent",
             "timeoutMs": 2000,
@@ -259,7 +268,7 @@
             "attempts": 2,
             **route,
         }
-        hosts.setdefault(fields.pop("host", "h.example"), []).append(fields)
+        hosts.setdefault(path.pop("host", "h.example"), []).append(path)
     return msgspec.json.encode(
         {
             "version": f"r{version}",
@@ -269,5 +278,6 @@
             ],
             "limits": {"maxBodyBytes": 67108864, "idleTimeoutMs": 15000},
             "vhosts": [{"host": h, "paths": paths} for h, paths in hosts.items()],
+            **fields,
         }
     )
