Run pipelined requests of a connection at once where the handler allows it

Change: RelayServer takes may_overlap; by default no request overlaps. Ruled out: closing right after an answer that says so, as requests behind it have been passed on; and closing while the client may still be sending, as the reset could take the answers with it.

--- a/libs/mimosaloom-relay/mimosaloom_relay/connections.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/connections.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import enum
 import socket
 from collections.abc import Callable, Iterable
 
@@ -17,6 +18,7 @@
     "MAX_HEAD_BYTES",
     "FlowControl",
     "HeadMeter",
+    "PauseReason",
     "configure_socket",
     "encode_chunk",
     "encode_head",
@@ -102,6 +104,15 @@
         self._bytes = 0
 
 
+class PauseReason(enum.Enum):
+    """Why a connection is not read at present."""
+
+    # There is no room for the rest of a body.
+    BODY = enum.auto()
+    # Too many requests wait for those before them.
+    REQUESTS = enum.auto()
+
+
 class FlowControl(asyncio.Protocol):
     """Protocol whose writers wait while the peer reads more slowly than they write."""
 
@@ -109,6 +120,7 @@
 
     def __init__(self):
         self._can_write: asyncio.Future | None = None
+        self._pause_reasons: set[PauseReason] = set()
 
     def pause_writing(self):
         """Make writers wait; called by asyncio when the write buffer is full."""
@@ -146,11 +158,23 @@
         """
         space_available = feed(piece)
         if space_available is not None:
+            self.pause_reading(PauseReason.BODY)
+            space_available.add_done_callback(
+                lambda _: self.resume_reading(PauseReason.BODY)
+            )
+
+    def pause_reading(self, reason: PauseReason) -> None:
+        """Stop reading until this reason and all others are gone."""
+        if not self._pause_reasons and not self.transport.is_closing():
             self.transport.pause_reading()
-            space_available.add_done_callback(lambda _: self._resume_reading())
-
-    def _resume_reading(self) -> None:
-        if not self.transport.is_closing():
+        self._pause_reasons.add(reason)
+
+    def resume_reading(self, reason: PauseReason) -> None:
+        """Read again, unless there is another reason not to."""
+        if reason not in self._pause_reasons:
+            return
+        self._pause_reasons.remove(reason)
+        if not self._pause_reasons and not self.transport.is_closing():
             self.transport.resume_reading()
 
 
--- /dev/null
+++ b/libs/mimosaloom-relay/mimosaloom_relay/exchanges.py
@@ -0,0 +1,94 @@
+"""One request that the server receives, and the framing of its answer."""
+
+import asyncio
+from collections.abc import Callable
+
+from mimosaloom_mesh.messages import Request, Response
+
+from .bodies import MAX_BUFFERED_BYTES, Body
+from .http_client import Answer
+
+__all__ = ["Exchange", "add_framing_headers", "count_held_bytes"]
+
+
+class Exchange:
+    """One request that is being received, and the state for its answer.
+
+    Args:
+        on_ready: Called with the exchange when the request is complete, has failed or
+            is too large to buffer.
+        abort: Aborts the connection.
+
+    Attributes:
+        request: The request as queued, with an empty body if that is streamed; None
+            before it is queued.
+        is_streamed: Whether the body was too large to buffer when it was queued.
+        read_at_s: When the request was read, if it had to wait for its start.
+        task: Answers the request; None before its start.
+        turn: Done when the finished answer may be written; None if it never waited.
+    """
+
+    def __init__(self, on_ready: Callable[["Exchange"], None], abort: Callable):
+        self.path = b""
+        self.headers: list[tuple[str, str]] = []
+        self.method = ""
+        self.size_bytes = 0
+        self.is_kept_alive = True
+        self.is_http_1_0 = False
+        self.request: Request | None = None
+        self.is_streamed = False
+        self.read_at_s: float | None = None
+        self.task: asyncio.Task | None = None
+        self.turn: asyncio.Future | None = None
+        self.body = Body(lambda: on_ready(self), abort)
+
+    def build_request(self) -> None:
+        """Build the request, with its body if that is complete."""
+        self.is_streamed = not self.body.is_complete
+        self.request = Request(
+            self.method,
+            self.path.decode("latin-1"),
+            tuple(self.headers),
+            b"" if self.is_streamed else self.body.take_buffered(),
+        )
+
+    def take_parts(self) -> tuple[Request, Body | None]:
+        """Return the request, and its body if that is streamed.
+
+        A streamed body that was completed while the request waited is buffered.
+        """
+        if not self.is_streamed:
+            return self.request, None
+        if not self.body.is_complete:
+            return self.request, self.body
+        return self.request._replace(body=self.body.take_buffered()), None
+
+
+def count_held_bytes(answer: Answer) -> int:
+    """Return how many bytes a finished answer holds while it waits for its turn."""
+    if answer.streamed_body is not None:
+        return MAX_BUFFERED_BYTES
+    return len(answer.response.body)
+
+
+def add_framing_headers(
+    exchange: Exchange, response: Response, streamed_body: Body | None, headers: list
+) -> bool:
+    """Add the header for the body's framing; return whether it is chunked."""
+    length = response.header("Content-Length")
+    if response.status in (204, 304):
+        return False
+    if streamed_body is None:
+        # The Content-Length of an answer to HEAD is that of the omitted body.
+        own_length = str(len(response.body))
+        is_head = exchange.method == "HEAD"
+        value = length or own_length if is_head else own_length
+        headers.append(("Content-Length", value))
+        return False
+    if length is not None:
+        headers.append(("Content-Length", length))
+        return False
+    if exchange.is_http_1_0:
+        return False
+    headers.append(("Transfer-Encoding", "chunked"))
+    return True
--- a/libs/mimosaloom-relay/mimosaloom_relay/http_server.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/http_server.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import socket
-from collections import deque
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 from typing import NamedTuple
@@ -11,18 +10,21 @@
 from eliot import write_traceback
 
 from mimosaloom_mesh.messages import Request, Response, find_header
-from mimosaloom_model import Address
+from mimosaloom_model import Address, Clock, SystemClock
 
 from .bodies import Body
 from .connections import (
     MAX_HEAD_BYTES,
     FlowControl,
     HeadMeter,
+    PauseReason,
     configure_socket,
     encode_head,
 )
+from .exchanges import Exchange, add_framing_headers, count_held_bytes
 from .hop_messages import forwarded_headers
 from .http_client import Answer
+from .pipeline import Pipeline
 
 __all__ = ["Handler", "Incoming", "RelayServer"]
 
@@ -48,10 +50,13 @@
         request: Head of the request, and its body unless `streamed_body` is set.
         streamed_body: The body if it is streamed piece by piece; None if it is
             buffered.
+        read_at_s: When the request was read, on the server's monotonic clock, if it
+            then waited for requests before it; None if it did not wait.
     """
 
     request: Request
     streamed_body: Body | None = None
+    read_at_s: float | None = None
 
 
 Handler = Callable[[Incoming], Awaitable[Answer]]
@@ -64,6 +69,9 @@
         handle: Answers a request; cancelled if the client closes its connection.
         answer_crash: Returns the answer to a request whose handler raised an exception.
         max_body_bytes: Returns the largest body that is accepted.
+        may_overlap: Returns by the head of a request whether it may run while others
+            of its connection run; by default, none may.
+        clock: Source of the time at which requests are read.
     """
 
     def __init__(
@@ -71,10 +79,14 @@
         handle: Handler,
         answer_crash: Callable[[], Response],
         max_body_bytes: Callable[[], int] = lambda: DEFAULT_MAX_BODY_BYTES,
+        may_overlap: Callable[[Request], bool] = lambda request: False,
+        clock: Clock | None = None,
     ):
         self.handle = handle
         self.answer_crash = answer_crash
         self.max_body_bytes = max_body_bytes
+        self.may_overlap = may_overlap
+        self.clock = clock or SystemClock()
         self.is_closing = False
         self.tasks: set[asyncio.Task] = set()
         self.connections: set[_Connection] = set()
@@ -116,6 +128,11 @@
         """Whether part of a request has arrived and the rest has not."""
         return any(connection.is_receiving for connection in self.connections)
 
+    @property
+    def overlapping_count(self) -> int:
+        """Number of requests started before one in front of them is answered."""
+        return sum(connection.overlapping_count for connection in self.connections)
+
     def close(self) -> None:
         """Close all connections after the data already written has been sent."""
         self.stop_accepting()
@@ -123,35 +140,20 @@
             connection.transport.close()
 
 
-class _Exchange:
-    """One request that is being received, and the state for its answer."""
-
-    def __init__(self, connection: "_Connection"):
-        self.path = b""
-        self.headers: list[tuple[str, str]] = []
-        self.method = ""
-        self.size = 0
-        self.is_kept_alive = True
-        self.is_http_1_0 = False
-        self.task: asyncio.Task | None = None
-        self.body = Body(
-            lambda: connection.enqueue(self), lambda: connection.transport.abort()
-        )
-
-
 class _Connection(FlowControl):
     """One connection of a client; httptools calls its `on_` methods.
 
-    Requests are answered in order, one at a time, even if the client pipelines them.
+    Answers are written in the order of the requests, also if requests run at once.
     """
 
     def __init__(self, server: RelayServer):
         super().__init__()
         self._server = server
         self._parser = httptools.HttpRequestParser(self)
-        self._incoming: _Exchange | None = None
-        self._waiting: deque[_Exchange] = deque()
-        self._current: _Exchange | None = None
+        self._incoming: Exchange | None = None
+        self._pipeline: Pipeline[Exchange] = Pipeline(self._may_overlap)
+        self._owes_continue = False
+        self._has_dropped = False
         self._head_bytes = 0
         self._head_meter = HeadMeter()
         self._has_stopped_parsing = False
@@ -162,6 +164,16 @@
         """Whether part of a request has arrived and the rest has not."""
         return self._incoming is not None and not self._has_stopped_parsing
 
+    @property
+    def overlapping_count(self) -> int:
+        """Number of requests started before one in front of them is answered."""
+        return self._pipeline.overlapping_count
+
+    @property
+    def _can_write_own(self) -> bool:
+        """Whether a response other than the answers may be written now."""
+        return self._pipeline.is_idle and not self._pipeline.is_stopped
+
     def connection_made(self, transport):
         self.transport = transport
         self._server.connections.add(self)
@@ -171,9 +183,8 @@
         self.resume_writing()
         if self._incoming is not None:
             self._incoming.body.fail("the client closed the connection")
-        self._waiting.clear()
-        if self._current is not None and self._current.task is not None:
-            self._current.task.cancel()
+        for exchange in self._pipeline.clear():
+            exchange.task.cancel()
 
     def data_received(self, data):
         if self._has_stopped_parsing:
@@ -193,8 +204,9 @@
             self._reject()
 
     def on_message_begin(self):
-        self._incoming = _Exchange(self)
+        self._incoming = Exchange(self.enqueue, lambda: self.transport.abort())
         self._head_bytes = 0
+        self._owes_continue = False
 
     def on_url(self, url):
         self._incoming.path += url
@@ -217,33 +229,37 @@
             raise ValueError("the HTTP version is not supported; use 1.0 or 1.1")
         exchange.is_http_1_0 = version == "1.0"
         if find_header(exchange.headers, "Expect") is not None:
-            self.transport.write(CONTINUE_RESPONSE)
+            self._owes_continue = True
+            self._write_owed_continue()
 
     def on_body(self, body):
         self._head_meter.reset()
-        self._incoming.size += len(body)
-        if self._incoming.size > self._server.max_body_bytes():
+        # The client has not waited for the interim response.
+        self._owes_continue = False
+        self._incoming.size_bytes += len(body)
+        if self._incoming.size_bytes > self._server.max_body_bytes():
             self._error_response = CONTENT_TOO_LARGE_RESPONSE
             raise ValueError("the request body is larger than the limit")
         self.feed_with_backpressure(self._incoming.body.feed, body)
 
     def on_message_complete(self):
         self._head_meter.reset()
+        self._owes_continue = False
         exchange, self._incoming = self._incoming, None
         exchange.body.finish()
 
-    def enqueue(self, exchange: _Exchange) -> None:
-        """Queue a request that is complete, or too large to buffer, for its answer.
-
-        If its body has failed instead, the request is cancelled.
-        """
+    def enqueue(self, exchange: Exchange) -> None:
+        """Queue a request that is complete, or too large to buffer, for its answer."""
         if exchange.body.failure:
-            if exchange.task is not None:
-                exchange.task.cancel()
             return
-        self._waiting.append(exchange)
-        if self._current is None:
-            self._start_next()
+        if self._pipeline.is_stopped:
+            self._drop(exchange)
+            return
+        exchange.build_request()
+        self._pipeline.add(exchange, exchange.size_bytes)
+        self._start_waiting()
+        if exchange.task is None:
+            exchange.read_at_s = self._server.clock.monotonic_s()
 
     def _count_head(self, size: int) -> None:
         self._head_bytes += size
@@ -260,62 +276,119 @@
         incoming = self._incoming
         if incoming is not None:
             incoming.body.fail("the request is not valid HTTP or exceeds a limit")
-            if incoming is self._current:
-                # The request is already being passed on; cancelling it ends the hop.
-                incoming.task.cancel()
-                self._current = None
-        if self._current is None:
-            self._write_error_response()
-
-    def _write_error_response(self) -> None:
+            if incoming in self._pipeline and not self._pipeline.is_stopped:
+                self._pipeline.remove(incoming)
+                if incoming.task is not None:
+                    # It is already being passed on; cancelling it ends the hop.
+                    incoming.task.cancel()
+        self._write_owed_error()
+
+    def _drop(self, exchange: Exchange) -> None:
+        """Drop a request that is not started, as the connection is about to close."""
+        exchange.body.discard()
+        self._has_dropped = True
+
+    def _write_owed_error(self) -> None:
+        """Answer an invalid request and close, once those before it are answered."""
+        if not self._has_stopped_parsing or not self._can_write_own:
+            return
         self.transport.write(self._error_response)
         loop = asyncio.get_running_loop()
         loop.call_later(LINGER_S, self.transport.close)
 
-    def _start_next(self) -> None:
-        exchange = self._current = self._waiting.popleft()
-        is_complete = exchange.body.is_complete
-        request = Request(
-            exchange.method,
-            exchange.path.decode("latin-1"),
-            tuple(exchange.headers),
-            exchange.body.take_buffered() if is_complete else b"",
+    def _write_owed_continue(self) -> None:
+        """Ask for the body of a request, once those before it are answered."""
+        if self._owes_continue and self._can_write_own:
+            self._owes_continue = False
+            self.transport.write(CONTINUE_RESPONSE)
+
+    def _may_overlap(self, exchange: Exchange) -> bool:
+        """Return whether a request may run beside others.
+
+        The answer to an HTTP/1.0 request may end only with the connection, and those to
+        the requests behind it would be lost. A server that stops starts none either, as
+        the connection closes after the last answer.
+        """
+        return (
+            not exchange.is_streamed
+            and not exchange.is_http_1_0
+            and not self._server.is_closing
+            and self._server.may_overlap(exchange.request)
         )
-        incoming = Incoming(request, None if is_complete else exchange.body)
+
+    def _start_waiting(self) -> None:
+        while (exchange := self._pipeline.start_next()) is not None:
+            self._start(exchange)
+        if self._pipeline.is_full:
+            self.pause_reading(PauseReason.REQUESTS)
+        else:
+            self.resume_reading(PauseReason.REQUESTS)
+
+    def _start(self, exchange: Exchange) -> None:
+        incoming = Incoming(*exchange.take_parts(), exchange.read_at_s)
         exchange.task = asyncio.ensure_future(self._answer(exchange, incoming))
         self._server.tasks.add(exchange.task)
         exchange.task.add_done_callback(self._server.tasks.discard)
 
-    async def _answer(self, exchange: _Exchange, incoming: Incoming) -> None:
+    async def _answer(self, exchange: Exchange, incoming: Incoming) -> None:
+        is_answered = False
         try:
-            answer = await self._server.handle(incoming)
-        except asyncio.CancelledError:
+            await self._write(exchange, await self._run(exchange, incoming))
+            is_answered = True
+        finally:
+            if not is_answered and exchange in self._pipeline:
+                # The requests behind it would wait for ever.
+                self.transport.abort()
+        exchange.body.discard()
+        self._pipeline.remove(exchange)
+        if self.transport.is_closing():
             return
+        following = self._pipeline.first_started
+        if following is not None and following.turn is not None:
+            following.turn.set_result(None)
+        self._start_waiting()
+        self._write_owed_continue()
+        self._write_owed_error()
+
+    async def _run(self, exchange: Exchange, incoming: Incoming) -> Answer:
+        """Return the answer to a request when it is its turn."""
+        try:
+            answer = await self._server.handle(incoming)
         except Exception:
             write_traceback()
             answer = Answer(self._server.answer_crash())
-        await self._write(exchange, answer)
-        exchange.body.discard()
-        self._current = None
-        if self.transport.is_closing():
-            return
-        if self._waiting:
-            self._start_next()
-        elif self._has_stopped_parsing:
-            self._write_error_response()
+        if self._pipeline.first_started is not exchange:
+            await self._wait_for_turn(exchange, answer)
+        return answer
+
+    async def _wait_for_turn(self, exchange: Exchange, answer: Answer) -> None:
+        self._pipeline.hold_answer(exchange, count_held_bytes(answer))
+        exchange.turn = asyncio.get_running_loop().create_future()
+        try:
+            await exchange.turn
+        except asyncio.CancelledError:
+            if answer.streamed_body is not None:
+                answer.streamed_body.abort()
+            raise
 
-    async def _write(self, exchange: _Exchange, answer: Answer) -> None:
+    async def _write(self, exchange: Exchange, answer: Answer) -> None:
         response, streamed_body = answer
         headers = list(forwarded_headers(response.headers))
-        is_chunked = _add_framing_headers(exchange, response, streamed_body, headers)
+        is_chunked = add_framing_headers(exchange, response, streamed_body, headers)
         must_close = (
             response.is_last
             or self._server.is_closing
             or not exchange.is_kept_alive
             or not exchange.body.is_complete
             or (streamed_body is not None and not is_chunked and exchange.is_http_1_0)
+            or self._pipeline.is_stopped
         )
         if must_close:
+            for dropped in self._pipeline.stop_starting():
+                self._drop(dropped)
+        # Requests that are already started are answered first.
+        is_final = must_close and self._pipeline.last_started is exchange
+        if is_final:
             headers.append(("Connection", "close"))
         reason = _REASONS.get(response.status, "Unknown")
         head = encode_head(f"HTTP/1.1 {response.status} {reason}", headers)
@@ -324,7 +397,7 @@
         if streamed_body is not None and not is_head_request:
             await self._write_streamed_body(streamed_body, is_chunked=is_chunked)
         await self.drain()
-        if must_close:
+        if is_final:
             self._close(exchange)
 
     async def _write_streamed_body(
@@ -339,32 +412,15 @@
                 streamed_body.abort()
                 self.transport.abort()
 
-    def _close(self, exchange: _Exchange) -> None:
-        if exchange.body.is_complete:
+    def _close(self, exchange: Exchange) -> None:
+        if (
+            exchange.body.is_complete
+            and self._incoming is None
+            and not self._has_dropped
+        ):
             self.transport.close()
         else:
+            # All requests that waited are dropped.
+            self.resume_reading(PauseReason.REQUESTS)
             loop = asyncio.get_running_loop()
             loop.call_later(LINGER_S, self.transport.close)
-
-
-def _add_framing_headers(
-    exchange: _Exchange, response: Response, streamed_body: Body | None, headers: list
-) -> bool:
-    """Add the header for the body's framing; return whether it is chunked."""
-    length = response.header("Content-Length")
-    if response.status in (204, 304):
-        return False
-    if streamed_body is None:
-        # The Content-Length of an answer to HEAD is that of the omitted body.
-        own_length = str(len(response.body))
-        is_head = exchange.method == "HEAD"
-        value = length or own_length if is_head else own_length
-        headers.append(("Content-Length", value))
-        return False
-    if length is not None:
-        headers.append(("Content-Length", length))
-        return False
-    if exchange.is_http_1_0:
-        return False
-    headers.append(("Transfer-Encoding", "chunked"))
-    return True
