--- a/tests/relay/test_pipelining.py
+++ b/tests/relay/test_pipelining.py
@@ -4,6 +4,7 @@
 import contextlib
 import itertools
 import re
+from types import SimpleNamespace
 
 import pytest
 from hypothesis import given
@@ -13,6 +14,7 @@
 from mimosaloom_model import Address
 from mimosaloom_relay import Answer, RelayServer, new_event_loop
 from mimosaloom_relay.bodies import MAX_BUFFERED_BYTES, Body
+from mimosaloom_relay.connections import FlowControl, PauseReason
 from mimosaloom_relay.pipeline import (
     MAX_HELD_BYTES,
     MAX_OVERLAPPING,
@@ -518,6 +520,47 @@
     run(scenario)
 
 
+def test_requests_after_the_last_answer_are_read_and_dropped():
+    """Guards against a reset that takes the last answer with it."""
+
+    async def scenario(gate):
+        gate.answers["/0"] = Answer(Response(200, (), b"last", is_last=True))
+        gate.send("/0", ALONE_PATH)
+        await gate.wait_running("/0")
+        gate.release("/0")
+        await wait_until(lambda: not gate.server.tasks)
+        (connection,) = gate.server.connections
+        gate.send(*[f"/{number}" for number in range(2 * MAX_WAITING)])
+        gate.write("no http\r\n\r\n")
+        await wait_until(lambda: connection._has_stopped_parsing)
+        assert connection.transport.is_reading()
+        assert connection._pipeline.is_idle
+        raw = await gate.read_to_end()
+        assert count_closes(raw) == (1, 1)
+        assert gate.seen == ["/0"]
+
+    run(scenario)
+
+
+def test_reading_continues_when_all_reasons_to_pause_are_gone():
+    """Guards against a full body that is read on because requests were answered."""
+    is_reading = []
+    control = FlowControl()
+    control.transport = SimpleNamespace(
+        pause_reading=lambda: is_reading.append(False),
+        resume_reading=lambda: is_reading.append(True),
+        is_closing=lambda: False,
+    )
+    control.resume_reading(PauseReason.BODY)
+    control.pause_reading(PauseReason.BODY)
+    control.pause_reading(PauseReason.REQUESTS)
+    control.pause_reading(PauseReason.BODY)
+    control.resume_reading(PauseReason.REQUESTS)
+    assert is_reading == [False]
+    control.resume_reading(PauseReason.BODY)
+    assert is_reading == [False, True]
+
+
 def test_close_asked_for_by_the_client():
     """Guards against a close before the answers of earlier requests."""
 
@@ -589,7 +632,7 @@
         gate.write(body[:-1])
         (connection,) = gate.server.connections
         await wait_until(lambda: not connection.transport.is_reading())
-        assert gate.seen == ["/0"]
+        assert len(gate.server.tasks) == 1
         gate.release("/0")
         await gate.wait_running("/1")
         streamed = gate.incoming.streamed_body
@@ -643,10 +686,15 @@
     async def scenario(gate):
         gate.send("/0")
         expect = "Expect: 100-continue\r\nContent-Length: 2\r\n"
-        gate.write(head("/1", expect, "PUT") + "ok")
-        await gate.wait_running("/0", "/1")
-        gate.release("/1", "/0")
-        assert await gate.read_bodies(2) == ["/0", "/1"]
+        gate.write(head("/1", expect, "PUT") + "o")
+        await gate.wait_running("/0")
+        await wait_until(lambda: gate.server.is_receiving)
+        gate.release("/0")
+        assert await gate.read_bodies(1) == ["/0"]
+        gate.write("k")
+        await gate.wait_running("/1")
+        gate.release("/1")
+        assert await gate.read_bodies(1) == ["/1"]
 
     run(scenario)
 
@@ -774,6 +822,22 @@
     run_loop(check_sequence(requests, cuts, last))
 
 
+def build_answer(path, *, is_last):
+    """Return the answer to a request, of the kind that its path names."""
+    kind = path.partition("-")[2]
+    body = path.encode()
+    if kind in ("streamed", "chunked"):
+        length = (("Content-Length", str(len(body))),)
+        headers = length if kind == "streamed" else ()
+        answer = new_streamed_answer([body[:2], body[2:]], [], headers)
+        response = answer.response._replace(is_last=is_last)
+        return answer._replace(response=response)
+    status = 204 if kind == "empty" else 200
+    headers = (("X-Path", path),)
+    body = b"" if kind == "empty" else body
+    return Answer(Response(status, headers, body, is_last=is_last))
+
+
 async def check_sequence(requests, cuts, last):
     """Send requests in pieces, and compare the answers with what each asked for.
 
@@ -800,21 +864,10 @@
         for _ in range(steps[path]):
             await asyncio.sleep(0)
         running.discard(path)
-        body = path.encode()
         if kind == "crash":
             raise ZeroDivisionError
-        if kind == "upload":
-            assert incoming.request.body == body
-        if kind in ("streamed", "chunked"):
-            length = (("Content-Length", str(len(body))),)
-            headers = length if kind == "streamed" else ()
-            answer = new_streamed_answer([body[:2], body[2:]], [], headers)
-            response = answer.response._replace(is_last=path == final)
-            return answer._replace(response=response)
-        status = 204 if kind == "empty" else 200
-        headers = (("X-Path", path),)
-        body = b"" if kind == "empty" else body
-        return Answer(Response(status, headers, body, is_last=path == final))
+        assert incoming.request.body == (path.encode() if kind == "upload" else b"")
+        return build_answer(path, is_last=path == final)
 
     server = RelayServer(
         handle,
