--- a/libs/mimosaloom-relay/mimosaloom_relay/http_server.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/http_server.py
@@ -79,6 +79,7 @@
         handle: Handler,
         answer_crash: Callable[[], Response],
         max_body_bytes: Callable[[], int] = lambda: DEFAULT_MAX_BODY_BYTES,
+        *,
         may_overlap: Callable[[Request], bool] = lambda request: False,
         clock: Clock | None = None,
     ):
