--- a/libs/mimosaloom-relay/mimosaloom_relay/metrics.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/metrics.py
@@ -69,6 +69,10 @@
         self.target_rate_limit = self._gauge(
             "target_rate_limit", "Requests a second that the target takes"
         )
+        self.overlapping = self._gauge(
+            "overlapping_requests",
+            "Requests of clients that run beside an earlier one of their connection",
+        )
         self.ready = self._gauge("ready", "Whether the node takes clients")
 
     def count_outcome(self, request_class: str, outcome: str, elapsed_s: float) -> None:
