Let pipelined requests of clients overlap on idempotent routes (integration)

Change: Origin.may_overlap, which node.py passes to the listener for clients, with the gauge and the clock.

--- a/libs/mimosaloom-relay/mimosaloom_relay/node.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/node.py
@@ -262,13 +262,18 @@
         }
         opened = {}
         for name, handle in handlers.items():
-            server = RelayServer(handle, self._answer_crash, self._max_body_bytes)
+            server = RelayServer(
+                handle, self._answer_crash, self._max_body_bytes, clock=self._clock
+            )
             self._servers[name] = server
             opened[name] = await server.listen(getattr(self.settings.listen, name))
         self.addresses = Listeners(**opened)
         self._tasks.spawn(self._pauses.run())
         self.metrics.ready.set_function(lambda: self.is_ready)
         self.metrics.version.set_function(lambda: self.version)
+        outbound = self._servers["outbound"]
+        outbound.may_overlap = self.origin.may_overlap
+        self.metrics.overlapping.set_function(lambda: outbound.overlapping_count)
         self.metrics.peers.set_function(lambda: len(self.upstreams.peers))
         self.log.change(
             "started",
--- a/libs/mimosaloom-relay/mimosaloom_relay/origin.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/origin.py
@@ -7,7 +7,7 @@
 import asyncio
 from collections.abc import Callable
 
-from mimosaloom_mesh.messages import parse_decimal
+from mimosaloom_mesh.messages import Request, parse_decimal
 from mimosaloom_model import (
     ERROR_ANSWERS,
     Address,
@@ -137,6 +137,14 @@
         self.configuration = configuration
         self._rotation.drop_unused(configuration)
 
+    def may_overlap(self, request: Request) -> bool:
+        """Return whether a request may run while others of its connection run."""
+        if self.configuration is None:
+            return False
+        host = request.header("Host") or ""
+        route = match_route(self.configuration, host, request.path)
+        return route is not None and route.request_class.is_idempotent
+
     async def handle(self, incoming: Incoming) -> Answer:
         """Answer a request of a client or of the target on this instance."""
         request = incoming.request
