Count the time of a pipelined request from when it was read

Cause: a request that waits for one before it on its connection got its full timeout again when its handler was called. Change: the origin takes the time of the reading that the server passes on.

--- a/libs/mimosaloom-relay/mimosaloom_relay/origin.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/origin.py
@@ -188,7 +188,10 @@
         parent: HopContext | None,
         organisation: Organisation | None,
     ) -> Call:
-        start_s = self._clock.monotonic_s() - self.recent_pause_s()
+        read_at_s = incoming.read_at_s
+        if read_at_s is None:
+            read_at_s = self._clock.monotonic_s()
+        start_s = read_at_s - self.recent_pause_s()
         timeout_s = route.request_class.timeout_s
         timeout_ms = parse_decimal(incoming.request.header(self._names.timeout_ms))
         caller_timeout_s = timeout_s if timeout_ms is None else timeout_ms / 1000
