--- a/libs/mimosaloom-relay/mimosaloom_relay/own_target.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/own_target.py
@@ -6,6 +6,8 @@
 from mimosaloom_model import Address
 
 __all__ = [
+    "MAX_BORN_MS",
+    "MAX_SLOTS",
     "Announcement",
     "HeartbeatResult",
     "OwnTarget",
@@ -14,6 +16,10 @@
 ]
 
 
+# The start time of a target is published, as an integer of 64 bits.
+MAX_BORN_MS = (1 << 63) - 1
+# Calls that a target runs at once; each needs a connection, and so a port, of its own.
+MAX_SLOTS = 65535
 # Number of starts of targets at one address whose last sequence numbers are kept, so
 # that late heartbeats of an earlier start are recognised.
 MAX_TRACKED_STARTS = 16
--- a/libs/mimosaloom-relay/mimosaloom_relay/peers.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/peers.py
@@ -1,11 +1,14 @@
 """Records of the known nodes, and the upstreams that these nodes offer."""
 
+from typing import Annotated
+
 import msgspec
+from msgspec import Meta
 
 from mimosaloom_model import Address
 from mimosaloom_policy import Candidate
 
-from .own_target import format_start_key
+from .own_target import MAX_BORN_MS, MAX_SLOTS, format_start_key
 
 __all__ = [
     "PeerRecord",
@@ -43,17 +46,17 @@
         is_leaving: Whether the target is draining or has left.
     """
 
-    name: str
-    host: str
-    port: int
+    name: Annotated[str, Meta(min_length=1)]
+    host: Annotated[str, Meta(min_length=1)]
+    port: Annotated[int, Meta(ge=1, le=65535)]
     failure_domain: str
     service: str
     incarnation: str
     target_id: str
-    slots: int
+    slots: Annotated[int, Meta(ge=0, le=MAX_SLOTS)]
     is_available: bool
     is_handed_over: bool = False
-    target_born_ms: int = 0
+    target_born_ms: Annotated[int, Meta(ge=0, le=MAX_BORN_MS)] = 0
     is_leaving: bool = False
 
     @property
@@ -75,17 +78,24 @@
 def decode_record(value: bytes) -> PeerRecord | None:
     """Return the record from its published form; None if it is not valid."""
     try:
-        return msgspec.json.decode(value, type=PeerRecord)
-    except (msgspec.MsgspecError, UnicodeError):
+        record = msgspec.json.decode(value, type=PeerRecord)
+    except (msgspec.MsgspecError, UnicodeError, RecursionError):
         return None
+    return record if _names_usable_target(record) else None
 
 
 def decode_records(value: bytes) -> list[PeerRecord]:
     """Return the records from an encoded list; an empty list if it is not valid."""
     try:
-        return msgspec.json.decode(value, type=list[PeerRecord])
-    except (msgspec.MsgspecError, UnicodeError):
+        records = msgspec.json.decode(value, type=list[PeerRecord])
+    except (msgspec.MsgspecError, UnicodeError, RecursionError):
         return []
+    return [record for record in records if _names_usable_target(record)]
+
+
+def _names_usable_target(record: PeerRecord) -> bool:
+    """Return whether the target of a record can be called if it is available."""
+    return not record.is_available or bool(record.target_id and record.slots)
 
 
 class PeerTable:
