Add the rank of root requests by fair share, with its gauge

The encoder of hop messages compares defaults by identity; NO_RANK is the one object that is left out, so headers don't grow without organisations.

--- a/libs/mimosaloom-relay/mimosaloom_relay/calls.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/calls.py
@@ -4,7 +4,7 @@
 
 from mimosaloom_policy import Candidate
 
-from .hop_messages import HopContext, HopResult
+from .hop_messages import NO_RANK, HopContext, HopResult
 from .http_server import Incoming
 from .organisations import Organisation
 from .routes import Route
@@ -84,6 +84,7 @@
         awaited_node: Node whose answer is awaited; None while no hop is open.
         last_result: Hop result of the last attempt; None before the first.
         retry_after_s: Longest delay that a node has asked for; 0 if none has.
+        rank: Rank by fair share; below 0 if it follows from the id and priority alone.
     """
 
     def __init__(self):
@@ -97,3 +98,4 @@
         self.awaited_node: Candidate | None = None
         self.last_result: HopResult | None = None
         self.retry_after_s = 0.0
+        self.rank = NO_RANK
--- a/libs/mimosaloom-relay/mimosaloom_relay/hop_messages.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/hop_messages.py
@@ -11,6 +11,7 @@
 __all__ = [
     "HOP_HEADER",
     "HOP_RESULT_HEADER",
+    "NO_RANK",
     "HeaderNames",
     "HopContext",
     "HopResult",
@@ -22,6 +23,9 @@
 
 HOP_HEADER = "Mimosaloom-Hop"
 HOP_RESULT_HEADER = "Mimosaloom-Hop-Result"
+# Rank of a request that follows from its id and priority alone. The encoder compares
+# defaults by identity, so only this object is left out of messages.
+NO_RANK = -1.0
 _T = TypeVar("_T", bound=msgspec.Struct)
 
 
@@ -108,7 +112,7 @@
     is_trial: bool = False
     quarantine_digest: int = 0
     organisation: str = ""
-    rank: float = -1.0
+    rank: float = NO_RANK
 
 
 class HopResult(msgspec.Struct, frozen=True, omit_defaults=True):
--- a/libs/mimosaloom-relay/mimosaloom_relay/metrics.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/metrics.py
@@ -73,6 +73,10 @@
             "overlapping_requests",
             "Requests of clients that run beside an earlier one of their connection",
         )
+        self.fair_share_ratio = self._gauge(
+            "fair_share_ratio", "Largest demand of an organisation over the mean"
+        )
+        self.fair_share_ratio.set(1.0)
         self.ready = self._gauge("ready", "Whether the node takes clients")
 
     def count_outcome(self, request_class: str, outcome: str, elapsed_s: float) -> None:
