Admit by the rank of fair shares at the origin and beside the target

The origin determines the rank once, before its own admission decision, and sends it on with each attempt; the node beside the target uses it in place of the hash of the root's id.

--- a/libs/mimosaloom-relay/mimosaloom_relay/origin.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/origin.py
@@ -16,7 +16,7 @@
     Ran,
     new_request_id,
 )
-from mimosaloom_policy import Candidate, rank_request
+from mimosaloom_policy import Candidate
 
 from .calls import Call, Progress
 from .decision_log import DecisionLog, Importance
@@ -37,6 +37,7 @@
 from .request_key import build_request_key
 from .retry_after import choose_retry_after
 from .retry_policy import RetryPolicy
+from .root_rank import RootRank, effective_rank
 from .routes import Configuration, Route, ShareRotation, match_route
 from .store_era import StoreEra
 from .target_side import HopReply, TargetSide
@@ -129,6 +130,7 @@
         self._organisation_headers = frozenset(
             {CREDENTIALS_HEADER.lower(), names.organisation.lower()}
         )
+        self._root_rank = RootRank(clock, metrics)
         # Rate limits that targets have named in answers, by the name of the upstream.
         self._rate_limits_per_s: dict[str, float] = {}
 
@@ -136,6 +138,7 @@
         """Apply a configuration to all requests from now on."""
         self.configuration = configuration
         self._rotation.drop_unused(configuration)
+        self._root_rank.apply_organisations(configuration.organisations)
 
     def may_overlap(self, request: Request) -> bool:
         """Return whether a request may run while others of its connection run."""
@@ -235,7 +238,8 @@
                 "the time of the request ran out while this process was paused",
             )
             return self._finish_with_refusal(call, progress)
-        if not self._is_admitted(call):
+        progress.rank = self._root_rank.record_and_rank(call)
+        if not self._is_admitted(call, progress.rank):
             progress.last_result = HopResult(
                 ErrorKind.OVERLOADED.value,
                 "the admission level of the path is below the rank of the request",
@@ -267,7 +271,7 @@
         self._record_call_result(call, is_success=False)
         return self._finish_with_refusal(call, progress)
 
-    def _is_admitted(self, call: Call) -> bool:
+    def _is_admitted(self, call: Call, rank: float) -> bool:
         """Return whether the path has capacity; calls of a running request always pass.
 
         This protects against overload of a service deep in the call graph: only at the
@@ -282,7 +286,7 @@
         return self._upstreams.levels.admits(
             call.service,
             call.route.request_class.name,
-            rank_request(call.request_id, call.priority),
+            effective_rank(rank, call.request_id, call.priority),
             call.start_s,
         )
 
@@ -375,6 +379,7 @@
             is_trial=progress.is_trial,
             quarantine_digest=self._quarantine.table.digest,
             organisation="" if call.organisation is None else call.organisation.name,
+            rank=progress.rank,
         )
         router.start(candidate.name, start_s)
         kind: ErrorKind | None = ErrorKind.CANCELLED
@@ -488,6 +493,7 @@
         if not self._log.has_room(importance):
             return
         write = self._log.failure if has_failed else self._log.success
+        root_id = call.parent.root_id if call.parent else call.request_id
         write(
             "request_finished",
             request_id=call.request_id,
@@ -506,6 +512,8 @@
             timeout_ms=round(1000 * (call.deadline_s - call.start_s)),
             retry_after_s=retry_after_s,
             version=self.configuration.version,
+            organisation=call.organisation.name if call.organisation else "",
+            rank=round(effective_rank(progress.rank, root_id, call.priority), 4),
         )
 
     def _refuse_early(
--- a/libs/mimosaloom-relay/mimosaloom_relay/target_side.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/target_side.py
@@ -18,7 +18,6 @@
     Arrival,
     CallCountEstimate,
     Refuse,
-    rank_request,
 )
 
 from .decision_log import DecisionLog, Importance
@@ -36,6 +35,7 @@
 from .organisations import CALL_SEPARATOR
 from .own_target import OwnTarget
 from .quarantine_exchange import QuarantineExchange
+from .root_rank import effective_rank
 from .target_signals import SignalMonitor
 
 __all__ = ["HopReply", "TargetSide"]
@@ -596,7 +596,7 @@
         class_name=context.route,
         priority=priority,
         is_protected=priority == 0,
-        rank=rank_request(context.root_id, priority),
+        rank=effective_rank(context.rank, context.root_id, priority),
         deadline_s=deadline_s,
         depth=context.depth,
     )
