Rank an organisation without recent requests by its count of none

The usual demand is the mean of organisations that have asked recently, which at an origin with few requests are the ones that have just asked by chance. An organisation without a recent request counted as usual, above the others of equal demand. It is now estimated like the others, from a count of 0.

--- a/libs/mimosaloom-policy/mimosaloom_policy/fair_rank.py
+++ b/libs/mimosaloom-policy/mimosaloom_policy/fair_rank.py
@@ -107,7 +107,9 @@
         band.refresh_if_due(now_s, self._weights, self._default_weight)
         if not band.is_shared:
             return rank_request(request_id, priority)
-        position = band.position(organisation, hash_to_unit_interval(request_id))
+        weight = self._weights.get(organisation, self._default_weight)
+        unit_hash = hash_to_unit_interval(request_id)
+        position = band.position(organisation, weight, unit_hash)
         return (priority + position) / PRIORITY_COUNT
 
 
@@ -129,6 +131,7 @@
         # Requests of organisations that are not tracked.
         self._other_count = 0.0
         self._demands: dict[str, float] = {}
+        self._usual = 1.0
         # Share of the requests whose product of hash and demand is below a point.
         self._points: list[float] = []
         self._shares: list[float] = []
@@ -142,15 +145,18 @@
         else:
             self._other_count += 1
 
-    def position(self, organisation: str, unit_hash: float) -> float:
+    def position(self, organisation: str, weight: float, unit_hash: float) -> float:
         """Return the share of the requests that are to be admitted before this one.
 
         Args:
-            organisation: Name of the organisation; the demand of one that has not
-                asked recently counts as usual.
+            organisation: Name of the organisation.
+            weight: Weight of the organisation.
             unit_hash: Hash of the request in [0, 1).
         """
-        point = unit_hash * self._demands.get(organisation, 1.0)
+        demand = self._demands.get(organisation)
+        if demand is None:
+            demand = self._estimate_untracked(weight)
+        point = unit_hash * demand
         index = bisect_left(self._points, point)
         if index == len(self._points):
             return MAX_POSITION
@@ -181,7 +187,14 @@
                 (weights.get(name, default_weight), count)
                 for name, count in self._counts.items()
             ]
-            self._set_demands(items, _compute_usual_demand(items))
+            self._usual = _compute_usual_demand(items)
+            self._set_demands(items, self._usual)
+
+    def _estimate_untracked(self, weight: float) -> float:
+        if self._other_count >= MIN_COUNT:
+            # There is no room to track all organisations, so its count is not known.
+            return 1.0
+        return _estimate((weight, 0.0), self._usual) / self._usual
 
     def _decay(self, factor: float) -> None:
         self._counts = {
