--- a/libs/mimosaloom-relay/mimosaloom_relay/calls.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/calls.py
@@ -81,6 +81,9 @@
         tried: Names of the upstreams that an attempt was sent to.
         reached: Names of the upstreams whose target the request may have reached.
         is_trial: Whether the request is sent after it was held back for a time.
+        last_upstream: Name of the upstream of the last attempt; empty before the first.
+        first_target_s: Start of the first attempt that reached a target, on the
+            monotonic clock; None if none has.
         awaited_node: Node whose answer is awaited; None while no hop is open.
         last_result: Hop result of the last attempt; None before the first.
         retry_after_s: Longest delay that a node has asked for; 0 if none has.
@@ -95,6 +98,8 @@
         self.tried: set[str] = set()
         self.reached: set[str] = set()
         self.is_trial = False
+        self.last_upstream = ""
+        self.first_target_s: float | None = None
         self.awaited_node: Candidate | None = None
         self.last_result: HopResult | None = None
         self.retry_after_s = 0.0
--- a/libs/mimosaloom-relay/mimosaloom_relay/decision_log.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/decision_log.py
@@ -60,11 +60,18 @@
 
         This saves the cost of building the fields of lines that are dropped.
         """
-        if self._buckets[importance].has_token(self._clock.monotonic_s()):
+        if self.can_write(importance):
             return True
         self._count_drop(importance)
         return False
 
+    def can_write(self, importance: Importance) -> bool:
+        """Return whether a line would be logged now; count nothing.
+
+        For lines that are written later if there is no room now.
+        """
+        return self._buckets[importance].has_token(self._clock.monotonic_s())
+
     def write(self, importance: Importance, message_type: str, **fields) -> None:
         """Log a line unless the rate limit of its importance is reached."""
         if not self._buckets[importance].try_take(self._clock.monotonic_s()):
