Add mimosaloom account, which sums the counts in logs of nodes

It answers who waits, who is refused and where work goes over all requests: tables of requests, of requests without a good answer by the place of the decision, of hops and of targets, grouped by second, class, node, kind, organisation or service; as text, as JSON and as a plot.

Rows on a line are checked as they are decoded, so that a torn line is skipped as a whole. Rows of names that are summed under "other" keep their place.

--- a/libs/mimosaloom-cli/mimosaloom_cli/cli/constants.py
+++ b/libs/mimosaloom-cli/mimosaloom_cli/cli/constants.py
@@ -3,6 +3,7 @@
 from ..exit_codes import EXIT_CODE_MEANINGS
 
 __all__ = [
+    "ACCOUNT_EPILOG",
     "APPLY_EPILOG",
     "APP_EPILOG",
     "CHECK_EPILOG",
@@ -102,6 +103,19 @@
   1  No log line names the request, or a file can't be read.
 """
 
+ACCOUNT_EPILOG = """\b
+Examples:
+  mimosaloom account node-1.log node-2.log
+  mimosaloom account --by second,class --from-s 60 --to-s 90 --plot account.png *.log
+  cat *.log | mimosaloom account --by organisation --json
+
+\b
+Exit codes:
+  0  The account is on stdout, and the plot in its file.
+  1  No line has counts, a file can't be read, or the plot can't be written.
+  2  An option is not valid.
+"""
+
 DELETE_EPILOG = f"""\b
 Example:
   mimosaloom delete Upstream billing-3 --log-url http://127.0.0.1:9000
--- a/libs/mimosaloom-cli/mimosaloom_cli/cli/definition.py
+++ b/libs/mimosaloom-cli/mimosaloom_cli/cli/definition.py
@@ -13,6 +13,7 @@
 from ..errors import exit_with_error, exit_with_faults
 from ..exit_codes import ExitCode
 from .constants import (
+    ACCOUNT_EPILOG,
     APP_EPILOG,
     APPLY_EPILOG,
     CHECK_EPILOG,
@@ -24,19 +25,24 @@
     NODE_EPILOG,
 )
 from .parsing import (
+    AccountKeysOption,
     AuthorOption,
     ChangedFilesOption,
     FilesArgument,
+    FromOption,
+    JsonOption,
     KindArgument,
     LogFilesArgument,
     LogUrlOption,
     NameArgument,
     OutputFormat,
     OutputOption,
+    PlotOption,
     RequestIdArgument,
     RequiredNameArgument,
     RevisionOption,
     SettingsOption,
+    ToOption,
 )
 
 __all__ = ["build_app"]
@@ -59,6 +65,7 @@
     app.command(epilog=GET_EPILOG)(get)
     app.command(epilog=DELETE_EPILOG)(delete)
     app.command(epilog=EXPLAIN_EPILOG)(explain)
+    app.command(epilog=ACCOUNT_EPILOG)(account)
     for entry_point in entry_points(group=COMMANDS_GROUP):
         entry_point.load()(app)
     return app
@@ -204,3 +211,22 @@
         return sys.stdin.read().splitlines()
     texts = (path.read_text("utf-8", errors="replace") for path in files)
     return [line for text in texts for line in text.splitlines()]
+
+
+def account(
+    files: LogFilesArgument = None,
+    by: AccountKeysOption = "class",
+    from_s: FromOption = None,
+    to_s: ToOption = None,
+    is_json: JsonOption = False,
+    plot: PlotOption = None,
+) -> None:
+    """Show who waits, who is refused and where work goes, over all requests.
+
+    The command reads logs of nodes, in which each node counts the requests and hops of
+    each second. The lines may come from several nodes, in any order. A line counts for
+    the second in which it was written; that is the second after the one it is about.
+    """
+    from ..account_command import show_account
+
+    show_account(files or [], by, from_s, to_s, plot, is_json=is_json)
--- a/libs/mimosaloom-cli/mimosaloom_cli/cli/parsing.py
+++ b/libs/mimosaloom-cli/mimosaloom_cli/cli/parsing.py
@@ -8,21 +8,28 @@
 
 import typer
 
+from ..account import AccountKey
+
 __all__ = [
+    "AccountKeysOption",
     "AuthorOption",
     "ChangedFilesOption",
     "FilesArgument",
+    "FromOption",
+    "JsonOption",
     "KindArgument",
     "LogFilesArgument",
     "LogUrlOption",
     "NameArgument",
     "OutputFormat",
     "OutputOption",
+    "PlotOption",
     "RequestIdArgument",
     "RequiredNameArgument",
     "ResourceKind",
     "RevisionOption",
     "SettingsOption",
+    "ToOption",
 ]
 
 
@@ -77,6 +84,21 @@
     return text
 
 
+def parse_account_keys(text: str) -> tuple[AccountKey, ...]:
+    """Check the names by which an account is grouped, separated by commas.
+
+    Raises:
+        typer.BadParameter: If a name is not known or is given twice.
+    """
+    names = [name.strip().lower() for name in text.split(",")]
+    unknown = [name for name in names if name not in set(AccountKey)]
+    if unknown or len(set(names)) < len(names):
+        raise typer.BadParameter(
+            f"expected some of {', '.join(AccountKey)}, separated by commas"
+        )
+    return tuple(AccountKey(name) for name in names)
+
+
 FilesArgument = Annotated[
     list[Path],
     typer.Argument(
@@ -163,3 +185,47 @@
         show_default=False,
     ),
 ]
+
+AccountKeysOption = Annotated[
+    str,
+    typer.Option(
+        "--by",
+        metavar="KEY,...",
+        parser=parse_account_keys,
+        help=f"Group requests and hops by some of {', '.join(AccountKey)}.",
+    ),
+]
+
+FromOption = Annotated[
+    float | None,
+    typer.Option(
+        "--from-s",
+        metavar="SECONDS",
+        help="Sum only lines from this time after the first line on.",
+        show_default=False,
+    ),
+]
+
+ToOption = Annotated[
+    float | None,
+    typer.Option(
+        "--to-s",
+        metavar="SECONDS",
+        help="Sum only lines before this time after the first line.",
+        show_default=False,
+    ),
+]
+
+JsonOption = Annotated[
+    bool, typer.Option("--json", help="Print a JSON document instead of tables.")
+]
+
+PlotOption = Annotated[
+    Path | None,
+    typer.Option(
+        "--plot",
+        metavar="FILE",
+        help="Write a plot of the requests of clients over time to this file.",
+        show_default=False,
+    ),
+]
--- a/libs/mimosaloom-model/mimosaloom_model/account.py
+++ b/libs/mimosaloom-model/mimosaloom_model/account.py
@@ -4,7 +4,7 @@
 """
 
 from enum import StrEnum
-from typing import Self
+from typing import Annotated, Self
 
 import msgspec
 
@@ -24,6 +24,11 @@
 OTHER = "other"
 
 
+# Readers take a line with larger values for one that is not valid.
+_Count = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+_TimeMs = Annotated[float, msgspec.Meta(ge=0, le=2**53)]
+
+
 class BegunBy(StrEnum):
     """Who has sent a request.
 
@@ -97,8 +102,8 @@
         class_name: Name of the request class; empty before a route was matched.
         organisation: Name of the organisation of the caller; empty for none.
         service: Service that is to run the requests.
-        begun_by: Who has sent them, a `BegunBy`.
-        end: How they have ended, an `EndKind`.
+        begun_by: Who has sent them.
+        end: How they have ended.
         kind: Why they were not answered, or the status of a failure of the target.
         place: Where the outcome was decided, a `Place`; empty for answers.
         count: Number of requests.
@@ -113,16 +118,16 @@
     class_name: str
     organisation: str
     service: str
-    begun_by: str
-    end: str
+    begun_by: BegunBy
+    end: EndKind
     kind: str
     place: str
-    count: int = 0
-    elapsed_ms: float = 0.0
-    max_elapsed_ms: float = 0.0
-    reached: int = 0
-    before_target_ms: float = 0.0
-    hops: int = 0
+    count: _Count = 0
+    elapsed_ms: _TimeMs = 0.0
+    max_elapsed_ms: _TimeMs = 0.0
+    reached: _Count = 0
+    before_target_ms: _TimeMs = 0.0
+    hops: _Count = 0
 
 
 class UpstreamCounts(_Row):
@@ -130,15 +135,15 @@
 
     Attributes:
         upstream: Name of the node beside the target.
-        end: How the requests have ended, an `EndKind`.
+        end: How the requests have ended.
         kind: Why they were not answered, or the status of a failure of the target.
         count: Number of requests.
     """
 
     upstream: str
-    end: str
+    end: EndKind
     kind: str
-    count: int = 0
+    count: _Count = 0
 
 
 class HopCounts(_Row):
@@ -147,7 +152,7 @@
     Attributes:
         class_name: Name of the request class.
         organisation: Name of the organisation of the caller; empty for none.
-        end: How the hops have ended, an `EndKind`.
+        end: How the hops have ended.
         kind: Why they were not answered, or the status of a failure of the target.
         count: Number of hops.
         wait_ms: Sum of the times for which they waited for a slot of the target.
@@ -157,9 +162,9 @@
 
     class_name: str
     organisation: str
-    end: str
+    end: EndKind
     kind: str
-    count: int = 0
-    wait_ms: float = 0.0
-    max_wait_ms: float = 0.0
-    busy_ms: float = 0.0
+    count: _Count = 0
+    wait_ms: _TimeMs = 0.0
+    max_wait_ms: _TimeMs = 0.0
+    busy_ms: _TimeMs = 0.0
--- a/libs/mimosaloom-relay/mimosaloom_relay/request_account.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/request_account.py
@@ -339,16 +339,18 @@
 
 
 def _fold_request_key(key: tuple) -> tuple:
-    _, _, _, begun_by, end, _, _ = key
-    return (OTHER, OTHER, OTHER, begun_by, end, OTHER, "")
+    _, _, _, begun_by, end, kind, place = key
+    return (OTHER, OTHER, OTHER, begun_by, end, OTHER if kind else "", place)
 
 
 def _fold_hop_key(key: tuple) -> tuple:
-    return (OTHER, OTHER, key[2], OTHER)
+    _, _, end, kind = key
+    return (OTHER, OTHER, end, OTHER if kind else "")
 
 
 def _fold_upstream_key(key: tuple) -> tuple:
-    return (OTHER, key[1], OTHER)
+    _, end, _ = key
+    return (OTHER, end, OTHER)
 
 
 def _fit_rows(
