Draw the account of a single second, and give units their digits

A plot of one second had no area, as its last second had no end. Numbers in the tables have the same digits in each row of a column. tests/cli/test_account.py passes.

--- a/libs/mimosaloom-cli/mimosaloom_cli/account_tables.py
+++ b/libs/mimosaloom-cli/mimosaloom_cli/account_tables.py
@@ -33,6 +33,7 @@
     EndKind.CANCELLED,
 )
 _RATIO_DIGITS = 3
+_DIGITS_BY_UNIT = {"ms": 1, "s": 2, "ratio": _RATIO_DIGITS}
 _EMPTY_CELL = "-"
 
 
@@ -194,7 +195,7 @@
 def _format_rows(rows: list[Row]) -> Iterator[str]:
     """Yield the lines of a table; columns of names are aligned to the left."""
     header = list(rows[0])
-    cells = [[_format_cell(row[name]) for name in header] for row in rows]
+    cells = [[_format_cell(name, row[name]) for name in header] for row in rows]
     is_name = [isinstance(rows[0][name], str) for name in header]
     widths = [max(map(len, column)) for column in zip(header, *cells, strict=True)]
     for line in [header, *cells]:
@@ -205,9 +206,11 @@
         yield f"  {'  '.join(padded)}".rstrip()
 
 
-def _format_cell(value: Any) -> str:
+def _format_cell(name: str, value: Any) -> str:
     if value is None or value == "":
         return _EMPTY_CELL
+    if isinstance(value, float):
+        return f"{value:.{_DIGITS_BY_UNIT[name.rpartition('_')[2]]}f}"
     # A name from a log must not move the cursor of a terminal.
     text = str(value)
     return text if text.isprintable() else ascii(text)
@@ -222,20 +225,24 @@
     """
     from matplotlib.figure import Figure
 
-    figure = Figure(figsize=PLOT_INCHES)
+    figure = Figure(figsize=PLOT_INCHES, layout="constrained")
     axes = figure.subplots()
     seconds = sorted(account.seconds)
     if seconds and seconds[-1] - seconds[0] < MAX_SECONDS:
         # A second without a line had no requests.
         seconds = range(seconds[0], seconds[-1] + 1)
     counts = [account.seconds.get(second, {}) for second in seconds]
+    # The last second needs an end, too.
+    edges_s = [*seconds, *(second + 1 for second in seconds[-1:])]
+    counts += counts[-1:]
     axes.stackplot(
-        list(seconds),
+        edges_s,
         [[count.get(end, 0) for count in counts] for end in _REQUEST_ENDS],
         labels=[end.value for end in _REQUEST_ENDS],
-        step="mid",
+        step="post",
     )
     axes.set_xlabel("time after the first line (s)")
     axes.set_ylabel("requests of clients (1/s)")
-    axes.legend(fontsize="small", loc="upper left")
+    # Beside the plot, as the counts may fill all of it.
+    axes.legend(fontsize="small", loc="center left", bbox_to_anchor=(1, 0.5))
     figure.savefig(path, dpi=PLOT_DPI)
