Count requests and hops where they end, and log the counts each second (integration)

Origin counts beside request_finished and request_refused; the target side beside hop_refused, and around the time for which a slot is held, so that hops that end by cancellation are counted as well. The node starts the writer with its tasks and writes the last partial second when it stops and when it closes.

--- a/libs/mimosaloom-relay/mimosaloom_relay/node.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/node.py
@@ -31,6 +31,7 @@
 from .reader_role import ReaderRole
 from .record_fanout import RecordFanout, StoreProgress
 from .refusals import build_refusal
+from .request_account import AccountLog, RequestAccount
 from .retry_policy import RetryPolicy
 from .routes import Configuration, Limits
 from .settings import Listeners, RelaySettings
@@ -227,6 +228,16 @@
             record_fanout=self.record_fanout,
             on_newer_version=self.peer_prober.fetch_if_newer,
         )
+        account = RequestAccount(clock)
+        self.origin.account = self.target_side.account = account
+        self._account_log = AccountLog(
+            account,
+            self.log,
+            settings.name,
+            incarnation,
+            settings.service,
+            lambda: self.target_side.used_slots,
+        )
         self._pauses = PauseDetector(clock)
         self.origin.recent_pause_s = self._pauses.recent_pause_s
         self.target_side.recent_pause_s = self._pauses.recent_pause_s
@@ -269,6 +280,7 @@
             opened[name] = await server.listen(getattr(self.settings.listen, name))
         self.addresses = Listeners(**opened)
         self._tasks.spawn(self._pauses.run())
+        self._tasks.spawn(self._account_log.run())
         self.metrics.ready.set_function(lambda: self.is_ready)
         self.metrics.version.set_function(lambda: self.version)
         outbound = self._servers["outbound"]
@@ -449,11 +461,13 @@
                 break
         for server in self._servers.values():
             server.stop_accepting()
+        self._account_log.write()
         self.log.change("stopped", in_flight=self.count_open_requests())
 
     async def close(self) -> None:
         """Cancel all tasks and close all listeners and connections."""
         self._tasks.cancel()
+        self._account_log.write()
         self.messenger.tasks.cancel()
         self.target_side.close()
         for server in self._servers.values():
--- a/libs/mimosaloom-relay/mimosaloom_relay/origin.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/origin.py
@@ -34,6 +34,7 @@
 from .quarantine_exchange import QuarantineExchange
 from .read_progress import ReadProgress
 from .refusals import build_refusal
+from .request_account import RequestAccount
 from .request_key import build_request_key
 from .retry_after import choose_retry_after
 from .retry_policy import RetryPolicy
@@ -83,6 +84,7 @@
         is_closing: Whether new root requests are refused because the node is stopping.
         recent_pause_s: Returns for how many seconds a request that is read now may have
             waited for this process to run.
+        account: Counts the requests that end here.
         on_newer_version: Called with the version and the node when a node answers with
             a newer configuration version than the one in force here.
         on_record_outdated: Called with a node whose record is outdated.
@@ -109,6 +111,7 @@
         self.configuration: Configuration | None = None
         self.is_closing = False
         self.recent_pause_s: Callable[[], float] = lambda: 0.0
+        self.account = RequestAccount(clock)
         self.on_newer_version: Callable[[int, Candidate], None] = lambda v, c: None
         self.on_record_outdated: Callable[[Candidate], None] = lambda c: None
         self._own_name = own_name
@@ -382,6 +385,7 @@
             rank=progress.rank,
         )
         router.start(candidate.name, start_s)
+        progress.last_upstream = candidate.name
         kind: ErrorKind | None = ErrorKind.CANCELLED
         may_have_run_before = progress.may_have_run
         progress.may_have_run = True
@@ -394,6 +398,8 @@
                 progress.awaited_node = None
             kind = read_kind(reply.result)
             progress.kinds.append("answered" if kind is None else kind.value)
+            if reply.result.was_sent and progress.first_target_s is None:
+                progress.first_target_s = start_s
             if reply.result.is_own_failure:
                 kind = ErrorKind.TARGET_FAILED
         finally:
@@ -487,7 +493,9 @@
     ) -> None:
         now_s = self._clock.monotonic_s()
         request_class = call.route.request_class
-        self._metrics.count_outcome(request_class.name, outcome, now_s - call.start_s)
+        elapsed_s = now_s - call.start_s
+        self._metrics.count_outcome(request_class.name, outcome, elapsed_s)
+        self.account.count_call(call, progress, outcome, kind, elapsed_s)
         has_failed = outcome != "answered" or kind.startswith("5")
         importance = Importance.FAILURE if has_failed else Importance.SUCCESS
         if not self._log.has_room(importance):
@@ -508,7 +516,7 @@
             attempt_kinds=progress.kinds,
             arrivals=progress.arrivals,
             tried=sorted(progress.tried),
-            elapsed_ms=round(1000 * (now_s - call.start_s)),
+            elapsed_ms=round(1000 * elapsed_s),
             timeout_ms=round(1000 * (call.deadline_s - call.start_s)),
             retry_after_s=retry_after_s,
             version=self.configuration.version,
@@ -520,6 +528,7 @@
         self, kind: ErrorKind, request_id: str, detail: str = ""
     ) -> Answer:
         self._metrics.count_refusal(kind)
+        self.account.count_early_refusal(kind)
         self._log.failure(
             "request_refused", request_id=request_id, kind=kind.value, detail=detail
         )
--- a/libs/mimosaloom-relay/mimosaloom_relay/target_side.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/target_side.py
@@ -4,7 +4,7 @@
 import itertools
 import math
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
 import msgspec
@@ -35,6 +35,7 @@
 from .organisations import CALL_SEPARATOR
 from .own_target import OwnTarget
 from .quarantine_exchange import QuarantineExchange
+from .request_account import RequestAccount
 from .root_rank import effective_rank
 from .target_signals import SignalMonitor
 
@@ -97,6 +98,7 @@
 
     Attributes:
         is_stopping: Whether hops are refused because the node is stopping.
+        account: Counts the hops that end here.
         on_unreachable: Called when the target has become unreachable.
         on_leaving: Called when the target has said in an answer that it leaves.
         level_below: Returns the lowest admission level of the services that a request
@@ -122,6 +124,7 @@
         self.own_target = own_target
         self.incarnation = incarnation
         self.is_stopping = False
+        self.account = RequestAccount(clock)
         self.on_unreachable = lambda: None
         self.on_leaving = lambda: None
         self.level_below: Callable[[str], float] = lambda class_name: 1.0
@@ -216,6 +219,11 @@
         if self._tick_task is not None:
             self._tick_task.cancel()
 
+    @property
+    def used_slots(self) -> int:
+        """Number of slots of the target that admission uses at most."""
+        return self._used_slots
+
     async def is_serving(self, health_path: str, target_id: str) -> bool:
         """Send a health check; return whether the expected target answers it with 200.
 
@@ -251,18 +259,25 @@
             gate.admission.rate_limit.assume(context.rate_limit_per_s, now_s)
         deadline_s = now_s + context.remaining_ms / 1000 - self.recent_pause_s()
         key = f"{context.request_id}/{next(self._attempt_numbers)}"
-        decision = await gate.wait_for_admission(
-            _build_arrival(key, context, deadline_s)
-        )
+        try:
+            decision = await gate.wait_for_admission(
+                _build_arrival(key, context, deadline_s)
+            )
+        except asyncio.CancelledError:
+            wait_s = self._clock.monotonic_s() - now_s
+            self.account.count_cancelled_hop(context, wait_s)
+            raise
+        wait_s = self._clock.monotonic_s() - now_s
         if isinstance(decision, Refuse):
             refusal = _Refusal(decision.kind, decision.retry_after_s)
-            return self._refuse(context, refusal)
+            return self._refuse(context, refusal, wait_s)
         # The state may have changed while the request was queued.
         refusal = self._find_refusal(context, gate)
         if refusal is not None:
             gate.finish(key, is_success=False)
-            return self._refuse(context, refusal)
+            return self._refuse(context, refusal, wait_s)
         sending = self._send_and_release(gate, key, context, incoming, deadline_s)
+        sending = self._count_run(context, wait_s, sending)
         if context.is_idempotent:
             return await sending
         # A request that must not run twice also runs to its end if its client leaves.
@@ -298,9 +313,12 @@
                 return _Refusal(ErrorKind.QUARANTINED, hold_s)
         return None
 
-    def _refuse(self, context: HopContext, refusal: _Refusal) -> HopReply:
+    def _refuse(
+        self, context: HopContext, refusal: _Refusal, wait_s: float = 0.0
+    ) -> HopReply:
         kind = refusal.kind
         self._metrics.count_refusal(kind)
+        self.account.count_refused_hop(context, kind, wait_s)
         gate = self._gate
         self._log.failure(
             "hop_refused",
@@ -356,6 +374,20 @@
             return 0.0
         return self._gate.admission.rate_limit.named_per_s or 0.0
 
+    async def _count_run(
+        self, context: HopContext, wait_s: float, sending: Awaitable[HopReply]
+    ) -> HopReply:
+        start_s = self._clock.monotonic_s()
+        status, kind = None, ""
+        try:
+            reply = await sending
+            status = None if reply.answer is None else reply.answer.response.status
+            kind = reply.result.kind
+            return reply
+        finally:
+            busy_s = self._clock.monotonic_s() - start_s
+            self.account.count_run(context, status, kind, wait_s, busy_s)
+
     async def _send_and_release(
         self,
         gate: AdmissionGate,
--- a/tests/platform_adapter/test_explain.py
+++ b/tests/platform_adapter/test_explain.py
@@ -1,12 +1,11 @@
 """Explains a failed request from its id and the log lines of the nodes alone."""
 
 import asyncio
-import json
 import os
 
 import pytest
 from eliot import add_destinations, remove_destination
-from platform_adapter.cluster import run_cluster
+from platform_adapter.log_lines import collect_lines
 
 from mimosaloom_cli.explain import explain_request, format_explanation
 from mimosaloom_model import ManualClock
@@ -16,28 +15,6 @@
 ROUTE = {"pathPrefix": "/b/", "service": "back", "routeType": "non_idempotent"}
 
 
-def collect_lines(scenario):
-    """Run a scenario and return the log lines of all nodes."""
-    lines = []
-
-    def discard(message):
-        pass
-
-    def destination(message):
-        lines.append(json.dumps(message, default=str))
-
-    # Eliot delivers the messages that it has buffered to the first destination. They
-    # belong to earlier tests, which use the same request ids.
-    add_destinations(discard)
-    remove_destination(discard)
-    add_destinations(destination)
-    try:
-        run_cluster(scenario)
-    finally:
-        remove_destination(destination)
-    return lines
-
-
 async def start_pair(cluster, **route):
     """Start a node that calls a service, and a node with a target of that service."""
     front = await cluster.add_member("front-1", "front")
