Count an open attempt as possible work only if it may have run

An attempt that was refused or not yet written when its request ended was counted under hops_for_nothing. tests/relay/test_request_account.py passes.

--- a/libs/mimosaloom-relay/mimosaloom_relay/request_account.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/request_account.py
@@ -322,8 +322,9 @@
 
 def _count_possible_runs(progress: Progress) -> int:
     """Return how many attempts have run on a target, or may have run there."""
-    open_attempts = progress.attempts - len(progress.kinds)
-    return open_attempts + sum(kind not in _NOT_RUN_KINDS for kind in progress.kinds)
+    ended = sum(kind not in _NOT_RUN_KINDS for kind in progress.kinds)
+    is_open = progress.attempts > len(progress.kinds) and progress.may_have_run
+    return ended + is_open
 
 
 def _add_cell(
--- a/tests/relay/test_request_account.py
+++ b/tests/relay/test_request_account.py
@@ -165,6 +165,7 @@
     first = build_progress("queue_timeout", "answered", first_target_s=0.08)
     account.count_call(build_call(), first, "answered", "200", 0.1)
     second = build_progress("connection_lost", open_attempts=1, first_target_s=0.02)
+    second.may_have_run = True
     account.count_call(build_call(), second, "gave_up", "deadline_exceeded", 0.5)
     served, failed = take_requests(account)
     assert (served.reached, served.before_target_ms, served.hops) == (1, 80, 1)
