Refuse requests that certainly have not run with 503 and Retry-After

A request whose time ran out before anything of it was written was answered 504 in five ways, so that callers could not send it again if it is not safe to repeat: too little time left for its target, a pause of the origin, a connection to the target or to the upstream that did not open in time, and the queue of the own node with a late event loop. The first is common under overload: after a queue_timeout at the deadline, the next upstream refused with deadline_too_short.

deadline_too_short is 503 now, and HttpClient tells by on_write when a request may run from then on; until then, an end by the deadline is a refusal. A request that is not safe to repeat goes on without its caller once it has a slot, so it counts as possibly run from there.

Ruled out: a Retry-After by is_retryable, as the retries of a mesh go by that and another attempt has no more time.

--- a/libs/mimosaloom-model/mimosaloom_model/kinds.py
+++ b/libs/mimosaloom-model/mimosaloom_model/kinds.py
@@ -155,7 +155,7 @@
         503, True, Ran.NO, "All connections to the upstream are in use."
     ),
     ErrorKind.DEADLINE_TOO_SHORT: ErrorAnswer(
-        504, False, Ran.NO, "The time left is too short for the call to finish."
+        503, False, Ran.NO, "The time left is too short for the call to finish."
     ),
     ErrorKind.DEADLINE_EXCEEDED: ErrorAnswer(
         504, True, Ran.MAYBE, "The call did not finish within its deadline."
--- a/libs/mimosaloom-relay/mimosaloom_relay/hops.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/hops.py
@@ -52,11 +52,21 @@
         self._on_peer_unreachable = on_peer_unreachable
 
     async def send(
-        self, candidate: Candidate, context: HopContext, incoming: Incoming
+        self,
+        candidate: Candidate,
+        context: HopContext,
+        incoming: Incoming,
+        on_write: Callable[[], None],
     ) -> HopReply:
         """Send an attempt.
 
         Cancelling the awaiting task also cancels the attempt at the other node.
+
+        Args:
+            candidate: The other node.
+            context: Context of the attempt.
+            incoming: The request as received.
+            on_write: Called right before the attempt is written to the other node.
         """
         received = incoming.request
         headers = (
@@ -71,6 +81,7 @@
             belongs_to_request=lambda found: (
                 find_header(found, self._names.request_id) in (None, context.request_id)
             ),
+            on_write=on_write,
         )
         if isinstance(outcome, FailedSend):
             return self._read_broken_hop(candidate, context, outcome)
--- a/libs/mimosaloom-relay/mimosaloom_relay/http_client.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/http_client.py
@@ -255,6 +255,7 @@
         needs_fresh_connection: bool = False,
         needs_new_connection: bool = False,
         belongs_to_request: ResponseMatcher = lambda headers: True,
+        on_write: Callable[[], None] = lambda: None,
     ) -> Answer | FailedSend:
         """Send a request once and wait for its response.
 
@@ -271,6 +272,8 @@
                 its way on an open connection.
             belongs_to_request: Returns by the headers whether a response belongs to
                 this request.
+            on_write: Called right before the first byte of the request is written. If
+                it was not called, the request certainly does not run.
 
         Returns:
             The response, or `FailedSend`: with `CONNECT_FAILED` if no byte of the
@@ -289,7 +292,7 @@
         is_kept = False
         try:
             outcome = await self._exchange(
-                connection, request, streamed_body, belongs_to_request
+                connection, request, streamed_body, belongs_to_request, on_write
             )
             if isinstance(outcome, Answer):
                 is_kept = connection.is_reusable or outcome.streamed_body is not None
@@ -329,6 +332,7 @@
         request: Request,
         streamed_body: Body | None,
         belongs_to_request: ResponseMatcher,
+        on_write: Callable[[], None],
     ) -> Answer | FailedSend:
         if streamed_body is not None and self._detects_silence:
             # The target may read the body slowly, and the other node then stops reading
@@ -338,6 +342,7 @@
         pending = connection.expect_response(
             request.method == "HEAD", belongs_to_request
         )
+        on_write()
         connection.transport.write(
             _encode_request(request, has_streamed_body=streamed_body is not None)
         )
--- a/libs/mimosaloom-relay/mimosaloom_relay/origin.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/origin.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 
 from mimosaloom_mesh.messages import Request, parse_decimal
 from mimosaloom_model import (
@@ -388,13 +389,15 @@
         progress.last_upstream = candidate.name
         kind: ErrorKind | None = ErrorKind.CANCELLED
         may_have_run_before = progress.may_have_run
-        progress.may_have_run = True
+        on_write = partial(setattr, progress, "may_have_run", True)
         try:
             if candidate.name == self._own_name:
-                reply = await self._target_side.run(context, call.incoming)
+                reply = await self._target_side.run(context, call.incoming, on_write)
             else:
                 progress.awaited_node = candidate
-                reply = await self._hops.send(candidate, context, call.incoming)
+                reply = await self._hops.send(
+                    candidate, context, call.incoming, on_write
+                )
                 progress.awaited_node = None
             kind = read_kind(reply.result)
             progress.kinds.append("answered" if kind is None else kind.value)
--- a/libs/mimosaloom-relay/mimosaloom_relay/refusals.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/refusals.py
@@ -27,13 +27,16 @@
         kind: Why the request is refused.
         request_id: Id of the request; empty if not known.
         detail: Human-readable explanation; by default the summary of the kind.
-        retry_after_s: Delay before a retry; sent only if a retry is safe and useful.
+        retry_after_s: Delay before a retry; sent only if a retry is safe and useful. It
+            is also useful after `DEADLINE_TOO_SHORT`: callers may have more time than
+            the route gives a request.
     """
     entry = ERROR_ANSWERS[kind]
     headers = [("Content-Type", "application/json")]
     if request_id:
         headers.append((names.request_id, request_id))
-    if entry.is_retryable and entry.ran is Ran.NO and retry_after_s:
+    is_useful = entry.is_retryable or kind is ErrorKind.DEADLINE_TOO_SHORT
+    if is_useful and entry.ran is Ran.NO and retry_after_s:
         headers.append(("Retry-After", f"{retry_after_s:.3g}"))
     if entry.http_status == HTTPStatus.UNAUTHORIZED:
         headers.append(("WWW-Authenticate", "Bearer"))
--- a/libs/mimosaloom-relay/mimosaloom_relay/target_side.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/target_side.py
@@ -244,11 +244,22 @@
         is_expected = response.header(self._names.target_id) == target_id
         return response.status == 200 and is_expected
 
-    async def run(self, context: HopContext, incoming: Incoming) -> HopReply:
+    async def run(
+        self,
+        context: HopContext,
+        incoming: Incoming,
+        on_write: Callable[[], None] = lambda: None,
+    ) -> HopReply:
         """Run one attempt on the target.
 
         Cancelling the awaiting task removes a queued request. A running request is
         cancelled only if it is idempotent.
+
+        Args:
+            context: Context of the attempt.
+            incoming: The request as received.
+            on_write: Called before the request is written to the target, or as soon as
+                cancelling no longer prevents that.
         """
         gate = self._gate
         refusal = self._find_refusal(context, gate)
@@ -276,7 +287,11 @@
         if refusal is not None:
             gate.finish(key, is_success=False)
             return self._refuse(context, refusal, wait_s)
-        sending = self._send_and_release(gate, key, context, incoming, deadline_s)
+        if not context.is_idempotent:
+            on_write()
+        sending = self._send_and_release(
+            gate, key, context, incoming, deadline_s, on_write
+        )
         sending = self._count_run(context, wait_s, sending)
         if context.is_idempotent:
             return await sending
@@ -395,11 +410,14 @@
         context: HopContext,
         incoming: Incoming,
         deadline_s: float,
+        on_write: Callable[[], None],
     ) -> HopReply:
         is_success = False
         self._running[context.request_id] = context
         try:
-            reply = await self._send_to_target(gate, context, incoming, deadline_s)
+            reply = await self._send_to_target(
+                gate, context, incoming, deadline_s, on_write
+            )
             is_success = reply.answer is not None
             return reply
         finally:
@@ -419,16 +437,55 @@
         context: HopContext,
         incoming: Incoming,
         deadline_s: float,
+        on_write: Callable[[], None],
     ) -> HopReply:
         start_s = self._clock.monotonic_s()
         start_key = self.own_target.start_key
         remaining_s = deadline_s - start_s
+        outcome = await self._exchange(
+            context, incoming, start_key, remaining_s, on_write
+        )
+        if isinstance(outcome, FailedSend):
+            reply = self._build_failed_reply(context, outcome, start_s)
+            if outcome.kind is ErrorKind.CONNECTION_LOST:
+                reply = await self._add_end(reply, start_key, context.request_key)
+            return reply
+        self._end_detector.note_answer(start_key)
+        signals = self._signals.apply(
+            outcome.response.headers, start_key, gate.admission.rate_limit
+        )
+        reply = self._build_answered_reply(context, outcome, start_s)
+        if reply.answer is not None:
+            self._quarantine.report_answer(context.request_key, reply.answer)
+        if signals.is_leaving:
+            result = msgspec.structs.replace(reply.result, left_start=start_key)
+            reply = reply._replace(result=result)
+        if reply.result.kind == ErrorKind.TARGET_REJECTED:
+            self._remember_rejection(context.request_id, deadline_s)
+        return reply
+
+    async def _exchange(
+        self,
+        context: HopContext,
+        incoming: Incoming,
+        start_key: str,
+        remaining_s: float,
+        on_write: Callable[[], None],
+    ) -> Answer | FailedSend:
+        """Send a request to the target and wait for its answer until the deadline."""
         was_rejected = context.request_id in self._rejected_until_s
         request = self._build_request(context, incoming.request, remaining_s)
         address = self.own_target.address
+        is_written = False
+
+        def note_write() -> None:
+            nonlocal is_written
+            is_written = True
+            on_write()
+
         try:
             async with asyncio.timeout(max(0.0, remaining_s) + DEADLINE_SLACK_S):
-                outcome = await self._client.send(
+                return await self._client.send(
                     address,
                     request,
                     incoming.streamed_body,
@@ -439,35 +496,21 @@
                     belongs_to_request=lambda headers: self._belongs_to_request(
                         headers, context.request_id
                     ),
+                    on_write=note_write,
                 )
         except asyncio.CancelledError:
-            self._end_detector.note_lost_call(start_key, context.request_key)
+            if is_written:
+                self._end_detector.note_lost_call(start_key, context.request_key)
             raise
         except TimeoutError:
+            if not is_written:
+                detail = f"no connection in {remaining_s:.3f} s"
+                return FailedSend(ErrorKind.DEADLINE_TOO_SHORT, detail)
             self._end_detector.note_lost_call(start_key, context.request_key)
             # The idle connections to the target may have become silent as well.
             self._client.drop_idle(address)
-            outcome = FailedSend(
-                ErrorKind.DEADLINE_EXCEEDED, f"no answer in {remaining_s:.3f} s"
-            )
-        if isinstance(outcome, FailedSend):
-            reply = self._build_failed_reply(context, outcome, start_s)
-            if outcome.kind is ErrorKind.CONNECTION_LOST:
-                reply = await self._add_end(reply, start_key, context.request_key)
-            return reply
-        self._end_detector.note_answer(start_key)
-        signals = self._signals.apply(
-            outcome.response.headers, start_key, gate.admission.rate_limit
-        )
-        reply = self._build_answered_reply(context, outcome, start_s)
-        if reply.answer is not None:
-            self._quarantine.report_answer(context.request_key, reply.answer)
-        if signals.is_leaving:
-            result = msgspec.structs.replace(reply.result, left_start=start_key)
-            reply = reply._replace(result=result)
-        if reply.result.kind == ErrorKind.TARGET_REJECTED:
-            self._remember_rejection(context.request_id, deadline_s)
-        return reply
+            detail = f"no answer in {remaining_s:.3f} s"
+            return FailedSend(ErrorKind.DEADLINE_EXCEEDED, detail)
 
     async def _add_end(
         self, reply: HopReply, start_key: str, request_key: str
