--- a/libs/mimosaloom-cli/mimosaloom_cli/account.py
+++ b/libs/mimosaloom-cli/mimosaloom_cli/account.py
@@ -318,7 +318,7 @@
     for row in counts.upstreams:
         _count(account.unanswered, (row.end, row.kind, row.upstream), row.count)
     key = (counts.node, counts.service)
-    target = _find_group(account.targets, key, TargetSums)
+    target = _find_group(account.targets, key, (OTHER, OTHER), TargetSums)
     target.slots = counts.slots
     target.slot_ms += counts.slots * counts.period_ms
     for row in counts.hops:
@@ -339,7 +339,8 @@
         AccountKey.SERVICE: row.service,
     }
     key = (*(values[name] for name in account.keys), row.begun_by)
-    sums = _find_group(account.requests, key, RequestSums)
+    rest_key = (*(OTHER for _ in account.keys), row.begun_by)
+    sums = _find_group(account.requests, key, rest_key, RequestSums)
     sums.ends[row.end] += row.count
     sums.elapsed_ms += row.elapsed_ms
     sums.max_elapsed_ms = max(sums.max_elapsed_ms, row.max_elapsed_ms)
@@ -366,7 +367,8 @@
         AccountKey.SERVICE: counts.service,
     }
     key = tuple(values[name] for name in account.keys)
-    sums = _find_group(account.hops, key, HopSums)
+    rest_key = tuple(OTHER for _ in account.keys)
+    sums = _find_group(account.hops, key, rest_key, HopSums)
     sums.ends[row.end] += row.count
     sums.wait_ms += row.wait_ms
     sums.max_wait_ms = max(sums.max_wait_ms, row.max_wait_ms)
@@ -375,12 +377,12 @@
         sums.unanswered_busy_ms += row.busy_ms
 
 
-def _find_group(groups: dict, key: tuple, sums_type: type):
+def _find_group(groups: dict, key: tuple, rest_key: tuple, sums_type: type):
     """Return the sums of a group; those of the rest if there are too many groups."""
+    if key not in groups and len(groups) >= MAX_GROUPS:
+        key = rest_key
     if key not in groups:
-        if len(groups) >= MAX_GROUPS:
-            key = (OTHER,) * len(key)
-        groups.setdefault(key, sums_type())
+        groups[key] = sums_type()
     return groups[key]
 
 
