--- a/libs/mimosaloom-policy/mimosaloom_policy/__init__.py
+++ b/libs/mimosaloom-policy/mimosaloom_policy/__init__.py
@@ -61,10 +61,12 @@
     Unknown,
 )
 from .stamps import Stamp, StampBook, format_stamp, parse_stamp
-from .work_cost import FinishEstimate, WorkMeter
+from .work_cost import MAX_PACE, MIN_PACE, FinishEstimate, WorkMeter
 
 __all__ = [
     "ENDS_BEFORE_HOLD",
+    "MAX_PACE",
+    "MIN_PACE",
     "PRIORITY_COUNT",
     "Admission",
     "AppendResult",
