Choose upstreams by the expected finish where it is known

The choice by latency sends calls to slow targets while fast ones have free slots, and requests of the long tail time out there. Router compares the expected finish where nodes tell estimates, and draws among the near ones.

Ruled out: the best alone, or a weight without regard to own calls in progress, after which all origins choose the same target.

--- a/libs/mimosaloom-policy/mimosaloom_policy/routing.py
+++ b/libs/mimosaloom-policy/mimosaloom_policy/routing.py
@@ -1,4 +1,8 @@
-"""Choice of an upstream for a call: the cheaper one of two random candidates."""
+"""Choice of an upstream for a call.
+
+By the expected finish at each upstream where their nodes tell it, else the cheaper one
+of two random candidates.
+"""
 
 import math
 import random
@@ -7,7 +11,9 @@
 
 from mimosaloom_model import ERROR_ANSWERS, ErrorKind, Ran, hash_to_unit_interval
 
+from .placement import FinishTable, choose_near
 from .subset import CONNECTIONS_PER_UPSTREAM, choose_subset, plan_subset
+from .work_cost import FinishEstimate
 
 __all__ = ["Candidate", "Router"]
 
@@ -121,6 +127,7 @@
         self._stats: dict[str, _UpstreamStats] = {}
         self._connections = CONNECTIONS_PER_UPSTREAM
         self._local_load_limit = local_load_limit
+        self._finishes = FinishTable()
 
     @property
     def connections_per_upstream(self) -> int:
@@ -164,12 +171,15 @@
                     known.ramp_start_s = now_s + self._ramp_delay_s(name)
             stats[name] = known
         self._stats = stats
+        self._finishes.keep_only(set(stats))
 
     def pick(
         self,
         now_s: float,
         exclude: frozenset[str] = frozenset(),
         objective_s: float = math.inf,
+        *,
+        class_name: str = "",
     ) -> Candidate | None:
         """Return the upstream for a call; None if there is none to try.
 
@@ -179,11 +189,16 @@
                 it.
             objective_s: Latency objective of the call in seconds. An upstream of the
                 caller's failure domain that is slow for it is not preferred.
+            class_name: Class of the call. If estimates of it were heard, the expected
+                finish decides.
         """
         names = self._names
         if exclude:
             names = [name for name in names if name not in exclude]
         names = [n for n in names if self._stats[n].paused_until_s <= now_s] or names
+        if len(names) > 1 and self._finishes.knows_class(class_name):
+            name = self._choose_by_finish(names, class_name, now_s, objective_s)
+            return self._candidates[name]
         if self._local_load_limit:
             max_latency_s = MAX_LOCAL_LATENCY_RATIO * objective_s
             preferred = [
@@ -204,6 +219,7 @@
         """Record that a call was sent to an upstream."""
         if name in self._stats:
             self._stats[name].in_flight += 1
+            self._finishes.record_sent(name)
 
     def finish(
         self, name: str, now_s: float, *, elapsed_s: float, kind: ErrorKind | None
@@ -247,6 +263,40 @@
             stats.load_ratio = min(1.0, max(0.0, load_ratio))
             stats.load_at_s = now_s
 
+    def record_estimate(
+        self,
+        name: str,
+        incarnation: str,
+        class_name: str,
+        estimate: FinishEstimate,
+        now_s: float,
+    ) -> None:
+        """Record the estimate that came with an answer, after the load that came too.
+
+        Args:
+            name: Name of the upstream.
+            incarnation: Incarnation of its node.
+            class_name: Class of the call that was answered.
+            estimate: What one more call of the class would take there.
+            now_s: Current time on the monotonic clock.
+        """
+        stats = self._stats.get(name)
+        if stats is not None:
+            self._finishes.record(
+                name,
+                incarnation,
+                class_name,
+                estimate,
+                now_s,
+                slots=self._candidates[name].slots,
+                load_ratio=stats.load_ratio,
+            )
+
+    def expected_s(self, name: str, class_name: str, now_s: float) -> float | None:
+        """Return the expected time to the end of a call; None if not known."""
+        in_flight = self._stats[name].in_flight
+        return self._finishes.expected_s(name, class_name, in_flight, now_s)
+
     def pause(self, name: str, until_s: float) -> None:
         """Prefer other upstreams for a time, as an upstream has asked for.
 
@@ -265,7 +315,12 @@
         increase it.
         """
         stats = self._stats[name]
-        cost = (stats.in_flight + 1) * self._expected_latency_s(stats)
+        latency_s = (stats.in_flight + 1) * self._expected_latency_s(stats)
+        return self._add_penalties(latency_s, name, now_s)
+
+    def _add_penalties(self, cost: float, name: str, now_s: float) -> float:
+        """Return a cost, increased by all that makes a call there less desirable."""
+        stats = self._stats[name]
         cost *= 1 + ERROR_COST * self._decayed_error_ratio(stats, now_s)
         if self._candidates[name].failure_domain != self._own_domain:
             cost *= OTHER_DOMAIN_COST
@@ -273,8 +328,55 @@
             cost *= 1 + HINT_COST * stats.load_ratio
         return cost / self._ramp_factor(stats, now_s)
 
+    def _choose_by_finish(
+        self, names: list[str], class_name: str, now_s: float, objective_s: float
+    ) -> str:
+        """Return the name of an upstream whose expected finish is near the best."""
+        if self._local_load_limit:
+            candidates, own_domain = self._candidates, self._own_domain
+            local = [n for n in names if candidates[n].failure_domain == own_domain]
+            expected_s = self._expect_finishes(local, class_name, now_s)
+            max_s = MAX_LOCAL_LATENCY_RATIO * objective_s
+            preferred = {
+                name: value
+                for name, value in expected_s.items()
+                if value <= max_s
+                and self._finishes.load_ratio(name) < self._local_load_limit
+                and self._is_calm_and_local(name, now_s)
+            }
+            if preferred:
+                return self._choose_near(preferred, now_s)
+        expected_s = self._expect_finishes(names, class_name, now_s)
+        return self._choose_near(expected_s, now_s)
+
+    def _choose_near(self, expected_s: dict[str, float], now_s: float) -> str:
+        costs = {}
+        for name, value in expected_s.items():
+            cost = value * self._finishes.crowded_factor(name)
+            costs[name] = self._add_penalties(cost, name, now_s)
+        return choose_near(costs, lambda n: self._stats[n].in_flight, self._rng)
+
+    def _expect_finishes(
+        self, names: list[str], class_name: str, now_s: float
+    ) -> dict[str, float]:
+        """Return the expected finish at each upstream.
+
+        One that nothing is known of is tried as if it were the best; the ramp and the
+        random choice keep the calls of all callers from it.
+        """
+        expected_s = {n: self.expected_s(n, class_name, now_s) for n in names}
+        known = [value for value in expected_s.values() if value is not None]
+        best_s = min(known, default=INITIAL_LATENCY_S)
+        return {n: best_s if v is None else v for n, v in expected_s.items()}
+
     def _is_preferred(self, name: str, now_s: float, max_latency_s: float) -> bool:
         """Return whether an upstream is local and not busy, slow or failing."""
+        return self._is_calm_and_local(name, now_s) and not self._is_slow(
+            self._stats[name], now_s, max_latency_s
+        )
+
+    def _is_calm_and_local(self, name: str, now_s: float) -> bool:
+        """Return whether an upstream is local and neither busy nor failing."""
         if self._candidates[name].failure_domain != self._own_domain:
             return False
         stats = self._stats[name]
@@ -282,7 +384,6 @@
         load_ratio = stats.load_ratio if is_fresh else 0.0
         return (
             load_ratio < self._local_load_limit
-            and not self._is_slow(stats, now_s, max_latency_s)
             and self._decayed_error_ratio(stats, now_s) < MAX_LOCAL_ERROR_RATIO
         )
 
