Read the pace that a target tells and measure own work by it

The load header has a fourth figure on some deployments. It is read within bounds and is no change worth a log line.

--- a/libs/mimosaloom-relay/mimosaloom_relay/calls.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/calls.py
@@ -88,6 +88,8 @@
         last_result: Hop result of the last attempt; None before the first.
         retry_after_s: Longest delay that a node has asked for; 0 if none has.
         rank: Rank by fair share; below 0 if it follows from the id and priority alone.
+        expected_s: Expected time to the end at the last upstream that was chosen; None
+            if not known.
     """
 
     def __init__(self):
@@ -104,3 +106,9 @@
         self.last_result: HopResult | None = None
         self.retry_after_s = 0.0
         self.rank = NO_RANK
+        self.expected_s: float | None = None
+
+    @property
+    def expected_ms(self) -> int | None:
+        """Expected time at the last upstream in milliseconds; None if not known."""
+        return None if self.expected_s is None else round(1000 * self.expected_s)
--- a/libs/mimosaloom-relay/mimosaloom_relay/metrics.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/metrics.py
@@ -77,6 +77,17 @@
             "fair_share_ratio", "Largest demand of an organisation over the mean"
         )
         self.fair_share_ratio.set(1.0)
+        self.target_pace = self._gauge(
+            "target_pace", "How long work takes on the own target's machine"
+        )
+        self._expected_service = Gauge(
+            "mimosaloom_expected_service_seconds",
+            "Expected own work of one more request on the own target",
+            ["request_class"],
+            registry=self.registry,
+        )
+        # Caches the labelled gauges, as `labels` takes a lock on each look-up.
+        self._expected_by_class: dict[str, Gauge] = {}
         self.ready = self._gauge("ready", "Whether the node takes clients")
 
     def count_outcome(self, request_class: str, outcome: str, elapsed_s: float) -> None:
@@ -90,6 +101,14 @@
         counter.inc()
         histogram.observe(elapsed_s)
 
+    def show_expected_service(self, request_class: str, service_s: float) -> None:
+        """Show the expected own work of a request of a class on the own target."""
+        gauge = self._expected_by_class.get(request_class)
+        if gauge is None:
+            gauge = self._expected_service.labels(request_class)
+            self._expected_by_class[request_class] = gauge
+        gauge.set(service_s)
+
     def count_dropped_line(self, reason: str) -> None:
         """Count a log line that was left out."""
         self._dropped.labels(reason).inc()
--- a/libs/mimosaloom-relay/mimosaloom_relay/target_signals.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/target_signals.py
@@ -6,7 +6,7 @@
 
 from mimosaloom_mesh.messages import Headers, find_header
 from mimosaloom_model import Clock
-from mimosaloom_policy import RateLimit
+from mimosaloom_policy import MAX_PACE, MIN_PACE, RateLimit
 
 from .decision_log import DecisionLog
 from .hop_messages import HeaderNames
@@ -15,6 +15,10 @@
 
 __all__ = ["SignalMonitor", "TargetSignals", "read_target_signals"]
 
+# Place of the pace in percent among the figures of the load header.
+_PACE_INDEX = 3
+_LOAD_FIGURES = 4
+
 
 class TargetSignals(NamedTuple):
     """Signals in one answer of a target.
@@ -23,10 +27,13 @@
         rate_limit_per_s: Requests a second that the target takes from all nodes
             together; None if it names no limit.
         is_leaving: Whether the target leaves and takes no new requests.
+        pace: How long work takes on the target's machine now, 1 for as usual; None if
+            the target does not tell it.
     """
 
     rate_limit_per_s: float | None
     is_leaving: bool
+    pace: float | None = None
 
 
 class SignalMonitor:
@@ -75,8 +82,10 @@
             own.mark_leaving(own.target_id)
             self._on_leaving()
         rate_limit.observe(signals.rate_limit_per_s, self._clock.monotonic_s())
-        if signals != self._last:
-            self._last = signals
+        # The pace changes many times a second.
+        logged = signals._replace(pace=None)
+        if logged != self._last:
+            self._last = logged
             self._metrics.target_rate_limit.set(signals.rate_limit_per_s or 0.0)
             self._log.change(
                 "target_signals_changed",
@@ -97,6 +106,7 @@
     return TargetSignals(
         _parse_rate(find_header(headers, names.rate_limit)),
         find_header(headers, names.leaving) == "1",
+        _parse_pace(find_header(headers, names.load)),
     )
 
 
@@ -108,3 +118,17 @@
     except ValueError:
         return None
     return rate if math.isfinite(rate) and rate >= 0 else None
+
+
+def _parse_pace(value: str | None) -> float | None:
+    """Return the pace in a load header; None without one that can be believed."""
+    if value is None:
+        return None
+    figures = value.split(",")
+    if len(figures) != _LOAD_FIGURES:
+        return None
+    try:
+        pace = float(figures[_PACE_INDEX]) / 100
+    except ValueError:
+        return None
+    return pace if MIN_PACE <= pace <= MAX_PACE else None
--- a/libs/mimosaloom-relay/mimosaloom_relay/upstreams.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/upstreams.py
@@ -96,7 +96,11 @@
             self._refresh_routers({record.service})
 
     def pick(
-        self, service: str, exclude: frozenset[str], objective_s: float
+        self,
+        service: str,
+        exclude: frozenset[str],
+        objective_s: float,
+        class_name: str = "",
     ) -> Candidate | None:
         """Return an upstream for an attempt; None if none is left.
 
@@ -104,9 +108,22 @@
             service: Service of the upstream.
             exclude: Names of upstreams that must not be returned.
             objective_s: Latency objective of the call in seconds.
+            class_name: Class of the call.
+        """
+        now_s = self._clock.monotonic_s()
+        router = self.router(service)
+        return router.pick(now_s, exclude, objective_s, class_name=class_name)
+
+    def expected_s(self, service: str, name: str, class_name: str) -> float | None:
+        """Return the expected time to the end of a call; None if not known.
+
+        Args:
+            service: Service of the upstream.
+            name: Name of the upstream.
+            class_name: Class of the call.
         """
         now_s = self._clock.monotonic_s()
-        return self.router(service).pick(now_s, exclude, objective_s)
+        return self.router(service).expected_s(name, class_name, now_s)
 
     def has_upstream(self, service: str) -> bool:
         """Return whether a service has a reachable upstream."""
--- a/tests/cli/test_metrics_page.py
+++ b/tests/cli/test_metrics_page.py
@@ -56,5 +56,6 @@
     metrics.count_connection("target")
     metrics.count_store_call("keyed.op", "poll")
     metrics.show_store_answer_age("keyed.op", lambda: 0.0)
+    metrics.show_expected_service("lookup", 0.1)
     exported = {describe_metric(metric) for metric in metrics.registry.collect()}
     assert exported == read_rows(PAGE.read_text("utf-8"))
