--- a/libs/mimosaloom-relay/mimosaloom_relay/origin.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/origin.py
@@ -17,7 +17,7 @@
     Ran,
     new_request_id,
 )
-from mimosaloom_policy import Candidate
+from mimosaloom_policy import Candidate, FinishEstimate
 
 from .calls import Call, Progress
 from .decision_log import DecisionLog, Importance
@@ -185,7 +185,8 @@
             return self._refuse_early(
                 ErrorKind.DRAINING, request_id, "the node is stopping"
             )
-        return await self._answer_call(call)
+        with self._target_side.work.record_call(call.parent):
+            return await self._answer_call(call)
 
     def _build_call(
         self,
@@ -309,6 +310,9 @@
             if candidate is None:
                 return failure
             progress.attempts += 1
+            progress.expected_s = self._upstreams.expected_s(
+                call.service, candidate.name, call.route.request_class.name
+            )
             progress.tried.add(candidate.name)
             progress.reached.add(candidate.name)
             reply = await self._send_attempt(call, candidate, progress)
@@ -338,16 +342,19 @@
         picked again; at the limit, the retry policy allows this only after a rejection.
         """
         objective_s = call.route.objective_s
+        class_name = call.route.request_class.name
         if len(progress.reached) < call.route.max_targets:
             tried = frozenset(progress.tried)
-            candidate = self._upstreams.pick(call.service, tried, objective_s)
+            candidate = self._upstreams.pick(
+                call.service, tried, objective_s, class_name
+            )
             if candidate is not None:
                 return candidate
         if not progress.reached:
             return None
         names = self._upstreams.router(call.service).subset
         excluded = frozenset(name for name in names if name not in progress.reached)
-        return self._upstreams.pick(call.service, excluded, objective_s)
+        return self._upstreams.pick(call.service, excluded, objective_s, class_name)
 
     def _record_call_result(self, call: Call, *, is_success: bool) -> None:
         if call.parent is not None:
@@ -436,6 +443,13 @@
             # would hide the lower levels of the targets that do.
             return
         router.record_load(candidate.name, result.load, now_s)
+        router.record_estimate(
+            candidate.name,
+            result.incarnation,
+            call.route.request_class.name,
+            FinishEstimate(result.wait_s, result.service_s),
+            now_s,
+        )
         if result.pause_s:
             router.pause(candidate.name, now_s + result.pause_s)
         self._upstreams.levels.record_levels(
@@ -498,7 +512,10 @@
         request_class = call.route.request_class
         elapsed_s = now_s - call.start_s
         self._metrics.count_outcome(request_class.name, outcome, elapsed_s)
-        self.account.count_call(call, progress, outcome, kind, elapsed_s)
+        organisation = call.organisation.name if call.organisation else ""
+        self.account.count_call(
+            call, progress, outcome, kind, elapsed_s, organisation
+        )
         has_failed = outcome != "answered" or kind.startswith("5")
         importance = Importance.FAILURE if has_failed else Importance.SUCCESS
         if not self._log.has_room(importance):
@@ -520,10 +537,11 @@
             arrivals=progress.arrivals,
             tried=sorted(progress.tried),
             elapsed_ms=round(1000 * elapsed_s),
+            expected_ms=progress.expected_ms,
             timeout_ms=round(1000 * (call.deadline_s - call.start_s)),
             retry_after_s=retry_after_s,
             version=self.configuration.version,
-            organisation=call.organisation.name if call.organisation else "",
+            organisation=organisation,
             rank=round(effective_rank(progress.rank, root_id, call.priority), 4),
         )
 
--- a/libs/mimosaloom-relay/mimosaloom_relay/target_side.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/target_side.py
@@ -17,6 +17,7 @@
     Admission,
     Arrival,
     CallCountEstimate,
+    FinishEstimate,
     Refuse,
 )
 
@@ -38,6 +39,7 @@
 from .request_account import RequestAccount
 from .root_rank import effective_rank
 from .target_signals import SignalMonitor
+from .target_work import TargetWork
 
 __all__ = ["HopReply", "TargetSide"]
 
@@ -107,6 +109,7 @@
             waited for this process to run.
         find_missing_service: Returns a service that a request class calls and that has
             no upstream; None if there is none.
+        work: Own work of requests on the target.
     """
 
     def __init__(
@@ -130,6 +133,7 @@
         self.level_below: Callable[[str], float] = lambda class_name: 1.0
         self.recent_pause_s: Callable[[], float] = lambda: 0.0
         self.find_missing_service: Callable[[str], str | None] = lambda class_name: None
+        self.work = TargetWork(clock, metrics)
         self._names = names
         self._client = client
         self._quarantine = quarantine
@@ -208,6 +212,7 @@
     def reset_admission(self, slots: int) -> None:
         """Start a new admission for a target that was announced or resumed."""
         self._used_slots = max(1, math.floor(slots * USED_SLOTS_RATIO))
+        self.work.reset(self._used_slots)
         admission = Admission(self._used_slots, self._clock.monotonic_s())
         self._gate = AdmissionGate(admission, self._clock, self._metrics)
         if self._tick_task is not None:
@@ -364,12 +369,14 @@
         was_sent: bool = False,
     ) -> HopResult:
         level, load, pause_s = 1.0, 0.0, 0.0
+        estimate = FinishEstimate()
         if self._gate is not None:
             admission = self._gate.admission
             level = admission.level
             load = (admission.in_flight + admission.queued) / self._used_slots
             now_s = self._clock.monotonic_s()
             pause_s = admission.rate_limit.reserve_pause_s(now_s)
+            estimate = self.work.estimate(context.route, admission.queued)
         return HopResult(
             kind="" if kind is None else kind.value,
             detail=detail,
@@ -381,6 +388,8 @@
             load=load,
             rate_limit_per_s=self._rate_limit_per_s(),
             pause_s=pause_s,
+            wait_s=estimate.wait_s,
+            service_s=estimate.service_s,
         )
 
     def _rate_limit_per_s(self) -> float:
@@ -414,6 +423,7 @@
     ) -> HopReply:
         is_success = False
         self._running[context.request_id] = context
+        self.work.record_start(context)
         try:
             reply = await self._send_to_target(
                 gate, context, incoming, deadline_s, on_write
@@ -424,6 +434,7 @@
             # Another attempt of the same request may run here at the same time, and may
             # already have removed these entries.
             self._running.pop(context.request_id, None)
+            self.work.record_end(context)
             has_failed_call = context.request_id in self._parents_with_failed_call
             completed = self._completed_calls.pop(context.request_id, 0)
             if is_success and not has_failed_call:
@@ -454,6 +465,9 @@
         signals = self._signals.apply(
             outcome.response.headers, start_key, gate.admission.rate_limit
         )
+        if gate is self._gate:
+            is_success = outcome.response.status < 400
+            self.work.record_answer(context, signals.pace, is_success=is_success)
         reply = self._build_answered_reply(context, outcome, start_s)
         if reply.answer is not None:
             self._quarantine.report_answer(context.request_key, reply.answer)
