--- a/libs/mimosaloom-relay/mimosaloom_relay/origin.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/origin.py
@@ -513,9 +513,7 @@
         elapsed_s = now_s - call.start_s
         self._metrics.count_outcome(request_class.name, outcome, elapsed_s)
         organisation = call.organisation.name if call.organisation else ""
-        self.account.count_call(
-            call, progress, outcome, kind, elapsed_s, organisation
-        )
+        self.account.count_call(call, progress, outcome, kind, elapsed_s, organisation)
         has_failed = outcome != "answered" or kind.startswith("5")
         importance = Importance.FAILURE if has_failed else Importance.SUCCESS
         if not self._log.has_room(importance):
