Decide on quotas by votes, leased shares and tokens that expire

An organisation has a rate and a burst over all nodes, which see different faults.

The rate moves between failure domains as loans of a share, with tokens that expire at the receiver and count at the lender until then. Tokens at origins expire by the time of the question. So a window uses at most capacity + rate x (window + age), and `choose_limits` chooses both for the bounds.

--- a/libs/mimosaloom-policy/mimosaloom_policy/__init__.py
+++ b/libs/mimosaloom-policy/mimosaloom_policy/__init__.py
@@ -26,7 +26,25 @@
 from .levels import LevelTable
 from .placement import FinishTable
 from .quarantine import ENDS_BEFORE_HOLD, EndEffect, Quarantine, SendPermission
-from .quota import Balance, HolderBucket, Quota, QuotaBounds
+from .quota import (
+    Balance,
+    DemandMeter,
+    Quota,
+    QuotaBounds,
+    QuotaLimits,
+    choose_limits,
+)
+from .quota_bucket import HolderBucket, TokenMove
+from .quota_holders import (
+    LEASE_S,
+    SLOTS,
+    RecentMaximum,
+    SlotRole,
+    VoterPromises,
+    choose_members,
+    choose_quorum,
+    find_slot,
+)
 from .rank import PRIORITY_COUNT, rank_request
 from .rate_limit import RateLimit, TokenBucket
 from .readers import choose_readers
@@ -65,9 +83,11 @@
 
 __all__ = [
     "ENDS_BEFORE_HOLD",
+    "LEASE_S",
     "MAX_PACE",
     "MIN_PACE",
     "PRIORITY_COUNT",
+    "SLOTS",
     "Admission",
     "AppendResult",
     "Arrival",
@@ -87,6 +107,7 @@
     "Claimed",
     "Conflict",
     "Decision",
+    "DemandMeter",
     "Done",
     "EndEffect",
     "FailedAttempt",
@@ -103,8 +124,10 @@
     "Quarantine",
     "Quota",
     "QuotaBounds",
+    "QuotaLimits",
     "RateLimit",
     "ReceivedVerdicts",
+    "RecentMaximum",
     "Refuse",
     "Replay",
     "Resolution",
@@ -123,20 +146,27 @@
     "RunTable",
     "Running",
     "SendPermission",
+    "SlotRole",
     "Stamp",
     "StampBook",
     "Start",
     "StopReason",
     "TokenBucket",
+    "TokenMove",
     "Unclaimed",
     "Undecided",
     "Unknown",
     "UseStored",
     "Verdict",
+    "VoterPromises",
     "Withdrawal",
     "WorkMeter",
+    "choose_limits",
+    "choose_members",
+    "choose_quorum",
     "choose_readers",
     "decide_retry",
+    "find_slot",
     "format_caller_key",
     "format_stamp",
     "mint_key",
