--- a/libs/mimosaloom-relay/mimosaloom_relay/metrics.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/metrics.py
@@ -88,6 +88,20 @@
         )
         # Caches the labelled gauges, as `labels` takes a lock on each look-up.
         self._expected_by_class: dict[str, Gauge] = {}
+        self.quota_refusals = Counter(
+            "mimosaloom_quota_refusals",
+            "Requests refused here as their organisation has used up its quota",
+            registry=self.registry,
+        )
+        self._quota_questions = Counter(
+            "mimosaloom_quota_questions",
+            "Questions to other nodes about quotas, by kind and result",
+            ["kind", "result"],
+            registry=self.registry,
+        )
+        self.quota_slots = self._gauge(
+            "quota_slots_held", "Slots of organisations whose tokens this node keeps"
+        )
         self.ready = self._gauge("ready", "Whether the node takes clients")
 
     def count_outcome(self, request_class: str, outcome: str, elapsed_s: float) -> None:
@@ -108,6 +122,9 @@
             gauge = self._expected_service.labels(request_class)
             self._expected_by_class[request_class] = gauge
         gauge.set(service_s)
+    def count_quota_question(self, kind: str, result: str) -> None:
+        """Count a question about quotas by its kind and result."""
+        self._quota_questions.labels(kind, result).inc()
 
     def count_dropped_line(self, reason: str) -> None:
         """Count a log line that was left out."""
--- a/libs/mimosaloom-relay/mimosaloom_relay/task_set.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/task_set.py
@@ -20,11 +20,12 @@
         self._log = log
         self._tasks: set[asyncio.Task] = set()
 
-    def spawn(self, coroutine: Coroutine[Any, Any, Any]) -> None:
-        """Run a coroutine until it ends, or until `cancel`."""
+    def spawn(self, coroutine: Coroutine[Any, Any, Any]) -> asyncio.Task:
+        """Run a coroutine until it ends, or until `cancel`; return its task."""
         task = asyncio.ensure_future(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._finish)
+        return task
 
     def _finish(self, task: asyncio.Task) -> None:
         self._tasks.discard(task)
