--- a/libs/mimosaloom-relay/mimosaloom_relay/settings.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/settings.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from mimosaloom_model import Address
+from mimosaloom_policy import QuotaBounds
 
 from .retry_share import SharedRetryBudget
 
@@ -40,6 +41,8 @@
         grace_s: Time between the stop signal and the kill of the process.
         recovery_s: Time after a disturbance within which the node follows the store
             again.
+        quota_bounds: How far the requests that run may exceed the quota of their
+            organisation.
     """
 
     name: str
@@ -50,3 +53,4 @@
     retry_budget: SharedRetryBudget
     grace_s: float
     recovery_s: float = 3.0
+    quota_bounds: QuotaBounds = QuotaBounds()
--- a/tests/platform_adapter/test_decoding.py
+++ b/tests/platform_adapter/test_decoding.py
@@ -103,6 +103,18 @@
     assert settings.node.listen.metrics.port == 7620
     assert settings.node.target.port == 8301
     assert settings.node.retry_budget == (0.2, 49.0, 10.0)
+    assert settings.node.quota_bounds == (5.0, 0.1, 20.0)
+
+
+def test_bounds_of_quotas_are_read_beside_entries_that_are_not_numbers(tmp_path):
+    """Guards against swapped bounds, and against a node that does not start.
+
+    Entries that the node does not use may have values of any kind.
+    """
+    path = tmp_path / "local.toml"
+    bounds = '"quotaWindowS=4", "quotaOverage=0.25", "quotaSlack=8", "other=false", '
+    path.write_text(SETTINGS.replace("bounds = [", f"bounds = [{bounds}"))
+    assert read_settings(path).node.quota_bounds == (4.0, 0.25, 8.0)
 
 
 @pytest.mark.parametrize(
@@ -112,6 +124,7 @@
         ('nodeName = "sidecar-1"', "nodeName = 7", "nodeName"),
         ('"graceS=6", ', "", "graceS"),
         ("graceS=6", "graceS=soon", "graceS"),
+        ("graceS=6", 'graceS=6", "quotaSlack=true', "quotaSlack"),
         ('"10.1.0.8:8301"', '"10.1.0.8"', "appAddr"),
         ('inbound = "10.1.0.8:8300"', "", "listen"),
         ("[listen]", "[listen", "local.toml"),
