Apply the quotas of the configuration at each node

The node builds the exchange, passes it questions of other nodes and the quotas of each configuration, and lets it give up its role when it stops. A node is no holder before it has read the records of the others, as it would take itself for the only one.

--- a/libs/mimosaloom-relay/mimosaloom_relay/incoming_hops.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/incoming_hops.py
@@ -23,6 +23,7 @@
 from .leave_exchange import LEFT_PATH
 from .peers import PeerRecord
 from .quarantine_exchange import QUARANTINE_PATH, QuarantineExchange
+from .quota_exchange import QUOTA_PATH, QuotaExchange
 from .read_progress import ReadProgress
 from .reader_messages import FOLLOW_PATH
 from .record_fanout import RecordFanout
@@ -54,6 +55,7 @@
         records_progress: How far the records of nodes have been read; likewise.
         quarantine: Requests that are held back; likewise.
         record_fanout: Answers the nodes that read the store through this one.
+        quotas: Answers questions about the quotas of organisations.
         on_newer_version: Called when a hop names a newer configuration version, with
             that version and the address of the origin.
     """
@@ -73,6 +75,7 @@
         records_progress: ReadProgress,
         quarantine: QuarantineExchange,
         record_fanout: RecordFanout,
+        quotas: QuotaExchange,
         on_newer_version: Callable[[int, Address], None],
     ):
         self._names = names
@@ -87,6 +90,7 @@
         self._records_progress = records_progress
         self._quarantine = quarantine
         self._record_fanout = record_fanout
+        self._quotas = quotas
         self._on_newer_version = on_newer_version
 
     async def handle(self, incoming: Incoming) -> Answer:
@@ -94,6 +98,8 @@
         request = incoming.request
         if request.path == FOLLOW_PATH:
             return await self._record_fanout.handle(request)
+        if request.path == QUOTA_PATH:
+            return await self._quotas.handle(request)
         if request.path == SELF_PATH:
             return Answer(Response(200, (), msgspec.json.encode(self._own_record())))
         if request.path == NODES_PATH:
--- a/libs/mimosaloom-relay/mimosaloom_relay/node.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/node.py
@@ -27,6 +27,7 @@
 from .peer_prober import PeerProber
 from .peers import decode_record
 from .quarantine_exchange import QuarantineExchange
+from .quota_exchange import QuotaExchange
 from .read_progress import ReadProgress
 from .reader_role import ReaderRole
 from .record_fanout import RecordFanout, StoreProgress
@@ -146,6 +147,18 @@
             log=self.log,
             metrics=metrics,
         )
+        self.quotas = QuotaExchange(
+            settings.name,
+            settings.failure_domain,
+            settings.quota_bounds,
+            self.upstreams.peers.records,
+            self.upstreams.peers.reachable_records,
+            self.messenger,
+            clock=clock,
+            log=self.log,
+            metrics=metrics,
+            has_read_records=lambda: self.records_progress.offset > 0,
+        )
         self.target_side = TargetSide(
             self.own_target,
             incarnation,
@@ -226,6 +239,7 @@
             records_progress=self.records_progress,
             quarantine=self.quarantine,
             record_fanout=self.record_fanout,
+            quotas=self.quotas,
             on_newer_version=self.peer_prober.fetch_if_newer,
         )
         account = RequestAccount(clock)
@@ -310,6 +324,8 @@
         old_version = self.version
         self.origin.apply_configuration(configuration)
         self.upstreams.calls.clear()
+        directory = configuration.organisations
+        self.quotas.apply_quotas({} if directory is None else directory.quotas)
         self.log.change(
             "configuration_in_force",
             version=configuration.version,
@@ -443,6 +459,7 @@
         self.is_stopping = True
         self.log.change("stopping", in_flight=self.count_open_requests())
         self.record_fanout.stop()
+        self.quotas.stop()
         for server in self._servers.values():
             server.announce_close()
         while True:
--- a/libs/mimosaloom-relay/mimosaloom_relay/organisations.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/organisations.py
@@ -71,6 +71,15 @@
         """All organisations that have a key, by name."""
         return {found.name: found for found in self._by_digest.values()}
 
+    @property
+    def quotas(self) -> dict[str, Quota]:
+        """Quotas of the organisations that have one, by name."""
+        return {
+            name: found.quota
+            for name, found in self.organisations.items()
+            if found.quota is not None
+        }
+
     def find(self, headers: Headers) -> Credential:
         """Return the credential of a request.
 
