Choose the holder of quotas by claims that members report, without votes

Cause: votes of a quorum with leases are a consensus group of our own, which the design rules out. Change: each node decides alone, by what members tell it of other claimants; members remember claims and refuse none.

--- a/libs/mimosaloom-policy/mimosaloom_policy/quota_holders.py
+++ b/libs/mimosaloom-policy/mimosaloom_policy/quota_holders.py
@@ -1,8 +1,9 @@
 """Which node of a failure domain keeps the tokens of an organisation: its holder.
 
 Organisations are spread over slots. The first nodes of a failure domain in the order of
-a slot are its members. They vote for one of themselves, and the votes of a quorum make
-a holder for a short time. See docs/design/quotas.md.
+a slot are its members. Each decides alone whether it is the holder, by what it hears:
+most members have to answer it, and none of them may have heard a claim of another one.
+See docs/design/quotas.md.
 """
 
 import math
@@ -15,25 +16,27 @@
 __all__ = [
     "LEASE_S",
     "SLOTS",
+    "ClaimAnswer",
+    "HeardClaims",
     "RecentMaximum",
+    "Rival",
     "SlotRole",
-    "VoterPromises",
+    "choose_majority",
     "choose_members",
-    "choose_quorum",
     "find_slot",
 ]
 
-# More slots spread the questions over more nodes, and cost more votes.
+# More slots spread the questions over more nodes, and cost more messages.
 SLOTS = 8
 MAX_MEMBERS = 7
-# A vote is valid for this long: at the voter from the question's arrival, at the holder
-# from its sending, so that it ends at the holder first.
+# What a member has answered counts for this long: at the member, which remembers the
+# claim, from the arrival of the question, and at the claimant from its sending, so that
+# it ends there first.
 LEASE_S = 1.2
-# A candidate that finds that an earlier one asks too leaves the votes to it for this
-# long.
+# A claimant that yields to an earlier one claims nothing for this long.
 YIELD_S = 2 * LEASE_S
-# One that gets no quorum for the first time asks for no votes for the second. That is
-# longer than others yield to it.
+# One that does not become the holder for the first time claims nothing for the second.
+# That is longer than others yield to it.
 MAX_TRIAL_S = 2 * LEASE_S
 FAILED_TRIAL_S = 3 * YIELD_S
 # A node that knows fewer nodes than others, because it has just started or one has just
@@ -53,16 +56,16 @@
         domain: Name of the failure domain.
         slot: Number of the slot.
         names: Names of all known nodes of the failure domain, reachable or not: nodes
-            that see different faults must count the votes of the same members.
+            that see different faults must ask the same members.
     """
     return choose_readers(f"{domain}/quota-{slot}", names, count=MAX_MEMBERS)
 
 
-def choose_quorum(members: int) -> int:
-    """Return how many votes make a holder: two thirds, rounded up.
+def choose_majority(members: int) -> int:
+    """Return how many members a holder has to hear from: two thirds, rounded up.
 
-    Any two sets of that size have a member in common. From four members on, they also
-    do if one member differs between the views of two candidates.
+    Any two sets of that size have a member in common, which hears both claimants. From
+    four members on, they also do if one member differs between two views.
     """
     return (2 * members + 2) // 3
 
@@ -93,141 +96,221 @@
             self._turn_s = now_s + VIEW_MEMORY_S
 
 
-class _Promise(NamedTuple):
-    """A vote.
+class Rival(NamedTuple):
+    """Another node that claims a slot.
 
     Attributes:
-        name: Name of the candidate that has it.
-        until_s: Up to when, on the clock of the voter.
-        sent_s: When it was asked for last, on the clock of the candidate.
+        name: Name of the node.
+        is_holder: Whether it was the holder when it claimed the slot last.
     """
 
     name: str
-    until_s: float
-    sent_s: float
+    is_holder: bool
 
 
-class VoterPromises:
-    """Votes that a node has given: one at a time for each slot.
+class _Claim(NamedTuple):
+    """A claim that was heard.
 
-    Args:
-        start_s: When this node may give its first vote. Its previous process may have
-            given votes up to its end.
+    Attributes:
+        until_s: Up to when it counts, on the clock of the member.
+        sent_s: When it was sent last, on the clock of the claimant.
+        is_holder: Whether the claimant was the holder then.
     """
 
-    def __init__(self, start_s: float):
-        self._start_s = start_s
-        self._by_slot: dict[int, _Promise] = {}
+    until_s: float
+    sent_s: float
+    is_holder: bool
+
 
-    def find_holder(self, slot: int, now_s: float) -> str:
-        """Return the candidate that has the vote of this node; empty for none."""
-        promise = self._by_slot.get(slot)
-        return promise.name if promise and now_s < promise.until_s else ""
+class HeardClaims:
+    """Claims on slots that a member has heard; it refuses none of them."""
 
-    def vote(self, candidate: str, slot: int, sent_s: float, now_s: float) -> bool:
-        """Vote for a candidate if the vote is free or already its own.
+    def __init__(self):
+        self._by_slot: dict[int, dict[str, _Claim]] = {}
+
+    def hear(
+        self, claimant: Rival, slot: int, sent_s: float, now_s: float
+    ) -> list[Rival]:
+        """Remember a claim; return the other nodes that claim the slot.
 
         Args:
-            candidate: Name of the candidate.
+            claimant: The node that claims the slot.
             slot: Number of the slot.
-            sent_s: When the candidate sent its question, on its own clock.
+            sent_s: When it sent the claim, on its own clock.
             now_s: Current time on the monotonic clock.
         """
-        if now_s < self._start_s or not 0 <= slot < SLOTS:
-            return False
-        if self.find_holder(slot, now_s) not in ("", candidate):
-            return False
-        known = self._by_slot.get(slot)
-        if known is not None and known.name == candidate:
-            sent_s = max(sent_s, known.sent_s)
-        self._by_slot[slot] = _Promise(candidate, now_s + LEASE_S, sent_s)
-        return True
+        if not 0 <= slot < SLOTS:
+            return []
+        claims = self._valid(slot, now_s)
+        known = claims.get(claimant.name)
+        if known is None or known.sent_s <= sent_s:
+            claims[claimant.name] = _Claim(now_s + LEASE_S, sent_s, claimant.is_holder)
+        return [
+            Rival(name, claim.is_holder)
+            for name, claim in claims.items()
+            if name != claimant.name
+        ]
+
+    def forget(self, claimant: str, slot: int, sent_s: float) -> None:
+        """Forget a claim that was withdrawn, unless it was renewed since."""
+        claims = self._by_slot.get(slot, {})
+        if claimant in claims and claims[claimant].sent_s < sent_s:
+            del claims[claimant]
+
+    def find_claimants(self, slot: int, now_s: float) -> list[str]:
+        """Return the nodes that claim a slot: a holder first, then the last one."""
+        valid = self._valid(slot, now_s)
+        return sorted(
+            valid, key=lambda n: (valid[n].is_holder, valid[n].until_s), reverse=True
+        )
+
+    def _valid(self, slot: int, now_s: float) -> dict[str, _Claim]:
+        claims = self._by_slot.get(slot, {})
+        valid = {name: claim for name, claim in claims.items() if now_s < claim.until_s}
+        self._by_slot[slot] = valid
+        return valid
+
+
+class ClaimAnswer(NamedTuple):
+    """What a member has answered to a claim.
 
-    def release(self, candidate: str, slot: int, sent_s: float) -> None:
-        """Take a vote back from a candidate that has given up the role.
+    Attributes:
+        rivals: Other nodes that claim the slot.
+        is_informed: Whether the member has run for `LEASE_S`, so that it has heard all
+            claims that may still count.
+    """
 
-        A message that arrives late does not take back a vote that was asked for since.
-        """
-        known = self._by_slot.get(slot)
-        if known is not None and known.name == candidate and known.sent_s < sent_s:
-            del self._by_slot[slot]
+    rivals: tuple[Rival, ...] = ()
+    is_informed: bool = True
 
 
 class SlotRole:
-    """Votes that a candidate has for one slot.
+    """Whether a claimant is the holder of one slot, by the answers of the members.
+
+    It becomes the holder once most members have answered and know of no other claimant,
+    or once most have answered it for `LEASE_S` without a break and named none. It
+    yields to a holder, and of two claimants the later one in the order yields. A holder
+    that has lost touch with most members has lost the role by the time at which another
+    can get it.
 
     Args:
-        own_name: Name of the candidate.
+        own_name: Name of the claimant.
     """
 
     def __init__(self, own_name: str):
         self._own_name = own_name
-        self._votes: dict[str, float] = {}
+        self._answered_until_s: dict[str, float] = {}
+        # Of these, members that were informed and knew of no other claimant.
+        self._clear_until_s: dict[str, float] = {}
         self._members: tuple[str, ...] = ()
-        self._quorum = 1
+        self._majority = 1
         self._dropped_s = -math.inf
+        self._is_holder = False
+        # Since when most members have answered and no other claimant was heard of.
+        self._unrivalled_since_s = math.inf
         self._yields_until_s = 0.0
         self._tries_since_s: float | None = None
 
     def set_members(self, members: tuple[str, ...], known_nodes: int) -> None:
-        """Change the members; votes of others no longer count.
+        """Change the members; answers of others no longer count.
 
         Args:
             members: Members that this node knows.
             known_nodes: Nodes of the failure domain, by the node that knows most.
         """
         self._members = members
-        self._quorum = choose_quorum(min(MAX_MEMBERS, max(len(members), known_nodes)))
-
-    def record_vote(self, voter: str, asked_s: float) -> None:
-        """Record the vote of a member, which was asked for at a time."""
-        if asked_s <= self._dropped_s:
-            return
-        until_s = asked_s + LEASE_S
-        self._votes[voter] = max(until_s, self._votes.get(voter, 0.0))
+        self._majority = choose_majority(
+            min(MAX_MEMBERS, max(len(members), known_nodes))
+        )
 
-    def record_refusal(self, promised_to: str, now_s: float) -> bool:
-        """Record that a member has voted for another candidate.
+    def record_answer(
+        self, member: str, answer: ClaimAnswer, asked_s: float, now_s: float
+    ) -> bool:
+        """Record that a member has answered a claim.
 
-        Of two candidates without a quorum, the later one in the order yields.
+        Args:
+            member: Name of the member.
+            answer: What it has answered.
+            asked_s: When it was asked.
+            now_s: Current time on the monotonic clock.
 
         Returns:
-            Whether this node now has to give its votes back.
+            Whether this node now has to withdraw its claim, for an earlier claimant.
         """
-        members = self._members
-        if self._own_name not in members or promised_to not in members:
-            return False
-        is_earlier = members.index(promised_to) < members.index(self._own_name)
-        if not is_earlier or now_s < max(self.find_end_s(), self._yields_until_s):
+        if asked_s <= self._dropped_s:
             return False
-        self.drop(now_s)
-        self._yields_until_s = now_s + YIELD_S
-        return True
+        self._note_lapse(now_s)
+        rivals = [rival for rival in answer.rivals if rival.name in self._members]
+        until_s = max(asked_s + LEASE_S, self._answered_until_s.get(member, 0.0))
+        self._answered_until_s[member] = until_s
+        is_clear = answer.is_informed and not rivals
+        self._clear_until_s[member] = until_s if is_clear else 0.0
+        if any(map(self._goes_before, rivals)):
+            self.drop(now_s)
+            if not any(rival.is_holder for rival in rivals):
+                self._yields_until_s = now_s + YIELD_S
+            return True
+        self._note_progress(bool(rivals), now_s)
+        return False
 
     def record_trial(self, now_s: float) -> None:
-        """Record that this node asks for votes.
+        """Record that this node claims the slot.
 
-        A candidate whose questions arrive while the answers don't would otherwise keep
-        the votes from all others.
+        A claimant whose questions arrive while the answers don't would otherwise keep
+        the role from all others.
         """
-        if now_s < self.find_end_s() or self._tries_since_s is None:
+        self._note_lapse(now_s)
+        if self._is_holder or self._tries_since_s is None:
             self._tries_since_s = now_s
         elif now_s - self._tries_since_s >= MAX_TRIAL_S:
             self._tries_since_s = None
             self._yields_until_s = now_s + FAILED_TRIAL_S
 
     def drop(self, now_s: float) -> None:
-        """Forget all votes, also those that are on their way."""
-        self._votes.clear()
+        """Forget all answers, also those that are on their way."""
+        self._answered_until_s.clear()
+        self._clear_until_s.clear()
+        self._is_holder = False
+        self._unrivalled_since_s = math.inf
         self._dropped_s = now_s
 
     def may_ask(self, now_s: float) -> bool:
-        """Return whether this node may ask for votes."""
+        """Return whether this node may claim the slot."""
         return self._own_name in self._members and now_s >= self._yields_until_s
 
-    def find_end_s(self) -> float:
-        """Return up to which time this node has a quorum; may be in the past."""
+    def find_end_s(self, now_s: float) -> float:
+        """Return up to which time this node is the holder; in the past if it is not."""
+        self._note_lapse(now_s)
+        self._note_progress(False, now_s)
+        return self._find_end_s(self._answered_until_s) if self._is_holder else 0.0
+
+    def _note_lapse(self, now_s: float) -> None:
+        if now_s >= self._find_end_s(self._answered_until_s):
+            self._is_holder = False
+            self._unrivalled_since_s = math.inf
+
+    def _note_progress(self, has_rivals: bool, now_s: float) -> None:
+        if self._is_holder:
+            return
+        if has_rivals:
+            self._unrivalled_since_s = math.inf
+        elif now_s < self._find_end_s(self._answered_until_s):
+            self._unrivalled_since_s = min(self._unrivalled_since_s, now_s)
+            is_clear = now_s < self._find_end_s(self._clear_until_s)
+            has_waited = now_s >= self._unrivalled_since_s + LEASE_S
+            self._is_holder = is_clear or has_waited
+
+    def _goes_before(self, rival: Rival) -> bool:
+        members = self._members
+        if self._own_name not in members:
+            return True
+        if self._is_holder != rival.is_holder:
+            return rival.is_holder
+        return members.index(rival.name) < members.index(self._own_name)
+
+    def _find_end_s(self, until_s: dict[str, float]) -> float:
+        """Return up to when the answers of most members count."""
         if self._own_name not in self._members:
             return 0.0
-        ends = sorted((self._votes.get(m, 0.0) for m in self._members), reverse=True)
-        return ends[self._quorum - 1] if self._quorum <= len(ends) else 0.0
+        ends = sorted((until_s.get(n, 0.0) for n in self._members), reverse=True)
+        return ends[self._majority - 1] if self._majority <= len(ends) else 0.0
--- a/libs/mimosaloom-relay/mimosaloom_relay/quota_exchange.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/quota_exchange.py
@@ -26,10 +26,10 @@
 from .peers import PeerRecord
 from .quota_holder import QUOTA_PATH, QuotaHolder, QuotaSender
 from .quota_messages import (
+    ClaimQuestion,
     LendQuestion,
     TokenQuestion,
     TokenReply,
-    VoteQuestion,
     decode_question,
     encode_message,
 )
@@ -37,7 +37,7 @@
 
 __all__ = ["QUOTA_PATH", "QuotaExchange"]
 
-# Three of these intervals fit into the time that a vote is valid.
+# Three of these intervals fit into the time for which an answer to a claim counts.
 RENEW_INTERVAL_S = 0.4
 # Beside the time in which a holder asks other failure domains.
 ASK_TIMEOUT_S = 0.25
@@ -195,8 +195,8 @@
         match question:
             case TokenQuestion():
                 reply = await self._holder.serve(question)
-            case VoteQuestion():
-                reply = self._holder.answer_vote(question)
+            case ClaimQuestion():
+                reply = self._holder.answer_claim(question)
             case LendQuestion():
                 reply = self._holder.lend(question)
             case _:
@@ -287,7 +287,7 @@
         return pause_s + spread_s * (self._refused_count * GOLDEN_RATIO % 1)
 
     async def _run(self) -> None:
-        """Renew the votes for this node while there are quotas."""
+        """Renew the claims of this node while there are quotas."""
         while self._accounts and not self._is_stopping:
             self._tasks.spawn(self._holder.renew())
             await asyncio.sleep(RENEW_INTERVAL_S)
--- a/libs/mimosaloom-relay/mimosaloom_relay/quota_holder.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/quota_holder.py
@@ -13,11 +13,13 @@
 from mimosaloom_policy import (
     LEASE_S,
     SLOTS,
+    ClaimAnswer,
+    HeardClaims,
     HolderBucket,
     QuotaLimits,
+    Rival,
     SlotRole,
     TokenMove,
-    VoterPromises,
     find_slot,
 )
 
@@ -25,12 +27,12 @@
 from .metrics import RelayMetrics
 from .peer_messenger import PeerMessenger
 from .quota_messages import (
+    ClaimQuestion,
+    ClaimReply,
     LendQuestion,
     LendReply,
     TokenQuestion,
     TokenReply,
-    VoteQuestion,
-    VoteReply,
     decode_reply,
     encode_message,
 )
@@ -39,10 +41,10 @@
 __all__ = ["QUOTA_PATH", "QuotaHolder", "QuotaSender"]
 
 QUOTA_PATH = "/.mimosaloom/quota"
-VOTE_TIMEOUT_S = 0.3
-# A member that was asked for tokens is a candidate for this long.
+CLAIM_TIMEOUT_S = 0.3
+# A member that was asked for tokens claims the role for this long.
 ASKED_S = 2.0
-# It asks for votes at once, at most at this interval.
+# It claims the role at once, at most at this interval.
 URGENT_INTERVAL_S = 0.2
 # Shares are lent to other failure domains for this long.
 LEND_S = 0.5
@@ -53,6 +55,12 @@
 # Time at the rate of the quota for which tokens are asked for.
 TRANSFER_S = 0.25
 MIN_TRANSFER_TOKENS = 3.0
+# Values of a label of `mimosaloom_quota_questions_total`.
+_METRIC_KINDS = {
+    TokenQuestion: "tokens",
+    ClaimQuestion: "claims",
+    LendQuestion: "shares",
+}
 
 
 class QuotaSender:
@@ -75,9 +83,9 @@
     async def ask(
         self,
         name: str,
-        question: TokenQuestion | VoteQuestion | LendQuestion,
+        question: TokenQuestion | ClaimQuestion | LendQuestion,
         timeout_s: float,
-    ) -> TokenReply | VoteReply | LendReply | None:
+    ) -> TokenReply | ClaimReply | LendReply | None:
         """Return the answer of a node; None if there is no usable one in time."""
         record = self._view.find(name)
         if record is None:
@@ -89,9 +97,8 @@
             reply = decode_reply(response.body)
         if reply is None:
             self._view.note_silent(name)
-        kind = {TokenQuestion: "tokens", VoteQuestion: "votes", LendQuestion: "shares"}
         result = "lost" if reply is None else "answered"
-        self._metrics.count_quota_question(kind[type(question)], result)
+        self._metrics.count_quota_question(_METRIC_KINDS[type(question)], result)
         return reply
 
 
@@ -103,7 +110,7 @@
 
 
 class QuotaHolder:
-    """Asks for the votes for the role of the holder, and serves as one.
+    """Claims the role of the holder, and serves as one.
 
     Args:
         view: Knows the members of each slot.
@@ -127,15 +134,14 @@
         self._has_read_records = has_read_records
         self._clock = clock
         self._log = log
-        # Before that, the previous process of this node may still be the holder by the
-        # votes of others, or its votes may be in use.
+        # Until then, what this node has heard does not go back far enough.
         self._start_s = clock.monotonic_s() + LEASE_S
-        self._promises = VoterPromises(self._start_s)
+        self._claims = HeardClaims()
         self._roles = {slot: SlotRole(view.own_name) for slot in range(SLOTS)}
         self._held: dict[int, _Held] = {}
         self._asked_until_s: dict[int, float] = {}
         self._next_urgent_s = 0.0
-        # A node that knows only itself would be the holder by its own vote.
+        # A node that knows only itself would hear of no other claimant.
         self._knows_nodes = False
         self._is_stopping = False
         self._limits: dict[str, QuotaLimits] = {}
@@ -162,9 +168,9 @@
             self._buckets[organisation].set_limits(limits[organisation], now_s)
 
     async def renew(self) -> None:
-        """Ask the members of slots for their votes, if this node may be the holder."""
+        """Claim slots before their members, if this node may be the holder."""
         asked_s = self._clock.monotonic_s()
-        slots_by_voter: dict[str, list[int]] = defaultdict(list)
+        slots_by_member: dict[str, list[int]] = defaultdict(list)
         if not self._knows_nodes and self._has_read_records():
             self._knows_nodes = True
             self._view.refresh()
@@ -173,29 +179,31 @@
             if self._is_candidate(slot, asked_s):
                 self._roles[slot].record_trial(asked_s)
                 for member in self._view.members(self._view.own_domain, slot):
-                    slots_by_voter[member].append(slot)
+                    slots_by_member[member].append(slot)
             self._note_end(slot, asked_s)
-        for slot in slots_by_voter.pop(self._view.own_name, ()):
-            if self._promises.vote(self._view.own_name, slot, asked_s, asked_s):
-                self._record_vote(self._view.own_name, slot, asked_s)
-            else:
-                self._record_refusal(slot, self._promises.find_holder(slot, asked_s))
+        own_name = self._view.own_name
+        for slot in slots_by_member.pop(own_name, ()):
+            claimant = Rival(own_name, self._is_holder(slot, asked_s))
+            rivals = self._claims.hear(claimant, slot, asked_s, asked_s)
+            answer = ClaimAnswer(tuple(rivals), asked_s >= self._start_s)
+            self._record_answer(own_name, slot, answer, asked_s)
         await asyncio.gather(
-            *(self._ask_votes(name, slots) for name, slots in slots_by_voter.items())
+            *(self._claim(name, slots) for name, slots in slots_by_member.items())
         )
 
-    def answer_vote(self, question: VoteQuestion) -> VoteReply:
-        """Give votes, or take them back."""
+    def answer_claim(self, question: ClaimQuestion) -> ClaimReply:
+        """Remember or forget claims; tell which other nodes claim the slots."""
         now_s = self._clock.monotonic_s()
-        granted, holders = [], {}
+        rivals = {}
         for slot in question.slots[:SLOTS]:
-            if question.is_release:
-                self._promises.release(question.candidate, slot, question.sent_s)
-            elif self._promises.vote(question.candidate, slot, question.sent_s, now_s):
-                granted.append(slot)
-            else:
-                holders[slot] = self._promises.find_holder(slot, now_s)
-        return VoteReply(granted, holders, *self._view.count())
+            if question.is_withdrawal:
+                self._claims.forget(question.claimant, slot, question.sent_s)
+                continue
+            claimant = Rival(question.claimant, slot in question.held)
+            heard = self._claims.hear(claimant, slot, question.sent_s, now_s)
+            if heard:
+                rivals[slot] = heard
+        return ClaimReply(rivals, now_s >= self._start_s, *self._view.count())
 
     async def serve(self, question: TokenQuestion) -> TokenReply:
         """Give tokens to an origin of the own failure domain."""
@@ -203,10 +211,10 @@
         now_s = self._clock.monotonic_s()
         if organisation not in self._limits:
             return TokenReply()
-        promised = self._promises.find_holder(slot, now_s)
         is_holder = self._sync_bucket(organisation, now_s)
-        if not is_holder and promised not in ("", self._view.own_name):
-            return TokenReply(holder=promised)
+        claimant = self._find_other_claimant(slot, now_s)
+        if not is_holder and claimant:
+            return TokenReply(holder=claimant)
         self._asked_until_s[slot] = now_s + ASKED_S
         if not is_holder and now_s >= self._next_urgent_s:
             self._next_urgent_s = now_s + URGENT_INTERVAL_S
@@ -236,7 +244,7 @@
         if question.organisation not in self._limits or self._is_stopping:
             return LendReply()
         if not self._sync_bucket(question.organisation, now_s):
-            return LendReply(holder=self._promises.find_holder(slot, now_s))
+            return LendReply(holder=self._find_other_claimant(slot, now_s))
         bucket = self._buckets[question.organisation]
         bucket.return_loans(question.borrower, now_s)
         move = bucket.lend(
@@ -254,50 +262,62 @@
         for slot in range(SLOTS):
             self._roles[slot].drop(now_s)
             self._note_end(slot, now_s)
-        self._release(range(SLOTS))
+        self._withdraw(range(SLOTS))
 
-    def _release(self, slots: Iterable[int]) -> None:
-        """Give votes for slots back."""
+    def _withdraw(self, slots: Iterable[int]) -> None:
+        """Withdraw the claims on slots."""
         own_name, now_s = self._view.own_name, self._clock.monotonic_s()
-        slots_by_voter: dict[str, list[int]] = defaultdict(list)
+        slots_by_member: dict[str, list[int]] = defaultdict(list)
         for slot in slots:
             for member in self._view.members(self._view.own_domain, slot):
-                slots_by_voter[member].append(slot)
-        for name, slots in slots_by_voter.items():
-            question = VoteQuestion(own_name, slots, now_s, is_release=True)
+                slots_by_member[member].append(slot)
+        for name, slots in slots_by_member.items():
+            question = ClaimQuestion(own_name, slots, [], now_s, is_withdrawal=True)
             if name == own_name:
-                self.answer_vote(question)
+                self.answer_claim(question)
             else:
                 self._sender.tasks.spawn(
-                    self._sender.ask(name, question, VOTE_TIMEOUT_S)
+                    self._sender.ask(name, question, CLAIM_TIMEOUT_S)
                 )
 
     def _is_candidate(self, slot: int, now_s: float) -> bool:
         if not self._knows_nodes or self._is_stopping:
             return False
-        if now_s < self._start_s or not self._roles[slot].may_ask(now_s):
+        if not self._roles[slot].may_ask(now_s):
             return False
         first = self._view.first_usable(self._view.own_domain, slot)
         is_asked = now_s < self._asked_until_s.get(slot, 0.0)
         return is_asked or first == self._view.own_name
 
-    async def _ask_votes(self, name: str, slots: list[int]) -> None:
+    async def _claim(self, name: str, slots: list[int]) -> None:
         asked_s = self._clock.monotonic_s()
-        question = VoteQuestion(self._view.own_name, slots, asked_s)
-        reply = await self._sender.ask(name, question, VOTE_TIMEOUT_S)
-        if not isinstance(reply, VoteReply) or self._is_stopping:
+        held = [slot for slot in slots if self._is_holder(slot, asked_s)]
+        question = ClaimQuestion(self._view.own_name, slots, held, asked_s)
+        reply = await self._sender.ask(name, question, CLAIM_TIMEOUT_S)
+        if not isinstance(reply, ClaimReply) or self._is_stopping:
             return
         self._view.note_count(reply.domain_nodes, reply.domains)
-        for slot in set(reply.granted).intersection(slots):
+        for slot in slots:
             self._set_members(slot)
-            self._record_vote(name, slot, asked_s)
-        for slot in reply.holders.keys() & set(slots):
-            self._record_refusal(slot, reply.holders[slot])
+            rivals = tuple(reply.rivals.get(slot, ()))
+            answer = ClaimAnswer(rivals, reply.is_informed)
+            self._record_answer(name, slot, answer, asked_s)
 
-    def _record_refusal(self, slot: int, promised_to: str) -> None:
+    def _record_answer(
+        self, member: str, slot: int, answer: ClaimAnswer, asked_s: float
+    ) -> None:
         now_s = self._clock.monotonic_s()
-        if self._roles[slot].record_refusal(promised_to, now_s):
-            self._release([slot])
+        if self._roles[slot].record_answer(member, answer, asked_s, now_s):
+            self._withdraw([slot])
+        self._note_end(slot, now_s)
+
+    def _is_holder(self, slot: int, now_s: float) -> bool:
+        return now_s < self._roles[slot].find_end_s(now_s)
+
+    def _find_other_claimant(self, slot: int, now_s: float) -> str:
+        """Return another node that claims a slot, a holder first; empty for none."""
+        claimants = self._claims.find_claimants(slot, now_s)
+        return next((name for name in claimants if name != self._view.own_name), "")
 
     def _set_members(self, slot: int) -> None:
         self._roles[slot].set_members(
@@ -305,16 +325,12 @@
             self._view.largest_domain_nodes(),
         )
 
-    def _record_vote(self, voter: str, slot: int, asked_s: float) -> None:
-        self._roles[slot].record_vote(voter, asked_s)
-        self._note_end(slot, self._clock.monotonic_s())
-
     def _note_end(self, slot: int, now_s: float) -> None:
         """Update since when and up to when this node is the holder of a slot."""
-        end_s = self._roles[slot].find_end_s()
+        end_s = self._roles[slot].find_end_s(now_s)
         held = self._held.get(slot)
         if held is not None and now_s >= held.end_s:
-            # A vote that arrives now begins a new time with an empty bucket.
+            # An answer that arrives now begins a new time with an empty bucket.
             self._log.change("quota_holder_changed", slot=slot, is_holder=False)
             held = None
             del self._held[slot]
--- a/libs/mimosaloom-relay/mimosaloom_relay/quota_messages.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/quota_messages.py
@@ -2,13 +2,15 @@
 
 import msgspec
 
+from mimosaloom_policy import Rival
+
 __all__ = [
+    "ClaimQuestion",
+    "ClaimReply",
     "LendQuestion",
     "LendReply",
     "TokenQuestion",
     "TokenReply",
-    "VoteQuestion",
-    "VoteReply",
     "decode_question",
     "decode_reply",
     "encode_message",
@@ -43,34 +45,36 @@
     holder: str = ""
 
 
-class VoteQuestion(msgspec.Struct, frozen=True, tag="v", array_like=True):
-    """Asks a member of slots for its vote.
+class ClaimQuestion(msgspec.Struct, frozen=True, tag="c", array_like=True):
+    """Tells a member of slots who claims them, and asks who else does.
 
     Attributes:
-        candidate: Name of the asking node.
+        claimant: Name of the asking node.
         slots: Numbers of the slots.
+        held: Those of which it is the holder.
         sent_s: Monotonic clock of the asking node.
-        is_release: Whether the asking node gives its votes back instead.
+        is_withdrawal: Whether the asking node withdraws its claims instead.
     """
 
-    candidate: str
+    claimant: str
     slots: list[int]
+    held: list[int]
     sent_s: float
-    is_release: bool = False
+    is_withdrawal: bool = False
 
 
-class VoteReply(msgspec.Struct, frozen=True, tag="v", array_like=True):
-    """Answers `VoteQuestion`.
+class ClaimReply(msgspec.Struct, frozen=True, tag="c", array_like=True):
+    """Answers `ClaimQuestion`.
 
     Attributes:
-        granted: Slots for which the asking node has the vote.
-        holders: Candidates that have the vote for the other slots; empty for none.
-        domain_nodes: Nodes that the voter knows in its failure domain.
+        rivals: Other claimants that the member has heard lately, by slot.
+        is_informed: Whether the member runs long enough to have heard all of them.
+        domain_nodes: Nodes that the member knows in its failure domain.
         domains: Failure domains that it knows.
     """
 
-    granted: list[int]
-    holders: dict[int, str]
+    rivals: dict[int, list[Rival]]
+    is_informed: bool
     domain_nodes: int
     domains: int
 
@@ -109,17 +113,17 @@
     holder: str = ""
 
 
-_QUESTIONS = msgspec.json.Decoder(TokenQuestion | VoteQuestion | LendQuestion)
-_REPLIES = msgspec.json.Decoder(TokenReply | VoteReply | LendReply)
+_QUESTIONS = msgspec.json.Decoder(TokenQuestion | ClaimQuestion | LendQuestion)
+_REPLIES = msgspec.json.Decoder(TokenReply | ClaimReply | LendReply)
 encode_message = msgspec.json.encode
 
 
-def decode_question(body: bytes) -> TokenQuestion | VoteQuestion | LendQuestion | None:
+def decode_question(body: bytes) -> TokenQuestion | ClaimQuestion | LendQuestion | None:
     """Return a question of another node; None if it is not valid."""
     return _decode(_QUESTIONS, body)
 
 
-def decode_reply(body: bytes) -> TokenReply | VoteReply | LendReply | None:
+def decode_reply(body: bytes) -> TokenReply | ClaimReply | LendReply | None:
     """Return the answer of another node; None if it is not valid."""
     return _decode(_REPLIES, body)
 
--- a/tests/relay/test_quota_exchange.py
+++ b/tests/relay/test_quota_exchange.py
@@ -45,8 +45,8 @@
     found = []
     for node in network.nodes:
         holder = node.exchange._holder
-        end_s = holder._roles[slot].find_end_s()
-        if node.is_up and holder._clock.monotonic_s() < end_s:
+        now_s = holder._clock.monotonic_s()
+        if node.is_up and now_s < holder._roles[slot].find_end_s(now_s):
             found.append(node)
     return found
 
