Count the answer of a member for one claimant at a time

Cause: a claimant that waited without hearing of another one became the holder by answers of restarted members, and an answer that named a rival prolonged the role of a holder, so that two sets of members could count. Change: an answer counts if it is informed and names no other claimant, or while the previous one still counts. The tests of votes are replaced by tests of claims, with the same schedules.

--- a/libs/mimosaloom-policy/mimosaloom_policy/quota_holders.py
+++ b/libs/mimosaloom-policy/mimosaloom_policy/quota_holders.py
@@ -187,11 +187,11 @@
 class SlotRole:
     """Whether a claimant is the holder of one slot, by the answers of the members.
 
-    It becomes the holder once most members have answered and know of no other claimant,
-    or once most have answered it for `LEASE_S` without a break and named none. It
-    yields to a holder, and of two claimants the later one in the order yields. A holder
-    that has lost touch with most members has lost the role by the time at which another
-    can get it.
+    The answer of a member counts if it knew of no other claimant, or if its previous
+    answer still counts: then it has named this claimant to all others since. So it
+    counts for one claimant at a time, and one is the holder while those of most members
+    count. A claimant yields to a holder, and of two claimants the later one in the
+    order yields.
 
     Args:
         own_name: Name of the claimant.
@@ -199,15 +199,11 @@
 
     def __init__(self, own_name: str):
         self._own_name = own_name
-        self._answered_until_s: dict[str, float] = {}
-        # Of these, members that were informed and knew of no other claimant.
-        self._clear_until_s: dict[str, float] = {}
+        # Up to when the answer of a member counts.
+        self._until_s: dict[str, float] = {}
         self._members: tuple[str, ...] = ()
         self._majority = 1
         self._dropped_s = -math.inf
-        self._is_holder = False
-        # Since when most members have answered and no other claimant was heard of.
-        self._unrivalled_since_s = math.inf
         self._yields_until_s = 0.0
         self._tries_since_s: float | None = None
 
@@ -235,22 +231,19 @@
             now_s: Current time on the monotonic clock.
 
         Returns:
-            Whether this node now has to withdraw its claim, for an earlier claimant.
+            Whether this node now has to withdraw its claim, for another claimant.
         """
         if asked_s <= self._dropped_s:
             return False
-        self._note_lapse(now_s)
         rivals = [rival for rival in answer.rivals if rival.name in self._members]
-        until_s = max(asked_s + LEASE_S, self._answered_until_s.get(member, 0.0))
-        self._answered_until_s[member] = until_s
-        is_clear = answer.is_informed and not rivals
-        self._clear_until_s[member] = until_s if is_clear else 0.0
-        if any(map(self._goes_before, rivals)):
+        if any(self._goes_before(rival, now_s) for rival in rivals):
             self.drop(now_s)
             if not any(rival.is_holder for rival in rivals):
                 self._yields_until_s = now_s + YIELD_S
             return True
-        self._note_progress(bool(rivals), now_s)
+        until_s = self._until_s.get(member, 0.0)
+        if (answer.is_informed and not rivals) or now_s < until_s:
+            self._until_s[member] = max(asked_s + LEASE_S, until_s)
         return False
 
     def record_trial(self, now_s: float) -> None:
@@ -259,8 +252,7 @@
         A claimant whose questions arrive while the answers don't would otherwise keep
         the role from all others.
         """
-        self._note_lapse(now_s)
-        if self._is_holder or self._tries_since_s is None:
+        if now_s < self.find_end_s() or self._tries_since_s is None:
             self._tries_since_s = now_s
         elif now_s - self._tries_since_s >= MAX_TRIAL_S:
             self._tries_since_s = None
@@ -268,49 +260,25 @@
 
     def drop(self, now_s: float) -> None:
         """Forget all answers, also those that are on their way."""
-        self._answered_until_s.clear()
-        self._clear_until_s.clear()
-        self._is_holder = False
-        self._unrivalled_since_s = math.inf
+        self._until_s.clear()
         self._dropped_s = now_s
 
     def may_ask(self, now_s: float) -> bool:
         """Return whether this node may claim the slot."""
         return self._own_name in self._members and now_s >= self._yields_until_s
 
-    def find_end_s(self, now_s: float) -> float:
+    def find_end_s(self) -> float:
         """Return up to which time this node is the holder; in the past if it is not."""
-        self._note_lapse(now_s)
-        self._note_progress(False, now_s)
-        return self._find_end_s(self._answered_until_s) if self._is_holder else 0.0
-
-    def _note_lapse(self, now_s: float) -> None:
-        if now_s >= self._find_end_s(self._answered_until_s):
-            self._is_holder = False
-            self._unrivalled_since_s = math.inf
-
-    def _note_progress(self, has_rivals: bool, now_s: float) -> None:
-        if self._is_holder:
-            return
-        if has_rivals:
-            self._unrivalled_since_s = math.inf
-        elif now_s < self._find_end_s(self._answered_until_s):
-            self._unrivalled_since_s = min(self._unrivalled_since_s, now_s)
-            is_clear = now_s < self._find_end_s(self._clear_until_s)
-            has_waited = now_s >= self._unrivalled_since_s + LEASE_S
-            self._is_holder = is_clear or has_waited
-
-    def _goes_before(self, rival: Rival) -> bool:
+        if self._own_name not in self._members:
+            return 0.0
+        ends = sorted((self._until_s.get(n, 0.0) for n in self._members), reverse=True)
+        return ends[self._majority - 1] if self._majority <= len(ends) else 0.0
+
+    def _goes_before(self, rival: Rival, now_s: float) -> bool:
         members = self._members
         if self._own_name not in members:
             return True
-        if self._is_holder != rival.is_holder:
+        is_holder = now_s < self.find_end_s()
+        if is_holder != rival.is_holder:
             return rival.is_holder
         return members.index(rival.name) < members.index(self._own_name)
-
-    def _find_end_s(self, until_s: dict[str, float]) -> float:
-        """Return up to when the answers of most members count."""
-        if self._own_name not in self._members:
-            return 0.0
-        ends = sorted((until_s.get(n, 0.0) for n in self._members), reverse=True)
-        return ends[self._majority - 1] if self._majority <= len(ends) else 0.0
--- a/libs/mimosaloom-relay/mimosaloom_relay/quota_holder.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/quota_holder.py
@@ -312,7 +312,7 @@
         self._note_end(slot, now_s)
 
     def _is_holder(self, slot: int, now_s: float) -> bool:
-        return now_s < self._roles[slot].find_end_s(now_s)
+        return now_s < self._roles[slot].find_end_s()
 
     def _find_other_claimant(self, slot: int, now_s: float) -> str:
         """Return another node that claims a slot, a holder first; empty for none."""
@@ -327,7 +327,7 @@
 
     def _note_end(self, slot: int, now_s: float) -> None:
         """Update since when and up to when this node is the holder of a slot."""
-        end_s = self._roles[slot].find_end_s(now_s)
+        end_s = self._roles[slot].find_end_s()
         held = self._held.get(slot)
         if held is not None and now_s >= held.end_s:
             # An answer that arrives now begins a new time with an empty bucket.
--- a/tests/policy/test_quota.py
+++ b/tests/policy/test_quota.py
@@ -11,17 +11,19 @@
     LEASE_S,
     SLOTS,
     Balance,
+    ClaimAnswer,
+    HeardClaims,
     HolderBucket,
     Quota,
     QuotaBounds,
     QuotaLimits,
     RecentMaximum,
+    Rival,
     SlotRole,
     TokenBucket,
-    VoterPromises,
     choose_limits,
+    choose_majority,
     choose_members,
-    choose_quorum,
     find_slot,
 )
 
@@ -67,13 +69,13 @@
     assert limits.max_age_s >= 0
 
 
-def test_two_quorums_have_a_member_in_common():
+def test_two_majorities_have_a_member_in_common():
     """Guards against two holders of one slot."""
     for count in range(1, 8):
-        quorum = choose_quorum(count)
-        assert quorum <= count < 2 * quorum
-        # Both candidates know all members but one.
-        assert count < 4 or count + 1 < 2 * quorum
+        majority = choose_majority(count)
+        assert majority <= count < 2 * majority
+        # Both claimants know all members but one.
+        assert count < 4 or count + 1 < 2 * majority
 
 
 def test_departure_of_a_node_changes_few_members():
@@ -100,157 +102,266 @@
     assert known.find(26.0) == 2
     role = SlotRole("a")
     role.set_members(("a", "b"), 28)
-    role.record_vote("a", 0.0)
-    role.record_vote("b", 0.0)
+    role.record_answer("a", ClaimAnswer(), 0.0, 0.0)
+    role.record_answer("b", ClaimAnswer(), 0.0, 0.0)
     assert role.find_end_s() == 0.0
 
 
-class VoteModel:
-    """Candidates and voters of one slot that exchange messages on a virtual clock."""
+class ClaimModel:
+    """Claimants and members of one slot that exchange messages on a virtual clock."""
 
-    def __init__(self, members, candidates):
+    def __init__(self, members):
         self.now_s = 0.0
         self.members = members
         self.roles = {}
-        self.promises = {}
+        self.claims = {}
         self.in_flight = []
-        self.started_s = {}
+        self.informed_s = {}
         for name in members:
-            self.restart(name, LEASE_S)
-        self.candidates = candidates
+            self.restart(name)
         self.now_s = LEASE_S
 
-    def restart(self, name, wait_s=LEASE_S):
+    def restart(self, name):
         """Replace the process of a member."""
-        self.promises[name] = VoterPromises(self.now_s + wait_s)
+        self.claims[name] = HeardClaims()
         role = self.roles[name] = SlotRole(name)
         role.set_members(self.members, len(self.members))
-        self.started_s[name] = self.now_s + wait_s
+        self.informed_s[name] = self.now_s + LEASE_S
 
-    def ask(self, candidate, voter):
-        """Send a question for a vote."""
-        role = self.roles[candidate]
-        if self.now_s >= self.started_s[candidate] and role.may_ask(self.now_s):
+    def is_holder(self, name):
+        """Return whether a node takes itself for the holder."""
+        return self.now_s < self.roles[name].find_end_s()
+
+    def ask(self, claimant, member):
+        """Send a claim."""
+        role = self.roles[claimant]
+        if role.may_ask(self.now_s):
             role.record_trial(self.now_s)
-            self.in_flight.append(("ask", candidate, voter, self.now_s, role))
+            claim = Rival(claimant, self.is_holder(claimant))
+            self.in_flight.append((claim, claimant, member, self.now_s, role))
 
-    def give_up(self, candidate):
-        """Drop the votes and tell the voters."""
-        role = self.roles[candidate]
+    def give_up(self, claimant):
+        """Drop the answers and tell the members."""
+        role = self.roles[claimant]
         role.drop(self.now_s)
-        for voter in self.members:
-            self.in_flight.append(("release", candidate, voter, self.now_s, role))
+        for member in self.members:
+            self.in_flight.append((None, claimant, member, self.now_s, role))
 
-    def deliver(self, index, is_kept):
+    def deliver(self, index, is_kept=False):
         """Deliver a message; a kept one is delivered again later."""
         if not self.in_flight:
             return
         index %= len(self.in_flight)
-        kind, candidate, voter, sent_s, role = self.in_flight[index]
+        content, claimant, member, sent_s, role = self.in_flight[index]
         if not is_kept:
             del self.in_flight[index]
-        promises = self.promises[voter]
-        if kind == "release":
-            promises.release(candidate, 0, sent_s)
-        elif kind == "ask":
-            granted = promises.vote(candidate, 0, sent_s, self.now_s)
-            holder = promises.find_holder(0, self.now_s)
-            reply = "granted" if granted else f"refused {holder}"
-            self.in_flight.append((reply, candidate, voter, sent_s, role))
-        elif role is not self.roles[candidate]:
-            return
-        elif kind == "granted":
-            role.record_vote(voter, sent_s)
-        elif role.record_refusal(kind.removeprefix("refused "), self.now_s):
-            self.give_up(candidate)
+        claims = self.claims[member]
+        if content is None:
+            claims.forget(claimant, 0, sent_s)
+        elif isinstance(content, Rival):
+            rivals = claims.hear(content, 0, sent_s, self.now_s)
+            is_informed = self.now_s >= self.informed_s[member]
+            answer = ClaimAnswer(tuple(rivals), is_informed)
+            self.in_flight.append((answer, claimant, member, sent_s, role))
+        elif role is self.roles[claimant] and role.record_answer(
+            member, content, sent_s, self.now_s
+        ):
+            self.give_up(claimant)
+
+    def exchange(self, claimant, member):
+        """Send a claim, and deliver it and its answer."""
+        self.ask(claimant, member)
+        self.deliver(-1)
+        self.deliver(-1)
 
     def check(self):
         """Assert that there is at most one holder."""
-        held = [n for n in self.members if self.now_s < self.roles[n].find_end_s()]
-        assert len(held) <= 1
+        assert sum(map(self.is_holder, self.members)) <= 1
 
 
-@settings(max_examples=300, deadline=None)
-@given(st.integers(1, 7), st.integers(0, 2**32))
-def test_no_schedule_of_messages_makes_two_holders(count, seed):
-    """Guards against two holders after lost, late or repeated votes, or restarts."""
+def play_schedule(count, seed):
+    """Play random messages, faults and restarts; return how often one had the role."""
     rng = random.Random(seed)
     members = tuple(f"m{i}" for i in range(count))
-    model = VoteModel(members, members)
+    model = ClaimModel(members)
+    held = 0
     for _ in range(300):
-        candidate, voter = rng.choice(members), rng.choice(members)
+        claimant, member = rng.choice(members), rng.choice(members)
         match rng.choice("aaaaddddddklrgt"):
             case "a":
-                model.ask(candidate, voter)
+                model.ask(claimant, member)
             case "d":
                 model.deliver(rng.randrange(1000), is_kept=rng.random() < 0.1)
             case "l" if model.in_flight:
                 del model.in_flight[rng.randrange(len(model.in_flight))]
             case "r" if rng.random() < 0.2:
-                model.restart(voter)
+                model.restart(member)
             case "g" if rng.random() < 0.2:
-                model.give_up(candidate)
+                model.give_up(claimant)
             case "t":
                 model.now_s += rng.choice([0.01, 0.3, LEASE_S / 2, LEASE_S])
         model.check()
+        held += any(map(model.is_holder, members))
+    return held
 
 
-def test_release_that_arrives_late_does_not_take_back_a_newer_vote():
-    """Guards against a voter that votes twice as two messages changed their order."""
-    promises = VoterPromises(0.0)
-    assert promises.vote("a", 0, 1.0, 1.0)
-    assert promises.vote("a", 0, 3.0, 3.0)
-    promises.release("a", 0, 2.0)
-    assert not promises.vote("b", 0, 3.1, 3.1)
-    # Nor does an old question that is repeated make the vote older.
-    assert promises.vote("a", 0, 1.0, 3.2)
-    promises.release("a", 0, 2.0)
-    assert not promises.vote("b", 0, 3.3, 3.3)
-    promises.release("b", 0, 9.0)
-    assert not promises.vote("b", 0, 3.4, 3.4)
-    promises.release("a", 0, 3.5)
-    assert promises.vote("b", 0, 3.6, 3.6)
-
-
-def test_new_process_of_a_voter_waits_until_its_last_vote_has_ended():
-    """Guards against a voter that votes again as it has forgotten its vote."""
-    role = SlotRole("a")
-    role.set_members(("a",), 1)
-    before = VoterPromises(0.0)
-    assert before.vote("a", 0, 5.0, 5.0)
-    role.record_vote("a", 5.0)
-    after = VoterPromises(5.1 + LEASE_S)
-    now_s = 5.1
-    while not after.vote("b", 0, now_s, now_s):
-        now_s += 0.05
-    assert now_s >= role.find_end_s()
+@settings(max_examples=300, deadline=None)
+@given(st.integers(1, 7), st.integers(0, 2**32))
+def test_no_schedule_of_messages_makes_two_holders(count, seed):
+    """Guards against two holders after lost, late or repeated claims, or restarts."""
+    play_schedule(count, seed)
+
+
+def test_schedules_of_messages_make_holders():
+    """Guards against schedules that find no two holders as none finds any."""
+    assert sum(play_schedule(3, seed) > 0 for seed in range(50)) >= 10
+
+
+def test_answer_that_names_a_claimant_does_not_count_anew_for_a_holder():
+    """Guards against a member whose answers count for two claimants at a time."""
+    model = ClaimModel(("a", "b", "c"))
+    model.exchange("a", "a")
+    model.exchange("a", "b")
+    assert model.is_holder("a")
+    model.now_s += 0.8
+    model.exchange("a", "a")
+    model.exchange("b", "c")
+    model.now_s += 0.1
+    model.exchange("a", "c")
+    model.now_s += 0.35
+    model.exchange("b", "b")
+    assert model.is_holder("b")
+    model.check()
+
+
+def test_claims_at_a_restarted_member_do_not_count_for_two():
+    """Guards against a claimant that waits while a holder is not heard of."""
+    model = ClaimModel(("a", "b", "c"))
+    model.exchange("a", "a")
+    model.exchange("a", "c")
+    assert model.is_holder("a")
+    model.restart("c")
+    for _ in range(3):
+        model.now_s += 0.38
+        model.exchange("a", "a")
+        model.exchange("b", "b")
+        model.exchange("b", "c")
+        model.check()
+    model.exchange("a", "c")
+    for _ in range(20):
+        model.now_s += 0.05
+        model.check()
+
+
+def test_withdrawal_that_arrives_late_does_not_forget_a_newer_claim():
+    """Guards against a member that names no rival as two messages changed order."""
+    claims = HeardClaims()
+    a, b = Rival("a", False), Rival("b", False)
+    assert claims.hear(a, 0, 1.0, 1.0) == []
+    assert claims.hear(a, 0, 3.0, 3.0) == []
+    claims.forget("a", 0, 2.0)
+    assert claims.hear(b, 0, 3.1, 3.1) == [a]
+    # Nor does an old question that is repeated make the claim older.
+    claims.hear(a, 0, 1.0, 3.2)
+    claims.forget("a", 0, 2.0)
+    assert claims.hear(b, 0, 3.3, 3.3) == [a]
+    claims.forget("b", 0, 3.2)
+    assert claims.hear(a, 0, 3.35, 3.35) == [b]
+    claims.forget("a", 0, 3.5)
+    assert claims.hear(b, 0, 3.6, 3.6) == []
+
+
+def test_new_process_of_a_member_is_not_informed_until_its_last_claim_has_ended():
+    """Guards against a second holder as a member has forgotten the first one."""
+    model = ClaimModel(("a", "b"))
+    for member in ("a", "b"):
+        model.exchange("a", member)
+    assert model.is_holder("a")
+    end_s = model.roles["a"].find_end_s()
+    model.restart("b")
+    became_s = None
+    model.exchange("b", "b")
+    assert not model.is_holder("b")
+    role = SlotRole("b")
+    role.set_members(("b",), 1)
+    while became_s is None:
+        model.now_s += 0.05
+        rivals = model.claims["b"].hear(Rival("b", False), 0, model.now_s, model.now_s)
+        is_informed = model.now_s >= model.informed_s["b"]
+        answer = ClaimAnswer(tuple(rivals), is_informed)
+        role.record_answer("b", answer, model.now_s, model.now_s)
+        if model.now_s < role.find_end_s():
+            became_s = model.now_s
+    assert became_s >= end_s
+
+
+def test_claimant_that_hears_no_answer_steps_back():
+    """Guards against a node that keeps the role from others and never gets it."""
+    role, now_s, asked = SlotRole("a"), 0.0, 0
+    role.set_members(("a", "b", "c"), 3)
+    while role.may_ask(now_s) and asked < 100:
+        role.record_trial(now_s)
+        role.record_answer("a", ClaimAnswer(), now_s, now_s)
+        asked += 1
+        now_s += 0.4
+    assert asked < 10
+    # Long enough for one that yields to it to get the role.
+    assert not role.may_ask(now_s + 2 * 2 * LEASE_S)
+    assert role.may_ask(now_s + 20 * LEASE_S)
+
+
+def test_later_of_two_claimants_yields():
+    """Guards against two claimants that keep each other from the role."""
+    earlier, later = SlotRole("a"), SlotRole("b")
+    for role in (earlier, later):
+        role.set_members(("a", "b", "c"), 3)
+    named_b = ClaimAnswer((Rival("b", False),))
+    named_a = ClaimAnswer((Rival("a", False),))
+    assert not earlier.record_answer("c", named_b, 1.0, 1.0)
+    assert earlier.may_ask(1.0)
+    assert later.record_answer("c", named_a, 1.0, 1.0)
+    assert not later.may_ask(1.0 + LEASE_S)
+    assert later.may_ask(1.0 + 3 * LEASE_S)
+
+
+def test_holder_yields_to_no_claimant_that_is_no_holder():
+    """Guards against a role that moves whenever an earlier member returns."""
+    holder, other = SlotRole("b"), SlotRole("a")
+    for role in (holder, other):
+        role.set_members(("a", "b", "c"), 3)
+    for member in ("b", "c"):
+        holder.record_answer(member, ClaimAnswer(), 1.0, 1.0)
+    named = ClaimAnswer((Rival("a", False),))
+    for member in ("b", "c"):
+        assert not holder.record_answer(member, named, 1.5, 1.5)
+    assert holder.find_end_s() == 1.5 + LEASE_S
+    assert other.record_answer("c", ClaimAnswer((Rival("b", True),)), 1.5, 1.5)
 
 
 def test_all_short_schedules_make_at_most_one_holder():
     """Guards against the same, in every order of some steps of a small model."""
     members = ("a", "b", "c")
     steps = {
-        "ask a": lambda m: [m.ask("a", voter) for voter in members],
-        "ask b": lambda m: [m.ask("b", voter) for voter in members],
-        "deliver first": lambda m: m.deliver(0, is_kept=False),
-        "deliver last": lambda m: m.deliver(-1, is_kept=False),
+        "ask a": lambda m: [m.ask("a", member) for member in members],
+        "ask b": lambda m: [m.ask("b", member) for member in members],
+        "deliver first": lambda m: m.deliver(0),
+        "deliver last": lambda m: m.deliver(-1),
         "repeat first": lambda m: m.deliver(0, is_kept=True),
         "give up": lambda m: m.give_up("a"),
         "restart b": lambda m: m.restart("b"),
         "wait": lambda m: setattr(m, "now_s", m.now_s + LEASE_S / 2),
     }
     for schedule in itertools.product(steps.values(), repeat=5):
-        model = VoteModel(members, members)
-        # The first candidate has two of three votes; that of the third is on its way.
-        model.ask("a", "a")
-        model.ask("a", "b")
-        for _ in range(4):
-            model.deliver(0, is_kept=False)
+        model = ClaimModel(members)
+        # The first claimant has the answers of two; the third has not been asked.
+        model.exchange("a", "a")
+        model.exchange("a", "b")
+        assert model.is_holder("a")
         for step in schedule:
             step(model)
             model.check()
         while model.in_flight:
-            model.deliver(0, is_kept=False)
+            model.deliver(0)
             model.check()
 
 
--- a/tests/relay/test_quota_exchange.py
+++ b/tests/relay/test_quota_exchange.py
@@ -47,7 +47,7 @@
     for node in network.nodes:
         holder = node.exchange._holder
         now_s = holder._clock.monotonic_s()
-        if node.is_up and now_s < holder._roles[slot].find_end_s(now_s):
+        if node.is_up and now_s < holder._roles[slot].find_end_s():
             found.append(node)
     return found
 
