Let the next member claim the slots of a holder that stops

Cause: after a holder had stopped, no member claimed its slots before it was asked for tokens, up to 1.5 s later in a trace of the test, and no tokens accrued in that failure domain; at times all domains ran short then. Change: a member that hears the withdrawal of a holder takes that node as silent, so that the next one claims at its next renewal.

--- a/libs/mimosaloom-policy/mimosaloom_policy/quota_holders.py
+++ b/libs/mimosaloom-policy/mimosaloom_policy/quota_holders.py
@@ -151,11 +151,16 @@
             if name != claimant.name
         ]
 
-    def forget(self, claimant: str, slot: int, sent_s: float) -> None:
-        """Forget a claim that was withdrawn, unless it was renewed since."""
+    def forget(self, claimant: str, slot: int, sent_s: float) -> bool:
+        """Forget a claim that was withdrawn, unless it was renewed since.
+
+        Returns:
+            Whether the claim of a holder was forgotten.
+        """
         claims = self._by_slot.get(slot, {})
-        if claimant in claims and claims[claimant].sent_s < sent_s:
-            del claims[claimant]
+        if claimant not in claims or claims[claimant].sent_s >= sent_s:
+            return False
+        return claims.pop(claimant).is_holder
 
     def find_claimants(self, slot: int, now_s: float) -> list[str]:
         """Return the nodes that claim a slot: a holder first, then the last one."""
--- a/libs/mimosaloom-relay/mimosaloom_relay/quota_holder.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/quota_holder.py
@@ -195,16 +195,25 @@
         """Remember or forget claims; tell which other nodes claim the slots."""
         now_s = self._clock.monotonic_s()
         rivals = {}
+        if question.is_withdrawal:
+            self._note_withdrawal(question)
+            return ClaimReply(rivals, now_s >= self._start_s, *self._view.count())
         for slot in question.slots[:SLOTS]:
-            if question.is_withdrawal:
-                self._claims.forget(question.claimant, slot, question.sent_s)
-                continue
             claimant = Rival(question.claimant, slot in question.held)
             heard = self._claims.hear(claimant, slot, question.sent_s, now_s)
             if heard:
                 rivals[slot] = heard
         return ClaimReply(rivals, now_s >= self._start_s, *self._view.count())
 
+    def _note_withdrawal(self, question: ClaimQuestion) -> None:
+        """Forget claims; have the next member claim the slots of a holder."""
+        name, was_holder = question.claimant, False
+        for slot in question.slots[:SLOTS]:
+            was_holder |= self._claims.forget(name, slot, question.sent_s)
+        if was_holder and name != self._view.own_name:
+            # No node may ask for tokens for a while, in which none would accrue.
+            self._view.note_silent(name)
+
     async def serve(self, question: TokenQuestion) -> TokenReply:
         """Give tokens to an origin of the own failure domain."""
         organisation, slot = question.organisation, find_slot(question.organisation)
