Use the measured latency of upstreams that tell no estimates

An upstream without estimates was taken for the best one for good, so a slow target that tells no pace beside others that do would have had as many calls as the fast ones, which was found by reading. After five answers without an estimate its latency counts, as in the choice by latency. tests/policy/test_placement.py and test_routing.py pass.

--- a/libs/mimosaloom-policy/mimosaloom_policy/routing.py
+++ b/libs/mimosaloom-policy/mimosaloom_policy/routing.py
@@ -42,6 +42,8 @@
 # A latency that was measured longer ago does not count against an upstream, which may
 # have become faster since.
 LATENCY_MAX_AGE_S = 3.0
+# Answers without an estimate after which the measured latency of an upstream counts.
+MAX_UNESTIMATED_ANSWERS = 5
 
 
 class Candidate(NamedTuple):
@@ -82,6 +84,7 @@
         load_ratio: Last reported load, 1 for all slots in use.
         load_at_s: Time of that report.
         paused_until_s: Time until which the upstream asks for no calls.
+        unestimated_answers: Answers without an estimate since the last one with it.
     """
 
     in_flight: int = 0
@@ -93,6 +96,7 @@
     load_ratio: float = 0.0
     load_at_s: float = -math.inf
     paused_until_s: float = -math.inf
+    unestimated_answers: int = 0
 
 
 class Router:
@@ -282,6 +286,10 @@
         """
         stats = self._stats.get(name)
         if stats is not None:
+            is_estimated = estimate.service_s > 0
+            stats.unestimated_answers = (
+                0 if is_estimated else stats.unestimated_answers + 1
+            )
             self._finishes.record(
                 name,
                 incarnation,
@@ -362,12 +370,19 @@
         """Return the expected finish at each upstream.
 
         One that nothing is known of is tried as if it were the best; the ramp and the
-        random choice keep the calls of all callers from it.
+        random choice keep the calls of all callers from it. If its node answers without
+        estimates, its measured latency counts.
         """
         expected_s = {n: self.expected_s(n, class_name, now_s) for n in names}
         known = [value for value in expected_s.values() if value is not None]
         best_s = min(known, default=INITIAL_LATENCY_S)
-        return {n: best_s if v is None else v for n, v in expected_s.items()}
+        for name, value in expected_s.items():
+            if value is None:
+                stats = self._stats[name]
+                is_silent = stats.unestimated_answers >= MAX_UNESTIMATED_ANSWERS
+                latency_s = stats.latency_s if is_silent else None
+                expected_s[name] = best_s if latency_s is None else latency_s
+        return expected_s
 
     def _is_preferred(self, name: str, now_s: float, max_latency_s: float) -> bool:
         """Return whether an upstream is local and not busy, slow or failing."""
--- a/tests/policy/test_placement.py
+++ b/tests/policy/test_placement.py
@@ -194,6 +194,21 @@
     assert digest == CHOICES_BEFORE[seed]
 
 
+def test_slow_target_that_tells_no_pace_is_not_taken_for_a_fast_one():
+    """Guards against targets of one service of which only some tell their pace."""
+    router = Router("s", "me", "a", random.Random(1))
+    upstreams = [Candidate(n, "127.0.0.1", 1, "a", 20, 300, "1") for n in ("x", "y")]
+    router.set_candidates(upstreams, 0.0)
+    for step in range(10):
+        for name, elapsed_s, service_s in (("x", 0.1, 0.1), ("y", 0.5, 0.0)):
+            router.start(name, step)
+            router.finish(name, step, elapsed_s=elapsed_s, kind=None)
+            estimate = FinishEstimate(0.0, service_s)
+            router.record_estimate(name, "1", "c", estimate, step)
+    picked = [router.pick(10.0, class_name="c").name for _ in range(500)]
+    assert picked.count("y") < 25
+
+
 def fill_table():
     """Return a table with two classes at a slow and a fast upstream."""
     table = FinishTable()
