Keep the quotas of organisations at the origin

Ruled out: a check beside the target, where a request has already cost a hop. Change: a request of a client takes a token before it is ranked and admitted, and gets 429 with Retry-After if there is none; the token goes back if the request was refused before it ran.

--- a/libs/mimosaloom-relay/mimosaloom_relay/calls.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/calls.py
@@ -87,6 +87,8 @@
         awaited_node: Node whose answer is awaited; None while no hop is open.
         last_result: Hop result of the last attempt; None before the first.
         retry_after_s: Longest delay that a node has asked for; 0 if none has.
+        token_expires_s: Identifies the token of the organisation's quota that the
+            request has; None without.
         rank: Rank by fair share; below 0 if it follows from the id and priority alone.
         expected_s: Expected time to the end at the last upstream that was chosen; None
             if not known.
@@ -105,6 +107,7 @@
         self.awaited_node: Candidate | None = None
         self.last_result: HopResult | None = None
         self.retry_after_s = 0.0
+        self.token_expires_s: float | None = None
         self.rank = NO_RANK
         self.expected_s: float | None = None
 
--- a/libs/mimosaloom-relay/mimosaloom_relay/metrics.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/metrics.py
@@ -122,6 +122,7 @@
             gauge = self._expected_service.labels(request_class)
             self._expected_by_class[request_class] = gauge
         gauge.set(service_s)
+
     def count_quota_question(self, kind: str, result: str) -> None:
         """Count a question about quotas by its kind and result."""
         self._quota_questions.labels(kind, result).inc()
--- a/libs/mimosaloom-relay/mimosaloom_relay/node.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/node.py
@@ -214,6 +214,7 @@
             self.records_progress,
             self.quarantine,
             retry_policy,
+            self.quotas,
             clock=clock,
             log=self.log,
             metrics=metrics,
--- a/libs/mimosaloom-relay/mimosaloom_relay/origin.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/origin.py
@@ -33,6 +33,7 @@
     remove_headers,
 )
 from .quarantine_exchange import QuarantineExchange
+from .quota_exchange import QuotaExchange
 from .read_progress import ReadProgress
 from .refusals import build_refusal
 from .request_account import RequestAccount
@@ -76,6 +77,7 @@
         records_progress: How far the records of nodes have been read; likewise.
         quarantine: Requests that are held back; likewise.
         retry_policy: Decides whether a request gets another attempt.
+        quotas: Keeps the quotas of organisations together with the other nodes.
         clock: Source of time.
         log: Receives the log lines of refusals and outcomes.
         metrics: Counts outcomes.
@@ -104,6 +106,7 @@
         records_progress: ReadProgress,
         quarantine: QuarantineExchange,
         retry_policy: RetryPolicy,
+        quotas: QuotaExchange,
         *,
         clock: Clock,
         log: DecisionLog,
@@ -126,6 +129,7 @@
         self._records_progress = records_progress
         self._quarantine = quarantine
         self._retry_policy = retry_policy
+        self._quotas = quotas
         self._clock = clock
         self._log = log
         self._metrics = metrics
@@ -243,6 +247,8 @@
                 "the time of the request ran out while this process was paused",
             )
             return self._finish_with_refusal(call, progress)
+        if not await self._has_quota(call, progress):
+            return self._finish_with_refusal(call, progress)
         progress.rank = self._root_rank.record_and_rank(call)
         if not self._is_admitted(call, progress.rank):
             progress.last_result = HopResult(
@@ -276,6 +282,31 @@
         self._record_call_result(call, is_success=False)
         return self._finish_with_refusal(call, progress)
 
+    async def _has_quota(self, call: Call, progress: Progress) -> bool:
+        """Take a token for a request of an organisation; return False if it gets none.
+
+        This protects the organisations that stay within their quota from one that sends
+        several times as much. Calls belong to a request that has its token.
+        """
+        if call.organisation is None or call.organisation.quota is None:
+            return True
+        pause_s = await self._quotas.acquire(call.organisation.name)
+        if not pause_s:
+            progress.token_expires_s = self._quotas.taken_expires_s
+            return True
+        progress.last_result = HopResult(
+            ErrorKind.OVER_QUOTA.value,
+            f"{call.organisation.name} has used up its quota",
+            pause_s,
+        )
+        return False
+
+    def _return_token(self, call: Call, progress: Progress) -> None:
+        """Return the token of a request that has not run."""
+        if progress.token_expires_s is not None and not progress.may_have_run:
+            name = call.organisation.name
+            self._quotas.put_back(name, progress.token_expires_s)
+
     def _is_admitted(self, call: Call, rank: float) -> bool:
         """Return whether the path has capacity; calls of a running request always pass.
 
@@ -480,7 +511,8 @@
         elif not progress.may_have_run and ERROR_ANSWERS[kind].ran is not Ran.NO:
             kind = ErrorKind.NO_UPSTREAM
         remaining_s = call.start_s + call.caller_timeout_s - self._clock.monotonic_s()
-        if kind is ErrorKind.QUARANTINED:
+        self._return_token(call, progress)
+        if kind in (ErrorKind.QUARANTINED, ErrorKind.OVER_QUOTA):
             retry_after_s = last_result.retry_after_s
         else:
             retry_after_s = choose_retry_after(
--- a/tests/platform_adapter/test_organisations.py
+++ b/tests/platform_adapter/test_organisations.py
@@ -1,5 +1,7 @@
 """Keys of organisations on the whole path of a request over real sockets."""
 
+import asyncio
+import itertools
 import json
 
 import pytest
@@ -225,6 +227,62 @@
     run_cluster(scenario)
 
 
+def test_organisation_beyond_its_quota_is_refused_and_others_are_served():
+    """Guards against a quota that is not kept, or that others pay for."""
+
+    async def scenario(cluster):
+        limited = {**SCHOOL, "ratePerS": 2, "burst": 2}
+        front, back = await start(cluster, (CLINIC, limited))
+        statuses = []
+        # Until the nodes keep tokens, requests with a quota are refused.
+        await wait_until_served(front, statuses)
+        for number in range(60):
+            response = await front.send_request(
+                "/b/x", f"id-{number}", headers=with_key("key-3")
+            )
+            statuses.append(response.status)
+        assert statuses.count(200) <= (2 * 5 + 2) * 1.1 + 20
+        assert set(statuses) == {200, 429}
+        assert response.status == 429
+        assert 0 < float(response.header("Retry-After")) <= 6
+        other = await front.send_request("/b/x", "id-x", headers=with_key("key-1"))
+        assert other.status == 200
+        assert len(back.target.runs) == statuses.count(200) + 1
+
+    run_cluster(scenario)
+
+
+async def wait_until_served(front, statuses):
+    """Send requests of the limited organisation until one is served."""
+    for number in itertools.count():
+        response = await front.send_request(
+            "/b/x", f"first-{number}", headers=with_key("key-3")
+        )
+        statuses.append(response.status)
+        if response.status == 200:
+            return
+        await asyncio.sleep(0.05)
+
+
+def test_request_that_was_refused_before_it_ran_returns_its_token():
+    """Guards against a quota that is used up by requests that no target has run."""
+
+    async def scenario(cluster):
+        limited = {**SCHOOL, "ratePerS": 100, "burst": 100}
+        front, back = await start(cluster, (CLINIC, limited))
+        await wait_until_served(front, [])
+        returned = []
+        front.node.quotas.put_back = lambda name, expires_s: returned.append(name)
+        await front.send_request("/b/x", "id-1", headers=with_key("key-3"))
+        assert not returned
+        back.node.target_side.is_stopping = True
+        refused = await front.send_request("/b/x", "id-2", headers=with_key("key-3"))
+        assert refused.status == 503
+        assert returned == ["school"]
+
+    run_cluster(scenario)
+
+
 def test_organisations_are_decoded():
     """Guards against a quota, priority or key that ends up in the wrong place."""
     limited = {**SCHOOL, "ratePerS": 40, "burst": 30, "priority": 99}
