Stop the clock of the log in a test of sampled lines

Cause: the test expects that the log has no room for the 80th success; room grows by 5 lines a second, so on a machine where 80 requests take over 11 s there is room again. Change: the log's clock stands while the test runs; check and bound stay.

--- a/tests/platform_adapter/test_explain.py
+++ b/tests/platform_adapter/test_explain.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+from datetime import timedelta
 
 import pytest
 from eliot import add_destinations, remove_destination
@@ -77,11 +78,23 @@
     assert "target_gave_no_answer" in report[0]
 
 
+def stop_clock(log):
+    """Stop the clock of a log, so that no room for lines is gained while a test runs.
+
+    On a slow machine, room for another success would be gained between two requests.
+    """
+    clock = ManualClock()
+    clock.advance(timedelta(seconds=log._clock.monotonic_s()))
+    log._clock = clock
+
+
 def test_failed_answer_of_a_target_is_logged_after_many_successes():
     """Guards against sampling failed answers of targets like successful ones."""
 
     async def scenario(cluster):
         front, back = await start_pair(cluster)
+        for member in (front, back):
+            stop_clock(member.node.log)
         back.target.modes = ["ok"] * 80 + ["error"]
         for number in range(81):
             response = await front.send_request("/b/x", f"id-{number}", method="POST")
