Describe quotas by the claims of nodes, and rename the time they are remembered

The tests named a message and functions of the earlier way to choose a holder; they now send and patch those of claims, with the same bounds.

--- a/libs/mimosaloom-policy/mimosaloom_policy/__init__.py
+++ b/libs/mimosaloom-policy/mimosaloom_policy/__init__.py
@@ -36,7 +36,7 @@
 )
 from .quota_bucket import HolderBucket, TokenMove
 from .quota_holders import (
-    LEASE_S,
+    CLAIM_MEMORY_S,
     SLOTS,
     ClaimAnswer,
     HeardClaims,
@@ -84,8 +84,8 @@
 from .work_cost import MAX_PACE, MIN_PACE, FinishEstimate, WorkMeter
 
 __all__ = [
+    "CLAIM_MEMORY_S",
     "ENDS_BEFORE_HOLD",
-    "LEASE_S",
     "MAX_PACE",
     "MIN_PACE",
     "PRIORITY_COUNT",
--- a/libs/mimosaloom-policy/mimosaloom_policy/quota_holders.py
+++ b/libs/mimosaloom-policy/mimosaloom_policy/quota_holders.py
@@ -1,8 +1,8 @@
 """Which node of a failure domain keeps the tokens of an organisation: its holder.
 
 Organisations are spread over slots. The first nodes of a failure domain in the order of
-a slot are its members. Each decides alone whether it is the holder, by what it hears:
-most members have to answer it, and none of them may have heard a claim of another one.
+a slot are its members. A node is the holder by what it hears from them: most have to
+answer it, and none of these may have heard a claim of another one before.
 See docs/design/quotas.md.
 """
 
@@ -14,7 +14,7 @@
 from .readers import choose_readers
 
 __all__ = [
-    "LEASE_S",
+    "CLAIM_MEMORY_S",
     "SLOTS",
     "ClaimAnswer",
     "HeardClaims",
@@ -32,12 +32,12 @@
 # What a member has answered counts for this long: at the member, which remembers the
 # claim, from the arrival of the question, and at the claimant from its sending, so that
 # it ends there first.
-LEASE_S = 1.2
+CLAIM_MEMORY_S = 1.2
 # A claimant that yields to an earlier one claims nothing for this long.
-YIELD_S = 2 * LEASE_S
+YIELD_S = 2 * CLAIM_MEMORY_S
 # One that does not become the holder for the first time claims nothing for the second.
 # That is longer than others yield to it.
-MAX_TRIAL_S = 2 * LEASE_S
+MAX_TRIAL_S = 2 * CLAIM_MEMORY_S
 FAILED_TRIAL_S = 3 * YIELD_S
 # A node that knows fewer nodes than others, because it has just started or one has just
 # been added, goes by the larger number for this long.
@@ -144,7 +144,9 @@
         claims = self._valid(slot, now_s)
         known = claims.get(claimant.name)
         if known is None or known.sent_s <= sent_s:
-            claims[claimant.name] = _Claim(now_s + LEASE_S, sent_s, claimant.is_holder)
+            claims[claimant.name] = _Claim(
+                now_s + CLAIM_MEMORY_S, sent_s, claimant.is_holder
+            )
         return [
             Rival(name, claim.is_holder)
             for name, claim in claims.items()
@@ -181,8 +183,8 @@
 
     Attributes:
         rivals: Other nodes that claim the slot.
-        is_informed: Whether the member has run for `LEASE_S`, so that it has heard all
-            claims that may still count.
+        is_informed: Whether the member has run for `CLAIM_MEMORY_S`, so that it has
+            heard all claims that may still count.
     """
 
     rivals: tuple[Rival, ...] = ()
@@ -248,7 +250,7 @@
             return True
         until_s = self._until_s.get(member, 0.0)
         if (answer.is_informed and not rivals) or now_s < until_s:
-            self._until_s[member] = max(asked_s + LEASE_S, until_s)
+            self._until_s[member] = max(asked_s + CLAIM_MEMORY_S, until_s)
         return False
 
     def record_trial(self, now_s: float) -> None:
--- a/libs/mimosaloom-relay/mimosaloom_relay/quota_holder.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/quota_holder.py
@@ -11,7 +11,7 @@
 from mimosaloom_mesh.messages import Request, Response
 from mimosaloom_model import Clock
 from mimosaloom_policy import (
-    LEASE_S,
+    CLAIM_MEMORY_S,
     SLOTS,
     ClaimAnswer,
     HeardClaims,
@@ -135,7 +135,7 @@
         self._clock = clock
         self._log = log
         # Until then, what this node has heard does not go back far enough.
-        self._start_s = clock.monotonic_s() + LEASE_S
+        self._start_s = clock.monotonic_s() + CLAIM_MEMORY_S
         self._claims = HeardClaims()
         self._roles = {slot: SlotRole(view.own_name) for slot in range(SLOTS)}
         self._held: dict[int, _Held] = {}
--- a/tests/policy/test_quota.py
+++ b/tests/policy/test_quota.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from mimosaloom_policy import (
-    LEASE_S,
+    CLAIM_MEMORY_S,
     SLOTS,
     Balance,
     ClaimAnswer,
@@ -119,14 +119,14 @@
         self.informed_s = {}
         for name in members:
             self.restart(name)
-        self.now_s = LEASE_S
+        self.now_s = CLAIM_MEMORY_S
 
     def restart(self, name):
         """Replace the process of a member."""
         self.claims[name] = HeardClaims()
         role = self.roles[name] = SlotRole(name)
         role.set_members(self.members, len(self.members))
-        self.informed_s[name] = self.now_s + LEASE_S
+        self.informed_s[name] = self.now_s + CLAIM_MEMORY_S
 
     def is_holder(self, name):
         """Return whether a node takes itself for the holder."""
@@ -199,7 +199,9 @@
             case "g" if rng.random() < 0.2:
                 model.give_up(claimant)
             case "t":
-                model.now_s += rng.choice([0.01, 0.3, LEASE_S / 2, LEASE_S])
+                model.now_s += rng.choice(
+                    [0.01, 0.3, CLAIM_MEMORY_S / 2, CLAIM_MEMORY_S]
+                )
         model.check()
         held += any(map(model.is_holder, members))
     return held
@@ -306,8 +308,8 @@
         now_s += 0.4
     assert asked < 10
     # Long enough for one that yields to it to get the role.
-    assert not role.may_ask(now_s + 2 * 2 * LEASE_S)
-    assert role.may_ask(now_s + 20 * LEASE_S)
+    assert not role.may_ask(now_s + 2 * 2 * CLAIM_MEMORY_S)
+    assert role.may_ask(now_s + 20 * CLAIM_MEMORY_S)
 
 
 def test_later_of_two_claimants_yields():
@@ -320,8 +322,8 @@
     assert not earlier.record_answer("c", named_b, 1.0, 1.0)
     assert earlier.may_ask(1.0)
     assert later.record_answer("c", named_a, 1.0, 1.0)
-    assert not later.may_ask(1.0 + LEASE_S)
-    assert later.may_ask(1.0 + 3 * LEASE_S)
+    assert not later.may_ask(1.0 + CLAIM_MEMORY_S)
+    assert later.may_ask(1.0 + 3 * CLAIM_MEMORY_S)
 
 
 def test_holder_yields_to_no_claimant_that_is_no_holder():
@@ -334,7 +336,7 @@
     named = ClaimAnswer((Rival("a", False),))
     for member in ("b", "c"):
         assert not holder.record_answer(member, named, 1.5, 1.5)
-    assert holder.find_end_s() == 1.5 + LEASE_S
+    assert holder.find_end_s() == 1.5 + CLAIM_MEMORY_S
     assert other.record_answer("c", ClaimAnswer((Rival("b", True),)), 1.5, 1.5)
 
 
@@ -349,7 +351,7 @@
         "repeat first": lambda m: m.deliver(0, is_kept=True),
         "give up": lambda m: m.give_up("a"),
         "restart b": lambda m: m.restart("b"),
-        "wait": lambda m: setattr(m, "now_s", m.now_s + LEASE_S / 2),
+        "wait": lambda m: setattr(m, "now_s", m.now_s + CLAIM_MEMORY_S / 2),
     }
     for schedule in itertools.product(steps.values(), repeat=5):
         model = ClaimModel(members)
@@ -376,7 +378,7 @@
         self.used_s = []
         self.domains = range(domains)
         self.since_s = [0.0] * domains
-        self.end_s = [LEASE_S] * domains
+        self.end_s = [CLAIM_MEMORY_S] * domains
         self.buckets = [HolderBucket(self.limits, 0.0) for _ in self.domains]
         self.balances = [Balance(self.limits, 0.0) for _ in range(origins)]
         self.taken = []
@@ -395,7 +397,7 @@
             self.since_s[domain] = self.now_s
             if self.rng.random() < 0.5:
                 self.buckets[domain] = HolderBucket(self.limits, self.now_s)
-        self.end_s[domain] = self.now_s + LEASE_S
+        self.end_s[domain] = self.now_s + CLAIM_MEMORY_S
 
     def ask(self, origin):
         """Ask a holder for tokens; the answer is on its way or lost."""
@@ -496,10 +498,10 @@
     balance.add(10, 0.0, 5.0)
     assert not balance.try_take(5.0)
     bucket = HolderBucket(limits, 0.0)
-    bucket.set_own_share(1.0, 0.0, LEASE_S, 1.0)
+    bucket.set_own_share(1.0, 0.0, CLAIM_MEMORY_S, 1.0)
     assert bucket.tokens(1.0) > 0
     assert bucket.tokens(5.0) == 0
-    bucket.set_own_share(1.0, 5.0, 5.0 + LEASE_S, 5.0)
+    bucket.set_own_share(1.0, 5.0, 5.0 + CLAIM_MEMORY_S, 5.0)
     assert bucket.take(100, 5.0) == 0
 
 
@@ -562,7 +564,7 @@
     now_s = 0.0
     for step in range(200):
         now_s = 0.05 * step
-        bucket.set_own_share(1 / 3, 0.0, now_s + LEASE_S, now_s)
+        bucket.set_own_share(1 / 3, 0.0, now_s + CLAIM_MEMORY_S, now_s)
         bucket.demand.add(1, now_s)
         bucket.take(1, now_s)
     move = bucket.lend("other", 1.0, 1000.0, LEND_S, now_s)
--- a/tests/relay/quota_figures.py
+++ b/tests/relay/quota_figures.py
@@ -41,7 +41,7 @@
         network.messages.clear()
         network.bytes = 0
         await asyncio.sleep(2)
-        counts["votes/s"] = network.messages["within"] / 2
+        counts["claims/s"] = network.messages["within"] / 2
         network.messages.clear()
         network.bytes = 0
         async with asyncio.TaskGroup() as group:
@@ -56,8 +56,8 @@
                     )
                 )
         passed_s = duration_s + 2
-        votes = counts["votes/s"] * passed_s
-        counts["questions/s"] = (network.messages["within"] - votes) / duration_s
+        claims = counts["claims/s"] * passed_s
+        counts["questions/s"] = (network.messages["within"] - claims) / duration_s
         counts["between/s"] = network.messages["between"] / duration_s
         counts["body bytes/message"] = network.bytes / sum(network.messages.values())
 
@@ -86,12 +86,12 @@
     return runs / (runs + refused), window / allowed(quota, BOUNDS)
 
 
-def play_cuts(parts, quorum=None, quota=Quota(100)):  # noqa: B008
+def play_cuts(parts, majority=None, quota=Quota(100)):  # noqa: B008
     """Return the largest window, in relation to the bounds, while domains are cut.
 
     Args:
         parts: Parts into which the nodes are cut.
-        quorum: Votes that make a holder, in place of `choose_quorum`.
+        majority: Answers that make a holder, in place of `choose_majority`.
         quota: Quota of the organisation, which sends five times its rate.
     """
     network = QuotaNetwork(3, 9, {"o": quota}, BOUNDS, seed=12)
@@ -107,11 +107,11 @@
         network.side = {node.name: node.port // 3 % parts for node in network.nodes}
         await load
 
-    patched = "mimosaloom_policy.quota_holders.choose_quorum"
-    if quorum is None:
+    patched = "mimosaloom_policy.quota_holders.choose_majority"
+    if majority is None:
         run_virtual(run())
     else:
-        with mock.patch(patched, return_value=quorum):
+        with mock.patch(patched, return_value=majority):
             run_virtual(run())
     largest = largest_window(network.runs["o"], BOUNDS.window_s)
     return largest / allowed(quota, BOUNDS)
@@ -131,8 +131,8 @@
     """Print all figures."""
     for parts in (2, 3, 5):
         print("cut into", parts, "parts: largest window over the bounds:")
-        print("  quorum", round(play_cuts(parts), 3))
-        print("  one vote is enough", round(play_cuts(parts, quorum=1), 3))
+        print("  majority", round(play_cuts(parts), 3))
+        print("  one answer is enough", round(play_cuts(parts, majority=1), 3))
     for quota in (Quota(5), Quota(50), Quota(900)):
         for place, choose in PLACES.items():
             share, _ = play_place(quota, DEMAND_RATIO * quota.rate_per_s, choose)
--- a/tests/relay/test_node_quotas.py
+++ b/tests/relay/test_node_quotas.py
@@ -72,7 +72,7 @@
         node.put_configuration(b"x", "test")
         assert await node.quotas.acquire("with") > 0
         assert await node.quotas.acquire("without") == 0
-        question = msgspec.json.encode(["v", "other", [1], 1.0])
+        question = msgspec.json.encode(["c", "other", [1], [], 1.0])
         incoming = Incoming(Request("POST", QUOTA_PATH, (), question))
         answer = await node._hops.handle(incoming)
         assert answer.response.status == 200
--- a/tests/relay/test_quota_exchange.py
+++ b/tests/relay/test_quota_exchange.py
@@ -8,7 +8,7 @@
 from relay.quota_network import QuotaNetwork, allowed, largest_window, run_virtual
 
 from mimosaloom_mesh.messages import Request
-from mimosaloom_policy import LEASE_S, Quota, QuotaBounds, find_slot
+from mimosaloom_policy import CLAIM_MEMORY_S, Quota, QuotaBounds, find_slot
 from mimosaloom_relay.quota_exchange import MAX_RETRY_AFTER_S, QUOTA_PATH
 
 BOUNDS = QuotaBounds()
@@ -170,7 +170,7 @@
                 gone.is_deaf = True
             else:
                 gone.paused_until_s = loop.time() + 30
-        await asyncio.sleep(7 * LEASE_S)
+        await asyncio.sleep(7 * CLAIM_MEMORY_S)
         assert len(holders(network)) == 3
         late = len(network.refused["o"])
         await load
@@ -222,10 +222,10 @@
     check_windows(play(network, script))
 
 
-def test_one_vote_would_not_be_enough():
+def test_one_answer_would_not_be_enough():
     """Guards against a simulation in which no rule could exceed the bounds."""
     assert play_cuts(2) <= 1
-    assert play_cuts(2, quorum=1) > 1.2
+    assert play_cuts(2, majority=1) > 1.2
 
 
 def test_start_of_all_nodes_at_once_neither_bursts_nor_refuses_for_long():
@@ -245,7 +245,7 @@
             await asyncio.sleep(network.rng.random())
             for node in network.nodes:
                 node.known, node.has_read = None, True
-            await asyncio.sleep(LEASE_S + 1)
+            await asyncio.sleep(CLAIM_MEMORY_S + 1)
             assert len(holders(network)) == 3
         await load
 
