--- a/tests/policy/test_quota.py
+++ b/tests/policy/test_quota.py
@@ -236,6 +236,23 @@
     model.check()
 
 
+def test_answer_that_arrives_after_the_previous_one_has_ended_does_not_prolong_it():
+    """Guards against a late claim at a member that now answers another claimant."""
+    model = ClaimModel(("a", "b", "c"))
+    model.exchange("a", "a")
+    model.exchange("a", "c")
+    model.now_s += CLAIM_MEMORY_S - 0.1
+    model.exchange("a", "a")
+    model.ask("a", "c")
+    model.now_s += 0.15
+    model.exchange("b", "b")
+    model.exchange("b", "c")
+    assert model.is_holder("b")
+    while model.in_flight:
+        model.deliver(0)
+        model.check()
+
+
 def test_claims_at_a_restarted_member_do_not_count_for_two():
     """Guards against a claimant that waits while a holder is not heard of."""
     model = ClaimModel(("a", "b", "c"))
