Use what calls, progress and the directory already know

Weights of fair shares were taken from the organisations by a loop of their own beside OrganisationDirectory.quotas; the name of an organisation was derived in two places; and an attempt was marked as written through a partial of setattr. Behaviour is the same: tests of ranks, accounts, organisations, true refusals, the path, log lines and pages pass.

--- a/libs/mimosaloom-relay/mimosaloom_relay/calls.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/calls.py
@@ -42,6 +42,11 @@
     caller_timeout_s: float
     organisation: Organisation | None = None
 
+    @property
+    def organisation_name(self) -> str:
+        """Name of the organisation; empty for none."""
+        return "" if self.organisation is None else self.organisation.name
+
     @property
     def is_repeat(self) -> bool:
         """Whether the request that makes this call is itself a retry."""
@@ -111,6 +116,10 @@
         self.rank = NO_RANK
         self.expected_s: float | None = None
 
+    def record_write(self) -> None:
+        """Record that an attempt is about to be written, after which it may run."""
+        self.may_have_run = True
+
     @property
     def expected_ms(self) -> int | None:
         """Expected time at the last upstream in milliseconds; None if not known."""
--- a/libs/mimosaloom-relay/mimosaloom_relay/origin.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/origin.py
@@ -6,7 +6,6 @@
 
 import asyncio
 from collections.abc import Callable
-from functools import partial
 
 from mimosaloom_mesh.messages import Request, parse_decimal
 from mimosaloom_model import (
@@ -420,21 +419,22 @@
             request_key=call.request_key,
             is_trial=progress.is_trial,
             quarantine_digest=self._quarantine.table.digest,
-            organisation="" if call.organisation is None else call.organisation.name,
+            organisation=call.organisation_name,
             rank=progress.rank,
         )
         router.start(candidate.name, start_s)
         progress.last_upstream = candidate.name
         kind: ErrorKind | None = ErrorKind.CANCELLED
         may_have_run_before = progress.may_have_run
-        on_write = partial(setattr, progress, "may_have_run", True)
         try:
             if candidate.name == self._own_name:
-                reply = await self._target_side.run(context, call.incoming, on_write)
+                reply = await self._target_side.run(
+                    context, call.incoming, progress.record_write
+                )
             else:
                 progress.awaited_node = candidate
                 reply = await self._hops.send(
-                    candidate, context, call.incoming, on_write
+                    candidate, context, call.incoming, progress.record_write
                 )
                 progress.awaited_node = None
             kind = read_kind(reply.result)
@@ -544,8 +544,9 @@
         request_class = call.route.request_class
         elapsed_s = now_s - call.start_s
         self._metrics.count_outcome(request_class.name, outcome, elapsed_s)
-        organisation = call.organisation.name if call.organisation else ""
-        self.account.count_call(call, progress, outcome, kind, elapsed_s, organisation)
+        self.account.count_call(
+            call, progress, outcome, kind, elapsed_s, call.organisation_name
+        )
         has_failed = outcome != "answered" or kind.startswith("5")
         importance = Importance.FAILURE if has_failed else Importance.SUCCESS
         if not self._log.has_room(importance):
@@ -571,7 +572,7 @@
             timeout_ms=round(1000 * (call.deadline_s - call.start_s)),
             retry_after_s=retry_after_s,
             version=self.configuration.version,
-            organisation=organisation,
+            organisation=call.organisation_name,
             rank=round(effective_rank(progress.rank, root_id, call.priority), 4),
         )
 
--- a/libs/mimosaloom-relay/mimosaloom_relay/root_rank.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/root_rank.py
@@ -36,13 +36,10 @@
             directory: Organisations of the configuration in force; None if it declares
                 none.
         """
-        found = {} if directory is None else directory.organisations
-        rates = {
-            name: organisation.quota.rate_per_s
-            for name, organisation in found.items()
-            if organisation.quota is not None and organisation.quota.rate_per_s > 0
-        }
-        self._fair_rank.set_weights(rates)
+        quotas = {} if directory is None else directory.quotas
+        self._fair_rank.set_weights(
+            {name: q.rate_per_s for name, q in quotas.items() if q.rate_per_s > 0}
+        )
 
     def record_and_rank(self, call: Call) -> float:
         """Count a request and return its rank by fair share; `NO_RANK` if it has none.
