--- a/review/5/case.py
+++ b/review/5/case.py
@@ -4,7 +4,8 @@
 The disruption is that the clock of its machine steps back by 2.4 s in between, so that
 the second start bears an earlier time than the first. Later it says that it drains,
 gets 200 and serves on for a while. The rule is checked at the target: no request may
-reach it later than `drainMs` after the confirmation.
+reach it later than `drainMs` after the confirmation. The record also names the orders
+that are cut when the target ends.
 """
 
 import asyncio
@@ -25,6 +26,7 @@
 STABLE_S = 3.0
 DRAIN_S = 2.0
 SERVES_ON_S = 8.0
+WORK_S, PAUSE_S = 0.2, 0.1
 
 
 async def scenario(deployment, has_trouble):
@@ -37,7 +39,9 @@
         machine.start()
     for target in targets.values():
         await target.start()
-    deployment.configure([build_route("order", "/orders/", "orders")])
+    deployment.configure(
+        [build_route("order", "/orders/", "orders", routeType="non_idempotent")]
+    )
     await deployment.wait_until_ready()
     first = deployment.new_target(back)
     await first.start()
@@ -50,12 +54,14 @@
     if has_trouble:
         leaving.born_ms -= CLOCK_STEP_MS
         deployment.note(f"the clock of b has stepped back by {CLOCK_STEP_MS} ms")
+    leaving.work_s = targets["c"].work_s = WORK_S
     await leaving.start()
     deployment.note(f"{leaving.id} started again, born {leaving.born_ms}")
     await asyncio.sleep(QUIET_S)
-    stop = asyncio.Event()
+    stop, failed = asyncio.Event(), set()
     clients = [
-        asyncio.ensure_future(call(deployment, front, n, stop)) for n in range(4)
+        asyncio.ensure_future(call(deployment, front, n, stop, failed))
+        for n in range(4)
     ]
     await asyncio.sleep(STABLE_S + 2)
     ran_before = len(leaving.runs)
@@ -69,22 +75,29 @@
     while time.monotonic() < end_s:
         await asyncio.sleep(1.5)
         await leaving.tell("PUT", leaving.build_heartbeat("draining"))
+    ended_s = time.monotonic()
+    await leaving.end()
+    deployment.note(f"{leaving.id} ends")
+    await asyncio.sleep(1)
     stop.set()
     await asyncio.gather(*clients)
+    cut = [r for r, at_s in leaving.runs if at_s > ended_s - 1 and r in failed]
     late_runs = [r for r, at_s in leaving.runs if at_s > confirmed_s + DRAIN_S]
     deployment.note(
         f"{len(late_runs)} requests reached {leaving.id} later than {DRAIN_S} s after "
         f"the confirmation, {ran_before} before it; {len(targets['c'].runs)} ran at "
-        f"the other target"
+        f"the other target; requests cut when it ended: {cut}"
     )
     assert targets["c"].runs
     assert ran_before
     return not late_runs
 
 
-async def call(deployment, front, client, stop):
+async def call(deployment, front, client, stop, failed):
     """Send one request after the other until told to stop."""
     connection, number = None, 0
+    # So that some requests are under way at each moment.
+    await asyncio.sleep(client * (WORK_S + PAUSE_S) / 4)
     while not stop.is_set():
         number += 1
         request_id = f"r{client}-{number}"
@@ -93,16 +106,19 @@
                 connection = await Connection.open(front.ports["outbound"])
             deployment.note(f"send {request_id}")
             answer = await connection.call(
-                "GET", f"/orders/{request_id}", request_headers(request_id)
+                "POST", f"/orders/{request_id}", request_headers(request_id), b"{}"
             )
             deployment.note(f"answer {request_id} {answer.status}")
+            if answer.status != 200:
+                failed.add(request_id)
             if answer.headers.get("connection") == "close":
                 connection.close()
                 connection = None
         except (OSError, TimeoutError, EOFError, ValueError) as error:
             deployment.note(f"answer {request_id} none: {error!r}")
+            failed.add(request_id)
             connection = None
-        await asyncio.sleep(0.1)
+        await asyncio.sleep(PAUSE_S)
 
 
 run_case(scenario, FOLDER)
