--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -457,11 +457,14 @@
 
     async def run() -> None:
         deployment = Deployment(folder / "record.txt")
+        # A script that is told to end also ends the nodes that it started.
+        ending = asyncio.current_task().cancel
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, ending)
         try:
             async with asyncio.timeout(110):
                 held = await scenario(deployment, has_trouble)
             code = 0 if held else 1
-        except Exception as error:
+        except (Exception, asyncio.CancelledError) as error:
             deployment.note(f"the case could not run: {error!r}")
             print(f"the case could not run: {error!r}", file=sys.stderr)
             code = 2
