Remember the leave of a target that the node has not heard of

Cause: a leave was a flag of the current target. A node that has restarted has none before the first heartbeat, so it answered DELETE with 200 and kept nothing; a late heartbeat of the same start then counted as that of a new one. The leave of a start whose first heartbeat is still on its way beside an earlier start was lost the same way.

The node that lost the message and a resume from the stored record are ruled out.

Change: the node keeps the starts that have left, by id and start time, and reads from them whether its target leaves. Without a current target the leave makes one, which is published and told to other nodes, so it outlasts the next restart too. target_left now has the start time.

Why it works: no heartbeat of a start that is kept there makes the target available again, whichever of the two arrives first.

--- a/libs/mimosaloom-relay/mimosaloom_relay/node.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/node.py
@@ -109,7 +109,7 @@
         # Records in the store, None for a missing one, that differ from what is known
         # of their nodes and that the nodes have not confirmed.
         self._unconfirmed: dict[str, bytes | None] = {}
-        self.own_target = OwnTarget(settings.service, settings.target)
+        self.own_target = OwnTarget(settings.service, settings.target, clock=clock)
         target_client = HttpClient(clock, lambda: metrics.count_connection("target"))
         hop_client = HttpClient(
             clock, lambda: metrics.count_connection("node"), detects_silence=True
@@ -426,7 +426,9 @@
     def _restore_leaving(self) -> bool:
         """Exclude a target that left before this node started; return if it is new."""
         own = self.own_target
-        if own.is_leaving or not self.own_record.has_left(own.start_key):
+        if own.announcement is None or own.is_leaving:
+            return False
+        if not self.own_record.has_left(own.start_key):
             return False
         return own.mark_leaving(own.target_id)
 
@@ -435,7 +437,9 @@
         is_own = self.own_target.mark_leaving(target_id, born_ms)
         if is_own:
             self._publish_own_record()
-        self.log.change("target_left", target_id=target_id, is_own=is_own)
+        self.log.change(
+            "target_left", target_id=target_id, born_ms=born_ms, is_own=is_own
+        )
         return is_own
 
     def describe(self) -> dict:
--- a/libs/mimosaloom-relay/mimosaloom_relay/own_target.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/own_target.py
@@ -3,10 +3,11 @@
 from enum import StrEnum
 from typing import NamedTuple
 
-from mimosaloom_model import Address
+from mimosaloom_model import Address, Clock
 
 __all__ = [
     "MAX_BORN_MS",
+    "MAX_LATENESS_S",
     "MAX_SLOTS",
     "Announcement",
     "HeartbeatResult",
@@ -21,8 +22,11 @@
 # Calls that a target runs at once; each needs a connection, and so a port, of its own.
 MAX_SLOTS = 65535
 # Number of starts of targets at one address whose last sequence numbers are kept, so
-# that late heartbeats of an earlier start are recognised.
+# that late heartbeats of an earlier start are recognised, and whose leaves are kept.
 MAX_TRACKED_STARTS = 16
+# How late a message of a target may arrive. Messages are delayed by seconds, also those
+# of a target that has ended meanwhile.
+MAX_LATENESS_S = 10.0
 
 
 class TargetState(StrEnum):
@@ -32,6 +36,18 @@
     DRAINING = "draining"
 
 
+class _Start(NamedTuple):
+    """What identifies one start of a target.
+
+    Attributes:
+        target_id: Id of the target.
+        born_ms: Start time of the target in Unix milliseconds; 0 if not known.
+    """
+
+    target_id: str
+    born_ms: int
+
+
 class Announcement(NamedTuple):
     """One heartbeat of a target.
 
@@ -84,20 +100,31 @@
     Args:
         service: Service that runs on this instance.
         address: Address where the target of that service listens.
+        clock: Source of time.
 
     Attributes:
-        announcement: Last heartbeat that was applied; None before the first.
-        is_leaving: Whether the target is draining or has left.
+        announcement: Last heartbeat that was applied, or what a leave that came before
+            the first heartbeat says; None before both.
         is_reachable: False from a refused connection to the next heartbeat.
     """
 
-    def __init__(self, service: str, address: Address):
+    def __init__(self, service: str, address: Address, *, clock: Clock):
         self.service = service
         self.address = address
         self.announcement: Announcement | None = None
-        self.is_leaving = False
         self.is_reachable = True
-        self._sequences: dict[tuple[str, int], int] = {}
+        self._clock = clock
+        self._sequences: dict[_Start, int] = {}
+        # Starts that are draining or have left; ids of targets that left without
+        # telling their start time, with the time of that message.
+        self._left_starts: dict[_Start, None] = {}
+        self._left_ids_s: dict[str, float] = {}
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the target is draining or has left."""
+        current = self.announcement
+        return current is not None and _start_of(current) in self._left_starts
 
     @property
     def is_available(self) -> bool:
@@ -129,24 +156,21 @@
         if heartbeat.service != self.service or heartbeat.address != self.address:
             return HeartbeatResult.FOREIGN
         current = self.announcement
-        is_same_start = current is not None and _start_key(current) == _start_key(
-            heartbeat
-        )
+        start = _start_of(heartbeat)
+        is_same_start = current is not None and _start_of(current) == start
         if current is not None and heartbeat.born_ms < current.born_ms:
             return HeartbeatResult.STALE
-        if heartbeat.sequence <= self._sequences.get(_start_key(heartbeat), 0):
+        if heartbeat.sequence <= self._sequences.get(start, 0):
             return HeartbeatResult.STALE
         self._record_sequence(heartbeat)
-        if not is_same_start:
-            self.announcement = heartbeat
-            self.is_reachable = True
-            self.is_leaving = heartbeat.state is TargetState.DRAINING
-            return HeartbeatResult.NEW
         was_available = self.is_available
         self.announcement = heartbeat
         self.is_reachable = True
         # A draining target takes new calls again only after a restart.
-        self.is_leaving = self.is_leaving or heartbeat.state is TargetState.DRAINING
+        if heartbeat.state is TargetState.DRAINING or self._has_left_by_id(start):
+            self._record_leave(start)
+        if not is_same_start:
+            return HeartbeatResult.NEW
         return (
             HeartbeatResult.UNCHANGED
             if was_available == self.is_available
@@ -159,19 +183,35 @@
         self.is_reachable = True
 
     def mark_leaving(self, target_id: str, born_ms: int | None = None) -> bool:
-        """Mark the target as leaving; return False if it is not the current one.
+        """Mark a start of a target as leaving, whether or not it has been heard of.
+
+        The leave may overtake heartbeats that were sent before it, also the first one
+        since this node started; they do not revoke it.
 
         Args:
             target_id: Id of the target.
-            born_ms: Start time of the target in Unix milliseconds; None if not known. A
-                late message of an earlier start with the same id is ignored.
+            born_ms: Start time of the target in Unix milliseconds; None if not known.
+
+        Returns:
+            False if the leave does not concern the current target. This includes late
+            messages of an earlier start with the same id.
         """
+        is_first_word = self.announcement is None
+        if is_first_word:
+            self.announcement = self._announce_leave(target_id, born_ms or 0)
         current = self.announcement
-        if current is None or target_id != current.target_id:
+        is_current_id = target_id == current.target_id
+        if born_ms is None and (is_first_word or not is_current_id):
+            self._record_left_id(target_id)
+        if not is_current_id:
+            if born_ms is not None:
+                self._record_leave(_Start(target_id, born_ms))
             return False
-        if born_ms is not None and born_ms < current.born_ms:
+        start = _Start(target_id, current.born_ms if born_ms is None else born_ms)
+        self._record_leave(start)
+        if start.born_ms < current.born_ms:
             return False
-        self.is_leaving = True
+        self.announcement = current._replace(born_ms=start.born_ms)
         return True
 
     def mark_unreachable(self) -> bool:
@@ -179,17 +219,53 @@
         was_reachable, self.is_reachable = self.is_reachable, False
         return was_reachable
 
+    def _announce_leave(self, target_id: str, born_ms: int) -> Announcement:
+        """Return the announcement of a target of which only its leave is known."""
+        return Announcement(
+            target_id,
+            born_ms,
+            0,
+            TargetState.DRAINING,
+            self.service,
+            self.address,
+            failure_domain="",
+            version="",
+            slots=0,
+            cold_left_s=0.0,
+        )
+
+    def _has_left_by_id(self, start: _Start) -> bool:
+        """Return whether a target left that told its id only and may be this start."""
+        left_s = self._left_ids_s.get(start.target_id)
+        return (
+            left_s is not None and self._clock.monotonic_s() - left_s < MAX_LATENESS_S
+        )
+
+    def _record_left_id(self, target_id: str) -> None:
+        self._left_ids_s.pop(target_id, None)
+        self._left_ids_s[target_id] = self._clock.monotonic_s()
+        _drop_oldest(self._left_ids_s)
+
+    def _record_leave(self, start: _Start) -> None:
+        self._left_starts.pop(start, None)
+        self._left_starts[start] = None
+        if self.is_leaving:
+            # The current start stays the newest, so that others do not displace it.
+            current = _start_of(self.announcement)
+            self._left_starts.pop(current)
+            self._left_starts[current] = None
+        _drop_oldest(self._left_starts)
+
     def _record_sequence(self, heartbeat: Announcement) -> None:
         """Store the last sequence number of the start that sent a heartbeat.
 
         Starts without a start time can't be ordered. The one that keeps sending newer
         heartbeats is the one that is alive.
         """
-        start = _start_key(heartbeat)
+        start = _start_of(heartbeat)
         self._sequences.pop(start, None)
         self._sequences[start] = heartbeat.sequence
-        while len(self._sequences) > MAX_TRACKED_STARTS:
-            del self._sequences[next(iter(self._sequences))]
+        _drop_oldest(self._sequences)
 
 
 def format_start_key(target_id: str, born_ms: int) -> str:
@@ -202,6 +278,12 @@
     return f"{target_id}/{born_ms}"
 
 
-def _start_key(announcement: Announcement) -> tuple[str, int]:
-    """Return what identifies the start of the target that sent a heartbeat."""
-    return announcement.target_id, announcement.born_ms
+def _start_of(announcement: Announcement) -> _Start:
+    """Return the start of the target that sent a heartbeat."""
+    return _Start(announcement.target_id, announcement.born_ms)
+
+
+def _drop_oldest(tracked: dict) -> None:
+    """Limit the number of tracked entries, the oldest of which come first."""
+    while len(tracked) > MAX_TRACKED_STARTS:
+        del tracked[next(iter(tracked))]
--- a/tests/platform_adapter/test_foreign_messages.py
+++ b/tests/platform_adapter/test_foreign_messages.py
@@ -9,7 +9,7 @@
 from platform_adapter.test_decoding import DOCUMENT, HEARTBEAT
 
 from mimosaloom_mesh.messages import Request
-from mimosaloom_model import Address
+from mimosaloom_model import Address, ManualClock
 from mimosaloom_platform.announcements import (
     build_announcement_handler,
     decode_heartbeat,
@@ -84,7 +84,7 @@
 
 def deliver_heartbeat(body):
     """Send a heartbeat to a node that knows a target; return it and the status."""
-    own_target = OwnTarget("x", Address("10.1.0.8", 8301))
+    own_target = OwnTarget("x", Address("10.1.0.8", 8301), clock=ManualClock())
     handle = build_announcement_handler(
         own_target.apply_heartbeat, own_target.mark_leaving, lambda source: None
     )
--- a/tests/platform_adapter/test_stops_and_restarts.py
+++ b/tests/platform_adapter/test_stops_and_restarts.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import msgspec
 import pytest
 from platform_adapter.cluster import run_cluster, wait_until
 
@@ -187,6 +188,39 @@
     run_cluster(scenario)
 
 
+def test_leave_before_the_first_heartbeat_after_a_restart_is_kept_by_all_nodes():
+    """Guards against a late heartbeat that revokes a leave that has been confirmed.
+
+    The store is away, and the node that confirms the leave starts anew twice.
+    """
+
+    async def scenario(cluster):
+        front = await cluster.add_member("front-1", "front")
+        back = await cluster.add_member("back-1", "back")
+        await cluster.configure(1, [{"pathPrefix": "/b/", "service": "back"}])
+        await cluster.announce_all()
+        cluster.store.is_down = True
+        restarted = await cluster.restart("back-1")
+        start = msgspec.json.encode({"born": 5})
+        assert (await restarted.leave(start)).status == 200
+        await restarted.announce(born=5)
+        assert restarted.node.own_target.is_leaving
+        cluster.store.is_down = False
+        await wait_until(lambda: restarted.node.version == 1)
+        await wait_until(lambda: not front.sees_all_available(cluster.members))
+        restarted = await cluster.restart("back-1")
+        await wait_until(lambda: restarted.node.version == 1)
+        await restarted.announce(born=5)
+        await wait_until(lambda: restarted.node.own_target.is_leaving)
+        for number in range(20):
+            for member in (front, restarted):
+                await member.send_request("/b/x", f"{member.target.port}-{number}")
+            await asyncio.sleep(0.01)
+        assert back.target.runs == []
+
+    run_cluster(scenario)
+
+
 def test_target_that_refuses_a_connection_stays_in_use_on_an_open_one():
     """Guards against a target under load that is left out until its next heartbeat."""
 
--- a/tests/relay/test_end_detector.py
+++ b/tests/relay/test_end_detector.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from mimosaloom_model import Address
+from mimosaloom_model import Address, ManualClock
 from mimosaloom_relay import Announcement, OwnTarget, TargetState
 from mimosaloom_relay.end_detector import (
     LOSS_WINDOW_S,
@@ -43,7 +43,7 @@
         open_count: How often a connection to the target is found open before none is.
     """
     open_answers = iter([True] * open_count)
-    own, clock, ends = OwnTarget("back", ADDRESS), StepClock(), []
+    own, clock, ends = OwnTarget("back", ADDRESS, clock=ManualClock()), StepClock(), []
     announce(own, 7)
 
     async def accepts_connection():
--- a/tests/relay/test_own_target.py
+++ b/tests/relay/test_own_target.py
@@ -1,10 +1,14 @@
 """Tests of the state of the target beside a node after heartbeats in any order."""
 
+from datetime import timedelta
+
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from mimosaloom_model import Address
+from mimosaloom_model import Address, ManualClock
 from mimosaloom_relay import Announcement, HeartbeatResult, OwnTarget, TargetState
+from mimosaloom_relay.own_target import MAX_LATENESS_S
 
 ADDRESS = Address("10.0.0.1", 8080)
 
@@ -28,7 +32,7 @@
 
 def test_late_heartbeat_of_a_dead_target_changes_nothing():
     """Guards against a delayed heartbeat that revives a target that has crashed."""
-    target = OwnTarget("s", ADDRESS)
+    target = OwnTarget("s", ADDRESS, clock=ManualClock())
     assert target.apply_heartbeat(announce("a", sequence=4)) is HeartbeatResult.NEW
     assert target.apply_heartbeat(announce("b", sequence=1)) is HeartbeatResult.NEW
     assert target.apply_heartbeat(announce("a", sequence=4)) is HeartbeatResult.STALE
@@ -42,7 +46,7 @@
     A late heartbeat of the dead target replaces the live one for a moment. The next
     heartbeat of the live target has to reverse that.
     """
-    target = OwnTarget("s", ADDRESS)
+    target = OwnTarget("s", ADDRESS, clock=ManualClock())
     target.apply_heartbeat(announce("b", sequence=1))
     target.apply_heartbeat(announce("a", sequence=9))
     assert target.apply_heartbeat(announce("b", sequence=2)) is HeartbeatResult.NEW
@@ -51,7 +55,7 @@
 
 def test_leaving_target_does_not_come_back_under_the_same_start():
     """Guards against new calls to a target that has announced that it is draining."""
-    target = OwnTarget("s", ADDRESS)
+    target = OwnTarget("s", ADDRESS, clock=ManualClock())
     target.apply_heartbeat(announce(born_ms=5, sequence=1))
     target.apply_heartbeat(announce(born_ms=5, sequence=2, state=TargetState.DRAINING))
     target.apply_heartbeat(announce(born_ms=5, sequence=3))
@@ -63,9 +67,52 @@
     )
 
 
+@pytest.mark.parametrize("born_ms", [5, None])
+def test_leave_before_the_first_heartbeat_outlasts_a_late_one(born_ms):
+    """Guards against a restarted node that confirms a leave and forgets it."""
+    target = OwnTarget("s", ADDRESS, clock=ManualClock())
+    assert target.mark_leaving("a", born_ms)
+    assert (target.target_id, target.is_leaving) == ("a", True)
+    target.apply_heartbeat(announce("a", born_ms=5, sequence=3))
+    assert target.is_leaving
+    target.apply_heartbeat(announce("b", born_ms=6))
+    assert target.is_available
+
+
+@pytest.mark.parametrize("target_id", ["a", "b"])
+def test_leave_that_overtakes_the_first_heartbeat_of_its_start_is_kept(target_id):
+    """Guards against use of a target whose leave came before its first heartbeat."""
+    target = OwnTarget("s", ADDRESS, clock=ManualClock())
+    target.apply_heartbeat(announce("a", born_ms=5))
+    target.mark_leaving(target_id, 6)
+    target.apply_heartbeat(announce(target_id, born_ms=6))
+    assert target.is_leaving
+
+
+def test_leave_without_a_start_time_does_not_exclude_a_later_start():
+    """Guards against a restarted target that is left out for good."""
+    clock = ManualClock()
+    target = OwnTarget("s", ADDRESS, clock=clock)
+    target.mark_leaving("a")
+    clock.advance(timedelta(seconds=MAX_LATENESS_S))
+    target.apply_heartbeat(announce("a", born_ms=5))
+    assert target.is_available
+
+
+def test_many_other_leaves_do_not_revoke_the_current_one():
+    """Guards against a leave that is dropped from a bounded memory while it counts."""
+    target = OwnTarget("s", ADDRESS, clock=ManualClock())
+    target.apply_heartbeat(announce("a", born_ms=5))
+    target.mark_leaving("a", 5)
+    for number in range(100):
+        target.mark_leaving(f"other-{number}", 5)
+    target.apply_heartbeat(announce("a", born_ms=5, sequence=2))
+    assert target.is_leaving
+
+
 def test_foreign_heartbeats_are_ignored():
     """Guards against heartbeats of a target of another service or address."""
-    target = OwnTarget("s", ADDRESS)
+    target = OwnTarget("s", ADDRESS, clock=ManualClock())
     assert target.apply_heartbeat(announce(service="t")) is HeartbeatResult.FOREIGN
     other = Address("10.0.0.1", 9)
     assert target.apply_heartbeat(announce(address=other)) is HeartbeatResult.FOREIGN
@@ -74,7 +121,7 @@
 
 def test_unreachable_target_is_back_with_its_next_heartbeat():
     """Guards against a target that stays unavailable after one refused connection."""
-    target = OwnTarget("s", ADDRESS)
+    target = OwnTarget("s", ADDRESS, clock=ManualClock())
     target.apply_heartbeat(announce(sequence=1))
     assert target.mark_unreachable()
     assert not target.mark_unreachable()
@@ -97,7 +144,7 @@
 @given(HEARTBEATS)
 def test_state_never_goes_back_for_any_order_of_heartbeats(heartbeats):
     """Guards against an older heartbeat that restores an earlier start or state."""
-    target = OwnTarget("s", ADDRESS)
+    target = OwnTarget("s", ADDRESS, clock=ManualClock())
     drained = set()
     last = (0, 0)
     for heartbeat in heartbeats:
--- a/tests/relay/test_target_signals.py
+++ b/tests/relay/test_target_signals.py
@@ -73,7 +73,7 @@
     clock = ManualClock()
     log = DecisionLog(clock, metrics.count_dropped_line)
     log.change = lambda *args, **fields: changes.append(fields)
-    own_target = OwnTarget("s", Address("127.0.0.1", 1))
+    own_target = OwnTarget("s", Address("127.0.0.1", 1), clock=clock)
     monitor = SignalMonitor(
         own_target, HEADER_NAMES, lambda: None, clock=clock, log=log, metrics=metrics
     )
