Respect the leave of a target whose clock was set back between two starts

Cause: start times were taken for an order that always holds. The second start of a target has the earlier time if a clock was set back meanwhile, so each of its heartbeats and its DELETE counted as a late message of an ended target, answered 200 and dropped, for good.

Change: start times still order the starts, with two exceptions. A start with the id of the current one that was not heard of may be the one that runs: its leave is respected at once.

Why it works: a leave is dropped only if its start has been replaced by one that has been heard of later, or has another id, which requests name.

--- a/libs/mimosaloom-relay/mimosaloom_relay/own_target.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/own_target.py
@@ -114,6 +114,10 @@
         self.announcement: Announcement | None = None
         self.is_reachable = True
         self._clock = clock
+        # When the current start was last heard of, and the latest start time of those
+        # that have been current and may still be alive.
+        self._heard_s = 0.0
+        self._newest_born_ms = 0
         self._sequences: dict[_Start, int] = {}
         # Starts that are draining or have left; ids of targets that left without
         # telling their start time, with the time of that message.
@@ -151,23 +155,23 @@
 
         A heartbeat may arrive late, after its sender has crashed and another target
         has started at the same address. A heartbeat of an earlier start is therefore
-        ignored.
+        ignored; `_may_replace_current` tells which start is taken for an earlier one.
         """
         if heartbeat.service != self.service or heartbeat.address != self.address:
             return HeartbeatResult.FOREIGN
         current = self.announcement
         start = _start_of(heartbeat)
         is_same_start = current is not None and _start_of(current) == start
-        if current is not None and heartbeat.born_ms < current.born_ms:
+        is_draining = heartbeat.state is TargetState.DRAINING
+        if not is_same_start and not self._may_replace_current(start, is_draining):
             return HeartbeatResult.STALE
         if heartbeat.sequence <= self._sequences.get(start, 0):
             return HeartbeatResult.STALE
         self._record_sequence(heartbeat)
         was_available = self.is_available
-        self.announcement = heartbeat
-        self.is_reachable = True
+        self._set_current(heartbeat)
         # A draining target takes new calls again only after a restart.
-        if heartbeat.state is TargetState.DRAINING or self._has_left_by_id(start):
+        if is_draining or self._has_left_by_id(start):
             self._record_leave(start)
         if not is_same_start:
             return HeartbeatResult.NEW
@@ -179,8 +183,7 @@
 
     def resume(self, announcement: Announcement) -> None:
         """Continue with a target that kept running while the node restarted."""
-        self.announcement = announcement
-        self.is_reachable = True
+        self._set_current(announcement)
 
     def mark_leaving(self, target_id: str, born_ms: int | None = None) -> bool:
         """Mark a start of a target as leaving, whether or not it has been heard of.
@@ -194,31 +197,71 @@
 
         Returns:
             False if the leave does not concern the current target. This includes late
-            messages of an earlier start with the same id.
+            messages of a start that came before it with the same id.
         """
         is_first_word = self.announcement is None
         if is_first_word:
-            self.announcement = self._announce_leave(target_id, born_ms or 0)
+            self._set_current(self._announce_leave(target_id, born_ms or 0))
         current = self.announcement
         is_current_id = target_id == current.target_id
         if born_ms is None and (is_first_word or not is_current_id):
             self._record_left_id(target_id)
-        if not is_current_id:
-            if born_ms is not None:
-                self._record_leave(_Start(target_id, born_ms))
+        if born_ms is None and not is_current_id:
             return False
         start = _Start(target_id, current.born_ms if born_ms is None else born_ms)
+        is_current = start == _start_of(current) or (
+            is_current_id and self._may_replace_current(start, is_leaving=True)
+        )
         self._record_leave(start)
-        if start.born_ms < current.born_ms:
-            return False
-        self.announcement = current._replace(born_ms=start.born_ms)
-        return True
+        if is_current:
+            self._set_current(current._replace(born_ms=start.born_ms))
+        return is_current
 
     def mark_unreachable(self) -> bool:
         """Mark the target as unreachable; return False if it already was."""
         was_reachable, self.is_reachable = self.is_reachable, False
         return was_reachable
 
+    def _may_replace_current(self, start: _Start, is_leaving: bool) -> bool:
+        """Return whether a message may come from a later start than the current one.
+
+        The start time orders the starts. It is not reliable where the clock of the
+        target's instance has been set back between two starts, so that the later one
+        has the earlier time. Two things are believed nevertheless. After a silence of
+        the current start that is longer than messages are delayed, whoever still sends
+        is alive. Until then, a start with the id of the current one that has not been
+        heard of may be the one that serves its requests, so its leave is respected.
+        If that was a late message, the current start is back after the same silence.
+
+        Args:
+            start: Start of the target that sent the message.
+            is_leaving: Whether the message says that the target leaves.
+        """
+        current = self.announcement
+        if current is None:
+            return True
+        # Starts without a start time can't be ordered. The one that keeps sending newer
+        # heartbeats is the one that is alive.
+        if start.born_ms == current.born_ms:
+            return True
+        if start.born_ms > self._newest_born_ms:
+            return True
+        is_news = start not in self._sequences and start not in self._left_starts
+        if is_news and is_leaving and start.target_id == current.target_id:
+            return True
+        return self._is_silent()
+
+    def _is_silent(self) -> bool:
+        """Return whether late messages of starts before the current one have ended."""
+        return self._clock.monotonic_s() - self._heard_s > MAX_LATENESS_S
+
+    def _set_current(self, announcement: Announcement) -> None:
+        newest_born_ms = 0 if self._is_silent() else self._newest_born_ms
+        self._newest_born_ms = max(newest_born_ms, announcement.born_ms)
+        self._heard_s = self._clock.monotonic_s()
+        self.announcement = announcement
+        self.is_reachable = True
+
     def _announce_leave(self, target_id: str, born_ms: int) -> Announcement:
         """Return the announcement of a target of which only its leave is known."""
         return Announcement(
@@ -257,11 +300,7 @@
         _drop_oldest(self._left_starts)
 
     def _record_sequence(self, heartbeat: Announcement) -> None:
-        """Store the last sequence number of the start that sent a heartbeat.
-
-        Starts without a start time can't be ordered. The one that keeps sending newer
-        heartbeats is the one that is alive.
-        """
+        """Store the last sequence number of the start that sent a heartbeat."""
         start = _start_of(heartbeat)
         self._sequences.pop(start, None)
         self._sequences[start] = heartbeat.sequence
--- a/tests/platform_adapter/test_stops_and_restarts.py
+++ b/tests/platform_adapter/test_stops_and_restarts.py
@@ -221,6 +221,34 @@
     run_cluster(scenario)
 
 
+@pytest.mark.parametrize("is_delete", [False, True])
+def test_leave_of_a_target_that_restarted_with_an_earlier_time_is_respected(is_delete):
+    """Guards against a confirmed leave that is ignored after a step of the clock."""
+
+    async def scenario(cluster):
+        front = await cluster.add_member("front-1", "front")
+        back = await cluster.add_member("back-1", "back")
+        await cluster.configure(1, [{"pathPrefix": "/b/", "service": "back"}])
+        await front.announce()
+        await back.announce(born=10_000)
+        await wait_until(lambda: front.sees_all_available(cluster.members))
+        back.sequence = 0
+        await back.announce(born=7_600)
+        assert (await front.send_request("/b/x", "before")).status == 200
+        if is_delete:
+            answer = await back.leave(msgspec.json.encode({"born": 7_600}))
+        else:
+            answer = await back.announce("draining", born=7_600)
+        assert answer.status == 200
+        await wait_until(lambda: not front.sees_all_available(cluster.members))
+        for number in range(10):
+            await front.send_request("/b/x", f"after-{number}")
+            await back.send_request("/b/x", f"beside-{number}")
+        assert back.target.runs == ["before"]
+
+    run_cluster(scenario)
+
+
 def test_target_that_refuses_a_connection_stays_in_use_on_an_open_one():
     """Guards against a target under load that is left out until its next heartbeat."""
 
