Ignore records and messages that name no address or are nested too deeply

Cause: a record was believed if its host was not empty, so the host went to the resolver in the path of a call, whose UnicodeError and ValueError nobody expects; the port of an origin in a hop was read with int. msgspec raises RecursionError for deep nesting, also in unknown fields, which five decoders did not expect: headers of hops, quarantine, quotas, readers, pages of the store. One unreadable record emptied a whole list.

Change: addresses in messages are read in addresses.py, which takes IP addresses and ports in range only; messages are decoded in decoding.py, which knows all errors of the decoder. A connect to what is no address fails as unsent. A heartbeat's sequence fits into 64 bits. parse_decimal takes ASCII digits only.

Why it works: what can't be connected to is refused where it enters, for all channels by the same functions.

--- a/libs/mimosaloom-mesh/mimosaloom_mesh/messages.py
+++ b/libs/mimosaloom-mesh/mimosaloom_mesh/messages.py
@@ -34,7 +34,8 @@
     A caller may send any number of digits, and `int` raises an error for thousands.
     """
     digits = (value or "").lstrip("0")
-    if not value or not value.isdecimal() or len(digits) > MAX_DECIMAL_DIGITS:
+    is_number = bool(value) and value.isascii() and value.isdecimal()
+    if not is_number or len(digits) > MAX_DECIMAL_DIGITS:
         return None
     return int(digits or "0")
 
--- a/libs/mimosaloom-relay/mimosaloom_relay/hop_messages.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/hop_messages.py
@@ -8,6 +8,8 @@
 from mimosaloom_mesh.messages import Headers
 from mimosaloom_model import ErrorKind
 
+from .decoding import decode_json
+
 __all__ = [
     "HOP_HEADER",
     "HOP_RESULT_HEADER",
@@ -176,10 +178,7 @@
     """Return the message from a header value; None if it is missing or not valid."""
     if value is None:
         return None
-    try:
-        return msgspec.json.decode(value.encode("latin-1"), type=struct)
-    except (msgspec.MsgspecError, UnicodeError):
-        return None
+    return decode_json(value.encode("latin-1", "replace"), struct)
 
 
 def read_kind(result: HopResult) -> ErrorKind | None:
--- a/libs/mimosaloom-relay/mimosaloom_relay/http_client.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/http_client.py
@@ -385,7 +385,8 @@
                     address.host,
                     address.port,
                 )
-        except (OSError, TimeoutError):
+        except (OSError, TimeoutError, ValueError, OverflowError):
+            # The last two are raised for a host or port that can't be one.
             return None
         self._open_counts[address] += 1
         if self._detects_silence:
--- a/libs/mimosaloom-relay/mimosaloom_relay/incoming_hops.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/incoming_hops.py
@@ -8,6 +8,7 @@
 from mimosaloom_mesh.messages import Request, Response
 from mimosaloom_model import ERROR_ANSWERS, Address, ErrorKind
 
+from .addresses import parse_address
 from .hop_messages import (
     HOP_HEADER,
     HOP_RESULT_HEADER,
@@ -132,7 +133,7 @@
         is_newer = context.version > self._own_version()
         if not is_newer and not context.quarantine_digest:
             return
-        origin = _parse_origin(context.origin)
+        origin = parse_address(context.origin)
         if origin is None:
             return
         if is_newer:
@@ -164,9 +165,3 @@
         kind = read_kind(result)
         headers = ((self._names.request_id, context.request_id), result_header)
         return Answer(Response(ERROR_ANSWERS[kind].http_status, headers))
-
-
-def _parse_origin(origin: str) -> Address | None:
-    """Return the address of an origin, given as HOST:PORT; None if it is not valid."""
-    host, _, port = origin.rpartition(":")
-    return Address(host, int(port)) if host and port.isdecimal() else None
--- a/libs/mimosaloom-relay/mimosaloom_relay/own_target.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/own_target.py
@@ -8,6 +8,7 @@
 __all__ = [
     "MAX_BORN_MS",
     "MAX_LATENESS_S",
+    "MAX_SEQUENCE",
     "MAX_SLOTS",
     "Announcement",
     "HeartbeatResult",
@@ -19,6 +20,8 @@
 
 # The start time of a target is published, as an integer of 64 bits.
 MAX_BORN_MS = (1 << 63) - 1
+# Log lines have integers of 64 bits.
+MAX_SEQUENCE = (1 << 63) - 1
 # Calls that a target runs at once; each needs a connection, and so a port, of its own.
 MAX_SLOTS = 65535
 # Number of starts of targets at one address whose last sequence numbers are kept, so
--- a/libs/mimosaloom-relay/mimosaloom_relay/peers.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/peers.py
@@ -8,6 +8,8 @@
 from mimosaloom_model import Address
 from mimosaloom_policy import Candidate
 
+from .addresses import is_ip_address
+from .decoding import decode_json
 from .own_target import MAX_BORN_MS, MAX_SLOTS, format_start_key
 
 __all__ = [
@@ -32,7 +34,7 @@
 
     Attributes:
         name: Name of the node.
-        host: IP address of its listener for hops.
+        host: IP address of its listener for hops; names are not looked up.
         port: Port of that listener.
         failure_domain: Failure domain of the instance.
         service: Service of its target.
@@ -77,24 +79,20 @@
 
 def decode_record(value: bytes) -> PeerRecord | None:
     """Return the record from its published form; None if it is not valid."""
-    try:
-        record = msgspec.json.decode(value, type=PeerRecord)
-    except (msgspec.MsgspecError, UnicodeError, RecursionError):
-        return None
-    return record if _names_usable_target(record) else None
+    record = decode_json(value, PeerRecord)
+    return record if record is not None and _is_usable(record) else None
 
 
 def decode_records(value: bytes) -> list[PeerRecord]:
-    """Return the records from an encoded list; an empty list if it is not valid."""
-    try:
-        records = msgspec.json.decode(value, type=list[PeerRecord])
-    except (msgspec.MsgspecError, UnicodeError, RecursionError):
-        return []
-    return [record for record in records if _names_usable_target(record)]
+    """Return the valid records from an encoded list; none if it is no list."""
+    records = map(decode_record, decode_json(value, list[msgspec.Raw]) or [])
+    return [record for record in records if record is not None]
 
 
-def _names_usable_target(record: PeerRecord) -> bool:
-    """Return whether the target of a record can be called if it is available."""
+def _is_usable(record: PeerRecord) -> bool:
+    """Return whether the node can be called, and its target if it is available."""
+    if not is_ip_address(record.host):
+        return False
     return not record.is_available or bool(record.target_id and record.slots)
 
 
--- a/libs/mimosaloom-relay/mimosaloom_relay/quarantine_exchange.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/quarantine_exchange.py
@@ -16,6 +16,7 @@
 from mimosaloom_policy import EndEffect, Quarantine
 
 from .decision_log import DecisionLog
+from .decoding import decode_json
 from .http_client import Answer
 from .metrics import RelayMetrics
 from .peer_messenger import PeerMessenger
@@ -196,7 +197,4 @@
 
 
 def _decode_news(message: bytes) -> QuarantineNews | None:
-    try:
-        return msgspec.json.decode(message, type=QuarantineNews)
-    except (msgspec.MsgspecError, UnicodeError):
-        return None
+    return decode_json(message, QuarantineNews)
--- a/libs/mimosaloom-relay/mimosaloom_relay/quota_messages.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/quota_messages.py
@@ -4,6 +4,8 @@
 
 from mimosaloom_policy import Rival
 
+from .decoding import DECODE_ERRORS
+
 __all__ = [
     "ClaimQuestion",
     "ClaimReply",
@@ -131,5 +133,5 @@
 def _decode(decoder: msgspec.json.Decoder, body: bytes):
     try:
         return decoder.decode(body)
-    except (msgspec.MsgspecError, UnicodeError):
+    except DECODE_ERRORS:
         return None
--- a/libs/mimosaloom-relay/mimosaloom_relay/reader_messages.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/reader_messages.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from .decoding import DECODE_ERRORS
+
 __all__ = ["FOLLOW_PATH", "FollowReply", "FollowRequest", "decode_message"]
 
 FOLLOW_PATH = "/.mimosaloom/follow"
@@ -49,5 +51,5 @@
     """Return a decoded message; None if it is not valid."""
     try:
         return msgspec.msgpack.decode(message, type=struct)
-    except (msgspec.MsgspecError, UnicodeError):
+    except DECODE_ERRORS:
         return None
--- a/tests/platform_adapter/store_standin.py
+++ b/tests/platform_adapter/store_standin.py
@@ -42,6 +42,7 @@
             an answer.
         era: Number in all answers; each restore from a copy raises it by one.
         calls: Paths of the calls that the store has received.
+        garbled_page: Bytes in place of each page of newest records; empty for none.
     """
 
     def __init__(self):
@@ -56,6 +57,7 @@
         self.loses_answers = False
         self.era = 1
         self.calls: list[str] = []
+        self.garbled_page = b""
         self._changed = asyncio.Event()
         self._waiting_reads: set[RequestHandler] = set()
 
@@ -232,6 +234,9 @@
     PAGE_SIZE = 2
 
     def get(self):
+        if self.store.garbled_page:
+            self.answer(self.store.garbled_page)
+            return
         topic = self.get_query_argument("topic")
         after = self.get_query_argument("after", "")
         newest = sorted(self.store.newest_values(topic).items())
