Use a connection no further after an answer that names no request

What callers saw: a request that is not idempotent ran twice (TWICE), or would be refused as not run while it runs (REFUSED), after a target had written an earlier refusal without an id once more on a kept connection.

Cause: an answer without an id counts as the answer to the request under way, also on a connection on which an earlier answer without an id may be repeated.

Change: an answer that names no request is the last one on its connection. The client checks the id itself, in place of a function that each caller passes. The health check after a restart uses a connection of its own.

Why it works: a copy can only come on a connection on which the original came; where all answers so far had ids, one without is no copy.

The soak's targets repeat refusals without an id too.

--- a/libs/mimosaloom-relay/mimosaloom_relay/hops.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/hops.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 
-from mimosaloom_mesh.messages import find_header
 from mimosaloom_mesh.transport import FailedSend
 from mimosaloom_model import ERROR_ANSWERS, Address, ErrorKind, Ran
 from mimosaloom_policy import Candidate
@@ -78,9 +77,7 @@
             received._replace(headers=headers),
             incoming.streamed_body,
             needs_fresh_connection=not context.is_idempotent,
-            belongs_to_request=lambda found: (
-                find_header(found, self._names.request_id) in (None, context.request_id)
-            ),
+            expected_id=(self._names.request_id, context.request_id),
             on_write=on_write,
         )
         if isinstance(outcome, FailedSend):
--- a/libs/mimosaloom-relay/mimosaloom_relay/http_client.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/http_client.py
@@ -42,7 +42,8 @@
 _BODYLESS_METHODS = frozenset({"GET", "HEAD", "DELETE", "OPTIONS"})
 _NO_BODY_STATUSES = frozenset({204, 304})
 
-ResponseMatcher = Callable[[Headers], bool]
+# Name of the header by which a response names its request, and the id in it.
+ExpectedId = tuple[str, str]
 
 
 class Answer(NamedTuple):
@@ -67,15 +68,14 @@
         status: Status code; 0 before the head has arrived.
         headers: Headers of the response.
         is_head_request: Whether the response has no body because it answers HEAD.
-        belongs_to_request: Returns by the headers whether a response belongs to the
-            request.
+        expected_id: Id by which a response names the request; None if it does not.
         unrelated_answers: Number of skipped responses to other requests.
     """
 
     def __init__(
         self,
         is_head_request: bool,
-        belongs_to_request: ResponseMatcher,
+        expected_id: ExpectedId | None,
         abort: Callable,
     ):
         self.ready = asyncio.get_running_loop().create_future()
@@ -83,7 +83,7 @@
         self.status = 0
         self.headers: Headers = ()
         self.is_head_request = is_head_request
-        self.belongs_to_request = belongs_to_request
+        self.expected_id = expected_id
         self.unrelated_answers = 0
 
     @property
@@ -96,6 +96,19 @@
             or find_header(self.headers, "Transfer-Encoding") is not None
         )
 
+    def is_for_other_request(self, headers: Headers) -> bool:
+        """Return whether a response names another request."""
+        if self.expected_id is None:
+            return False
+        name, request_id = self.expected_id
+        return find_header(headers, name) not in (None, request_id)
+
+    def lacks_id(self) -> bool:
+        """Return whether the response names no request, although it should."""
+        if self.expected_id is None:
+            return False
+        return find_header(self.headers, self.expected_id[0]) is None
+
     def _set_ready(self) -> None:
         if not self.ready.done():
             self.ready.set_result(None)
@@ -156,10 +169,10 @@
         self.drop()
 
     def expect_response(
-        self, is_head_request: bool, belongs_to_request: ResponseMatcher
+        self, is_head_request: bool, expected_id: ExpectedId | None
     ) -> _PendingResponse:
         """Prepare for the response to a request that is about to be written."""
-        self._pending = _PendingResponse(is_head_request, belongs_to_request, self.drop)
+        self._pending = _PendingResponse(is_head_request, expected_id, self.drop)
         return self._pending
 
     def set_silence_detection(self, *, is_on: bool) -> None:
@@ -186,7 +199,7 @@
         status = self._parser.get_status_code()
         headers = tuple(self._headers)
         is_interim = 100 <= status < 200
-        self._skips_response = is_interim or not pending.belongs_to_request(headers)
+        self._skips_response = is_interim or pending.is_for_other_request(headers)
         if self._skips_response:
             pending.unrelated_answers += not is_interim
             if pending.unrelated_answers > MAX_UNRELATED_ANSWERS:
@@ -200,6 +213,7 @@
             "close" in options
             or not pending.is_self_delimiting
             or pending.unrelated_answers
+            or pending.lacks_id()
         ):
             self.is_reusable = False
         if pending.is_head_request:
@@ -254,7 +268,7 @@
         *,
         needs_fresh_connection: bool = False,
         needs_new_connection: bool = False,
-        belongs_to_request: ResponseMatcher = lambda headers: True,
+        expected_id: ExpectedId | None = None,
         on_write: Callable[[], None] = lambda: None,
     ) -> Answer | FailedSend:
         """Send a request once and wait for its response.
@@ -268,10 +282,12 @@
             needs_fresh_connection: Whether the request needs a new or recently used
                 connection, since it must not run twice.
             needs_new_connection: Whether the request needs a new connection, since
-                `belongs_to_request` can't tell its response from one that may be on
-                its way on an open connection.
-            belongs_to_request: Returns by the headers whether a response belongs to
-                this request.
+                its id can't tell its response from one that may be on its way on an
+                open connection.
+            expected_id: Header and id by which the response names the request. One that
+                names another request is skipped. One that names none is the last on its
+                connection, where a late copy of it could answer a later request. None
+                if responses need no id.
             on_write: Called right before the first byte of the request is written. If
                 it was not called, the request certainly does not run.
 
@@ -292,7 +308,7 @@
         is_kept = False
         try:
             outcome = await self._exchange(
-                connection, request, streamed_body, belongs_to_request, on_write
+                connection, request, streamed_body, expected_id, on_write
             )
             if isinstance(outcome, Answer):
                 is_kept = connection.is_reusable or outcome.streamed_body is not None
@@ -331,7 +347,7 @@
         connection: _Connection,
         request: Request,
         streamed_body: Body | None,
-        belongs_to_request: ResponseMatcher,
+        expected_id: ExpectedId | None,
         on_write: Callable[[], None],
     ) -> Answer | FailedSend:
         if streamed_body is not None and self._detects_silence:
@@ -339,9 +355,7 @@
             # from this connection.
             connection.set_silence_detection(is_on=False)
             connection.is_reusable = False
-        pending = connection.expect_response(
-            request.method == "HEAD", belongs_to_request
-        )
+        pending = connection.expect_response(request.method == "HEAD", expected_id)
         on_write()
         connection.transport.write(
             _encode_request(request, has_streamed_body=streamed_body is not None)
--- a/libs/mimosaloom-relay/mimosaloom_relay/target_side.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/target_side.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from mimosaloom_mesh import AdmissionGate
-from mimosaloom_mesh.messages import Headers, Request, find_header
+from mimosaloom_mesh.messages import Request
 from mimosaloom_mesh.transport import FailedSend
 from mimosaloom_model import ERROR_ANSWERS, Clock, ErrorKind, Ran
 from mimosaloom_policy import (
@@ -236,7 +236,11 @@
         request = Request("GET", health_path, (("Host", f"{address.host}"),))
         try:
             async with asyncio.timeout(HEALTH_TIMEOUT_S):
-                outcome = await self._client.send(address, request)
+                # The answer names no request. On a connection that goes on to be used,
+                # a late copy of it could answer one.
+                outcome = await self._client.send(
+                    address, request, expected_id=(self._names.request_id, "")
+                )
         except TimeoutError:
             return False
         if isinstance(outcome, FailedSend):
@@ -503,9 +507,7 @@
                     # All attempts of a request have its id, so on the same connection a
                     # second copy of the rejection would answer this attempt.
                     needs_new_connection=was_rejected,
-                    belongs_to_request=lambda headers: self._belongs_to_request(
-                        headers, context.request_id
-                    ),
+                    expected_id=(self._names.request_id, context.request_id),
                     on_write=note_write,
                 )
         except asyncio.CancelledError:
@@ -567,9 +569,6 @@
             headers += ((self._names.organisation, context.organisation),)
         return received._replace(headers=headers)
 
-    def _belongs_to_request(self, headers: Headers, request_id: str) -> bool:
-        return find_header(headers, self._names.request_id) in (None, request_id)
-
     def _build_failed_reply(
         self, context: HopContext, broken: FailedSend, start_s: float
     ) -> HopReply:
--- a/tests/platform_adapter/standins.py
+++ b/tests/platform_adapter/standins.py
@@ -18,7 +18,8 @@
         modes: How it answers the next requests, one entry each; "ok" when empty.
             "early" answers before the body has arrived, "reject" refuses the request
             without running it, "reject-twice" also sends a copy of that answer when the
-            next request on the connection arrives, "hold" and "hold-error" run it and
+            next request on the connection arrives, "reject-unnamed-twice" does so
+            without the id of the request, "hold" and "hold-error" run it and
             answer once `released` is set, "hang" never answers and does not run it;
             those of `_ENDLESS_ANSWERS` write until the connection closes;
             `_ANSWER_BUILDERS` has the others.
@@ -125,14 +126,16 @@
 
     async def _respond(self, mode, request_id, body, reader, writer) -> bool:
         if mode.startswith("reject"):
+            id_line = f"Mimosaloom-Attempt-Id: {request_id}\r\n"
+            named = "" if "unnamed" in mode else id_line
             rejection = (
                 b"HTTP/1.1 503 Busy\r\nMimosaloom-Not-Executed: 1\r\n"
-                + f"Mimosaloom-Attempt-Id: {request_id}\r\n".encode()
+                + named.encode()
                 + self._encode_signals()
                 + b"Content-Length: 0\r\n\r\n"
             )
             writer.write(rejection)
-            if mode == "reject-twice":
+            if mode.endswith("-twice"):
                 self._late_answers[writer] = rejection
             return True
         if mode == "hang":
--- a/tests/platform_adapter/test_path.py
+++ b/tests/platform_adapter/test_path.py
@@ -166,6 +166,29 @@
     run_cluster(scenario)
 
 
+@pytest.mark.parametrize("sender", ["front-1", "back-1"])
+def test_late_copy_of_a_rejection_without_an_id_does_not_answer_the_next_request(
+    sender,
+):
+    """Guards against refusing a request as not run although the target runs it."""
+
+    async def scenario(cluster):
+        _, back = await start_pair(cluster, **NON_IDEMPOTENT)
+        member = cluster.members[sender]
+        back.target.modes = ["reject-unnamed-twice"]
+        await member.send_request("/b/x", "first", method="POST")
+        # Together they use all open connections, also the one with the rejection.
+        ids = [f"id-{number}" for number in range(5)]
+        answers = await asyncio.gather(
+            *(member.send_request("/b/x", id_, method="POST") for id_ in ids)
+        )
+        for request_id, answer in zip(ids, answers, strict=True):
+            assert answer.status != 503 or request_id not in back.target.runs
+        assert len(back.target.runs) == len(set(back.target.runs))
+
+    run_cluster(scenario)
+
+
 @pytest.mark.parametrize("mode", ["extra", "extra-after", "no-length", "chunked"])
 def test_unusual_framing_yields_the_answer_of_the_request(mode):
     """Guards against the answer of another request, or an answer with extra bytes."""
--- a/tests/relay/test_http_client.py
+++ b/tests/relay/test_http_client.py
@@ -6,10 +6,14 @@
 
 import pytest
 
-from mimosaloom_mesh.messages import Request, find_header
+from mimosaloom_mesh.messages import Request
 from mimosaloom_mesh.transport import FailedSend
-from mimosaloom_model import Address, SystemClock
-from mimosaloom_relay import Answer, HttpClient
+from mimosaloom_model import Address, ErrorKind, SystemClock
+from mimosaloom_platform.headers import HEADER_NAMES
+from mimosaloom_policy import Candidate
+from mimosaloom_relay import Answer, DecisionLog, HttpClient, Incoming
+from mimosaloom_relay.hop_messages import HOP_RESULT_HEADER, HopContext
+from mimosaloom_relay.hops import HopSender
 
 pytestmark = pytest.mark.sockets
 
@@ -57,9 +61,7 @@
     return await client.send(
         address,
         Request("GET", "/", ((ID, request_id),)),
-        belongs_to_request=lambda headers: (
-            find_header(headers, ID) in (None, request_id)
-        ),
+        expected_id=(ID, request_id),
     )
 
 
@@ -138,3 +140,67 @@
             assert outcome.response.body == f"answer of {request_id}".encode()
         else:
             assert request_id != "a"
+
+
+@pytest.mark.parametrize("framing", ["length", "chunked", "trailers"])
+def test_hop_whose_answer_breaks_off_at_any_byte_gives_no_answer(framing):
+    """Guards against an empty or short success when a node ends while it answers."""
+    result = f"\r\n{HOP_RESULT_HEADER}: {{}}\r\n".encode()
+    whole = FRAMINGS[framing].replace(b"\r\n", result, 1)
+    context = HopContext("a", "s", "r", 0, False, 1000, "c", "a")
+    unreachable = []
+
+    async def run():
+        async def answer(head, number, writer):
+            writer.write(whole[: cuts.pop(0)])
+            await writer.drain()
+            writer.close()
+
+        cuts = [*range(len(whole)), len(whole)]
+        server, address = await serve(answer)
+        clock = SystemClock()
+        client = HttpClient(clock, lambda: None, detects_silence=True)
+        sender = HopSender(
+            HEADER_NAMES,
+            client,
+            DecisionLog(clock, lambda reason: None),
+            unreachable.append,
+        )
+        upstream = Candidate("n", address.host, address.port, "z", 8, 8, "n-0")
+        incoming = Incoming(Request("POST", "/", (("Host", "h"),)))
+        replies = [
+            await sender.send(upstream, context, incoming, lambda: None)
+            for _ in list(cuts)
+        ]
+        client.close()
+        server.close()
+        return replies
+
+    *broken, last = asyncio.run(run())
+    assert all(reply.answer is None and reply.result.was_sent for reply in broken)
+    kinds = {reply.result.kind for reply in broken}
+    assert kinds == {ErrorKind.CONNECTION_LOST, ErrorKind.ANSWER_TRUNCATED}
+    assert last.answer.response.body == BODY
+    assert unreachable
+
+
+def test_answer_that_names_no_request_is_the_last_on_its_connection():
+    """Guards against a late copy of it that answers a later request."""
+
+    async def run():
+        connections = []
+
+        async def answer(head, number, writer):
+            connections.append(number)
+            writer.write(FRAMINGS["length"])
+
+        server, address = await serve(answer)
+        client = HttpClient(SystemClock(), lambda: None)
+        outcomes = [await send(client, address, "a") for _ in range(3)]
+        client.close()
+        server.close()
+        return outcomes, connections
+
+    outcomes, connections = asyncio.run(run())
+    assert all(isinstance(outcome, Answer) for outcome in outcomes)
+    assert connections == [0, 0, 0]
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -26,6 +26,7 @@
 # Modes of `FakeTarget` while it is faulty.
 FAULTY_MODES = ("ok", "ok", "lose", "cut", "garbage", "error", "reject", "reject-twice")
 FAULTY_MODES += ("extra", "extra-after", "no-length", "hang", "unsigned")
+FAULTY_MODES += ("reject-unnamed-twice",)
 
 
 class Run(NamedTuple):
