Use the connection of a streamed answer again, or close it

Cause: a streamed answer is returned before its body is there, so its connection was marked as not to be used again and left open, at both nodes of a hop. Nothing closed it when the body was complete. Idle connections that were too old to be used were closed only by the next request to the same address.

Change: when the body is complete, the connection is kept for reuse or closed, as its answer allows. A timer closes idle connections that are too old. New gauge mimosaloom_open_connections by listener and kind of peer.

Why it works: each connection that brings an answer now ends in one place, whether its body was buffered or not; those that are kept have an end in time.

--- a/libs/mimosaloom-relay/mimosaloom_relay/http_client.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/http_client.py
@@ -9,6 +9,7 @@
 import asyncio
 from collections import Counter, deque
 from collections.abc import Callable
+from functools import partial
 from typing import NamedTuple
 
 import httptools
@@ -119,11 +120,16 @@
 
     Args:
         on_closed: Called when the connection has closed.
+
+    Attributes:
+        on_response_end: Called once when the current response is complete; None for
+            nothing.
     """
 
     def __init__(self, on_closed: Callable[[], None]):
         super().__init__()
         self._on_closed = on_closed
+        self.on_response_end: Callable[[], None] | None = None
         self.idle_since_s = 0.0
         self.idle_limit_s = MAX_IDLE_S
         self.is_reusable = True
@@ -233,8 +239,12 @@
 
     def _finish_response(self) -> None:
         pending, self._pending = self._pending, None
-        if pending is not None:
-            pending.body.finish()
+        if pending is None:
+            return
+        pending.body.finish()
+        on_end, self.on_response_end = self.on_response_end, None
+        if on_end is not None:
+            on_end()
 
 
 class HttpClient:
@@ -259,6 +269,7 @@
         self._count_connection = count_connection
         self._idle: dict[Address, deque[_Connection]] = {}
         self._open_counts: Counter[Address] = Counter()
+        self._sweeping: asyncio.TimerHandle | None = None
 
     async def send(
         self,
@@ -311,14 +322,22 @@
                 connection, request, streamed_body, expected_id, on_write
             )
             if isinstance(outcome, Answer):
-                is_kept = connection.is_reusable or outcome.streamed_body is not None
-                if connection.is_reusable and outcome.streamed_body is None:
-                    self._keep_idle(address, connection, outcome.response)
+                is_kept = True
+                release = partial(self._release, address, connection, outcome.response)
+                if outcome.streamed_body is None:
+                    release()
+                else:
+                    connection.on_response_end = release
             return outcome
         finally:
             if not is_kept:
                 connection.drop()
 
+    @property
+    def open_count(self) -> int:
+        """Number of open connections to all servers."""
+        return self._open_counts.total()
+
     def has_open_connection(self, address: Address) -> bool:
         """Return whether a connection to a server is open."""
         return self._open_counts[address] > 0
@@ -328,8 +347,7 @@
         connection = await self._connect(address)
         if connection is None:
             return False
-        connection.idle_since_s = self._clock.monotonic_s()
-        self._idle.setdefault(address, deque()).append(connection)
+        self._keep_idle(address, connection)
         return True
 
     def drop_idle(self, address: Address) -> None:
@@ -339,6 +357,8 @@
 
     def close(self) -> None:
         """Close all idle connections."""
+        if self._sweeping is not None:
+            self._sweeping.cancel()
         for address in list(self._idle):
             self.drop_idle(address)
 
@@ -386,7 +406,6 @@
         if body.is_complete:
             whole = body.take_buffered()
             return Answer(Response(pending.status, pending.headers, whole))
-        connection.is_reusable = False
         return Answer(Response(pending.status, pending.headers), body)
 
     async def _connect(self, address: Address) -> _Connection | None:
@@ -426,14 +445,40 @@
             connection.drop()
         return None
 
-    def _keep_idle(
+    def _release(
         self, address: Address, connection: _Connection, response: Response
     ) -> None:
-        connection.idle_since_s = self._clock.monotonic_s()
+        """Keep a connection whose response is complete, or close it."""
+        if not connection.is_reusable:
+            connection.drop()
+            return
         announced_s = _read_idle_timeout_s(response.header("Keep-Alive"))
         if announced_s is not None:
             connection.idle_limit_s = min(MAX_IDLE_S, IDLE_TIMEOUT_RATIO * announced_s)
+        self._keep_idle(address, connection)
+
+    def _keep_idle(self, address: Address, connection: _Connection) -> None:
+        connection.idle_since_s = self._clock.monotonic_s()
         self._idle.setdefault(address, deque()).append(connection)
+        if self._sweeping is None:
+            loop = asyncio.get_running_loop()
+            self._sweeping = loop.call_later(MAX_IDLE_S, self._sweep)
+
+    def _sweep(self) -> None:
+        """Close the connections that were idle for too long to be used again."""
+        self._sweeping = None
+        earliest_s = self._clock.monotonic_s() - MAX_IDLE_S
+        kept = {}
+        for address, idle in self._idle.items():
+            # The one that was used last is taken first, so old ones are in front.
+            while idle and idle[0].idle_since_s <= earliest_s:
+                idle.popleft().drop()
+            if idle:
+                kept[address] = idle
+        self._idle = kept
+        if kept:
+            loop = asyncio.get_running_loop()
+            self._sweeping = loop.call_later(MAX_IDLE_S, self._sweep)
 
 
 def _encode_request(request: Request, *, has_streamed_body: bool) -> bytes:
--- a/libs/mimosaloom-relay/mimosaloom_relay/metrics.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/metrics.py
@@ -40,6 +40,12 @@
         self._connections = self._counter(
             "connections_opened", "Connections opened by this node", "peer"
         )
+        self._open_connections = Gauge(
+            "mimosaloom_open_connections",
+            "Connections that are open now, by listener or kind of peer",
+            ["kind"],
+            registry=self.registry,
+        )
         self.version = self._gauge("configuration_version", "Version in force")
         self.peers = self._gauge("known_nodes", "Nodes that are known")
         self._store_calls = Counter(
@@ -143,6 +149,10 @@
         """Export the time since the store last answered a read of a topic."""
         self._store_answer_age.labels(topic).set_function(age_s)
 
+    def show_open_connections(self, kind: str, count: Callable[[], int]) -> None:
+        """Export the number of open connections of a kind."""
+        self._open_connections.labels(kind).set_function(count)
+
     def count_connection(self, peer: str) -> None:
         """Count an opened connection by the kind of its peer: target or node."""
         self._connections.labels(peer).inc()
--- a/libs/mimosaloom-relay/mimosaloom_relay/node.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/node.py
@@ -114,6 +114,7 @@
         hop_client = HttpClient(
             clock, lambda: metrics.count_connection("node"), detects_silence=True
         )
+        self._clients = {"target": target_client, "node": hop_client}
         self.upstreams = Upstreams(
             settings.name,
             settings.failure_domain,
@@ -296,6 +297,10 @@
         self.addresses = Listeners(**opened)
         self._tasks.spawn(self._pauses.run())
         self._tasks.spawn(self._account_log.run())
+        for kind in self.count_open_connections():
+            self.metrics.show_open_connections(
+                kind, lambda kind=kind: self.count_open_connections()[kind]
+            )
         self.metrics.ready.set_function(lambda: self.is_ready)
         self.metrics.version.set_function(lambda: self.version)
         outbound = self._servers["outbound"]
@@ -508,6 +513,12 @@
         open_answers -= self.record_fanout.waiting_count
         return open_answers + len(self.target_side.detached_runs)
 
+    def count_open_connections(self) -> dict[str, int]:
+        """Return the number of open connections, by listener or kind of peer."""
+        accepted = {name: len(s.connections) for name, s in self._servers.items()}
+        opened = {name: client.open_count for name, client in self._clients.items()}
+        return accepted | opened
+
     def _publish_own_record(self) -> None:
         record = self.own_record.publish()
         self.upstreams.put(record)
--- a/tests/cli/test_metrics_page.py
+++ b/tests/cli/test_metrics_page.py
@@ -54,6 +54,7 @@
     metrics.count_dropped_line("success")
     metrics.count_ignored("heartbeat")
     metrics.count_connection("target")
+    metrics.show_open_connections("target", lambda: 0)
     metrics.count_quota_question("claims", "answered")
     metrics.count_store_call("keyed.op", "poll")
     metrics.show_store_answer_age("keyed.op", lambda: 0.0)
--- a/tests/platform_adapter/test_path.py
+++ b/tests/platform_adapter/test_path.py
@@ -233,6 +233,25 @@
     run_cluster(scenario)
 
 
+def test_large_answers_leave_no_connections_behind():
+    """Guards against two descriptors that each large answer costs for good."""
+
+    async def scenario(cluster):
+        front, back = await start_pair(cluster)
+        body = b"x" * 600_000
+        for number in range(12):
+            response = await front.send_request(
+                "/b/x", f"id-{number}", method="POST", body=body
+            )
+            assert response.body == b"done:" + body
+        await asyncio.sleep(0.05)
+        assert front.node.count_open_connections()["node"] <= 2
+        assert back.node.count_open_connections()["inbound"] <= 2
+        assert back.node.count_open_connections()["target"] <= 2
+
+    run_cluster(scenario)
+
+
 def test_early_answer_to_a_long_request_does_not_affect_the_next_one():
     """Guards against reading the rest of a body as the next request."""
 
--- a/tests/relay/test_http_client.py
+++ b/tests/relay/test_http_client.py
@@ -11,7 +11,8 @@
 from mimosaloom_model import Address, ErrorKind, SystemClock
 from mimosaloom_platform.headers import HEADER_NAMES
 from mimosaloom_policy import Candidate
-from mimosaloom_relay import Answer, DecisionLog, HttpClient, Incoming
+from mimosaloom_relay import Answer, DecisionLog, HttpClient, Incoming, http_client
+from mimosaloom_relay.bodies import MAX_BUFFERED_BYTES
 from mimosaloom_relay.hop_messages import HOP_RESULT_HEADER, HopContext
 from mimosaloom_relay.hops import HopSender
 
@@ -20,6 +21,7 @@
 ID = "Request-Id"
 RESET = struct.pack("ii", 1, 0)
 BODY = b"0123456789"
+LARGE_BODY = b"x" * (2 * MAX_BUFFERED_BYTES)
 FRAMINGS = {
     "length": b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n" + BODY,
     "chunked": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -184,6 +186,63 @@
     assert unreachable
 
 
+async def load_large(client, address, count):
+    """Receive some answers that are streamed, one after the other."""
+    for _ in range(count):
+        outcome = await client.send(address, Request("GET", "/"))
+        pieces = [piece async for piece in outcome.streamed_body.pieces()]
+        assert b"".join(pieces) == LARGE_BODY
+        assert outcome.streamed_body.is_complete
+
+
+@pytest.mark.parametrize("is_last", [False, True])
+def test_connection_of_a_streamed_answer_is_used_again_or_closed(is_last):
+    """Guards against a descriptor that each large answer costs for good."""
+
+    async def run():
+        connections = []
+
+        async def answer(head, number, writer):
+            connections.append(number)
+            option = "close" if is_last else "keep-alive"
+            head = f"HTTP/1.1 200 OK\r\nConnection: {option}\r\n"
+            head += f"Content-Length: {len(LARGE_BODY)}\r\n\r\n"
+            writer.write(head.encode() + LARGE_BODY)
+
+        server, address = await serve(answer)
+        client = HttpClient(SystemClock(), lambda: None)
+        await load_large(client, address, 5)
+        await asyncio.sleep(0.05)
+        has_open = client.has_open_connection(address)
+        client.close()
+        server.close()
+        return connections, has_open
+
+    connections, has_open = asyncio.run(run())
+    assert connections == ([0] * 5 if is_last else [0, 1, 2, 3, 4])
+    assert has_open is not is_last
+
+
+def test_connection_that_is_too_old_to_be_used_is_closed(monkeypatch):
+    """Guards against idle connections that stay open until the peer closes them."""
+    monkeypatch.setattr(http_client, "MAX_IDLE_S", 0.1)
+
+    async def run():
+        async def answer(head, number, writer):
+            writer.write(FRAMINGS["length"])
+
+        server, address = await serve(answer)
+        client = HttpClient(SystemClock(), lambda: None)
+        await client.send(address, Request("GET", "/"))
+        assert client.has_open_connection(address)
+        async with asyncio.timeout(2):
+            while client.has_open_connection(address):
+                await asyncio.sleep(0.02)
+        server.close()
+
+    asyncio.run(run())
+
+
 def test_answer_that_names_no_request_is_the_last_on_its_connection():
     """Guards against a late copy of it that answers a later request."""
 
