Reserve the bytes of pipelined answers before their requests start

Cause: a connection started no further requests once finished answers held 1 MiB, but all of its requests were started before the first was finished: up to 64 answers of 256 KiB, with no bound over all connections.

Change: AnswerSizes learns the largest recent answer of each request class. Its bytes are reserved before a request is started beside others, for its connection (1 MiB) and over all connections (a fifth of limits.memoryMb); while none is known, 256 KiB. At a bound a connection goes on with one request at a time. mimosaloom_held_bytes shows the sum.

Why it works: what may be held is known before it exists, so it can't exceed the budget by what runs already; no request is dropped or refused for it.

Two tests that want ten requests at once answer one first, as the size has to be known; what they check is unchanged.

--- a/libs/mimosaloom-relay/mimosaloom_relay/http_server.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/http_server.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 server that passes requests of any size to a coroutine."""
 
 import asyncio
+import math
 import socket
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
@@ -12,6 +13,7 @@
 from mimosaloom_mesh.messages import Request, Response, find_header
 from mimosaloom_model import Address, Clock, SystemClock
 
+from .answer_sizes import ByteBudget
 from .bodies import Body
 from .connections import (
     MAX_HEAD_BYTES,
@@ -72,6 +74,11 @@
         may_overlap: Returns by the head of a request whether it may run while others
             of its connection run; by default, none may.
         clock: Source of the time at which requests are read.
+
+    Attributes:
+        expect_answer_bytes: Returns by the head of a request how many bytes its answer
+            may hold while it waits for those before it.
+        held: Bytes that all connections hold together for requests that overlap.
     """
 
     def __init__(
@@ -88,6 +95,8 @@
         self.max_body_bytes = max_body_bytes
         self.may_overlap = may_overlap
         self.clock = clock or SystemClock()
+        self.expect_answer_bytes: Callable[[Request], int] = lambda request: 0
+        self.held = ByteBudget(math.inf)
         self.is_closing = False
         self.tasks: set[asyncio.Task] = set()
         self.connections: set[_Connection] = set()
@@ -152,7 +161,11 @@
         self._server = server
         self._parser = httptools.HttpRequestParser(self)
         self._incoming: Exchange | None = None
-        self._pipeline: Pipeline[Exchange] = Pipeline(self._may_overlap)
+        self._pipeline: Pipeline[Exchange] = Pipeline(
+            self._may_overlap,
+            lambda exchange: server.expect_answer_bytes(exchange.request),
+            server.held,
+        )
         self._owes_continue = False
         self._has_dropped = False
         self._head_bytes = 0
--- a/libs/mimosaloom-relay/mimosaloom_relay/metrics.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/metrics.py
@@ -79,6 +79,10 @@
             "overlapping_requests",
             "Requests of clients that run beside an earlier one of their connection",
         )
+        self.held_bytes = self._gauge(
+            "held_bytes",
+            "Bytes held or reserved for answers that wait for those before them",
+        )
         self.fair_share_ratio = self._gauge(
             "fair_share_ratio", "Largest demand of an organisation over the mean"
         )
--- a/libs/mimosaloom-relay/mimosaloom_relay/node.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/node.py
@@ -65,6 +65,9 @@
 STOP_POLL_S = 0.05
 # A node is removed if its record is still missing this long after the store was read.
 MISSING_GRACE_S = 2.0
+# Share of the memory of the process that answers may take which wait for those before
+# them on their connections.
+HELD_MEMORY_RATIO = 0.2
 # Name of the record, beside those of the nodes, of the requests that are held back.
 QUARANTINE_RECORD = "quarantine"
 
@@ -305,6 +308,9 @@
         self.metrics.version.set_function(lambda: self.version)
         outbound = self._servers["outbound"]
         outbound.may_overlap = self.origin.may_overlap
+        outbound.expect_answer_bytes = self.origin.expect_answer_bytes
+        outbound.held.limit_bytes = HELD_MEMORY_RATIO * self.settings.memory_bytes
+        self.metrics.held_bytes.set_function(lambda: outbound.held.used_bytes)
         self.metrics.overlapping.set_function(lambda: outbound.overlapping_count)
         self.metrics.peers.set_function(lambda: len(self.upstreams.peers))
         self.log.change(
--- a/libs/mimosaloom-relay/mimosaloom_relay/origin.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/origin.py
@@ -14,10 +14,13 @@
     Clock,
     ErrorKind,
     Ran,
+    RequestClass,
     new_request_id,
 )
 from mimosaloom_policy import Candidate, FinishEstimate
 
+from .answer_sizes import AnswerSizes
+from .bodies import MAX_BUFFERED_BYTES
 from .calls import Call, Progress
 from .decision_log import DecisionLog, Importance
 from .hop_messages import HeaderNames, HopContext, HopResult, read_kind
@@ -87,6 +90,7 @@
         recent_pause_s: Returns for how many seconds a request that is read now may have
             waited for this process to run.
         account: Counts the requests that end here.
+        answer_sizes: Sizes of the answers to the requests that began here.
         on_newer_version: Called with the version and the node when a node answers with
             a newer configuration version than the one in force here.
         on_record_outdated: Called with a node whose record is outdated.
@@ -115,6 +119,7 @@
         self.is_closing = False
         self.recent_pause_s: Callable[[], float] = lambda: 0.0
         self.account = RequestAccount(clock)
+        self.answer_sizes = AnswerSizes()
         self.on_newer_version: Callable[[int, Candidate], None] = lambda v, c: None
         self.on_record_outdated: Callable[[Candidate], None] = lambda c: None
         self._own_name = own_name
@@ -145,15 +150,33 @@
         """Apply a configuration to all requests from now on."""
         self.configuration = configuration
         self._rotation.drop_unused(configuration)
+        self.answer_sizes.drop_unused(
+            {
+                route.request_class.name
+                for routes in configuration.routes.values()
+                for route in routes
+            }
+        )
         self._root_rank.apply_organisations(configuration.organisations)
 
     def may_overlap(self, request: Request) -> bool:
         """Return whether a request may run while others of its connection run."""
+        request_class = self._find_class(request)
+        return request_class is not None and request_class.is_idempotent
+
+    def expect_answer_bytes(self, request: Request) -> int:
+        """Return how many bytes the answer to a request may have."""
+        request_class = self._find_class(request)
+        return (
+            0 if request_class is None else self.answer_sizes.expect(request_class.name)
+        )
+
+    def _find_class(self, request: Request) -> RequestClass | None:
         if self.configuration is None:
-            return False
+            return None
         host = request.header("Host") or ""
         route = match_route(self.configuration, host, request.path)
-        return route is not None and route.request_class.is_idempotent
+        return None if route is None else route.request_class
 
     async def handle(self, incoming: Incoming) -> Answer:
         """Answer a request of a client or of the target on this instance."""
@@ -274,6 +297,12 @@
             raise
         if answer is not None:
             self._record_call_result(call, is_success=answer.response.status < 500)
+            self.answer_sizes.record(
+                call.route.request_class.name,
+                len(answer.response.body)
+                if answer.streamed_body is None
+                else MAX_BUFFERED_BYTES + 1,
+            )
             self._record_outcome(
                 call, progress, "answered", str(answer.response.status)
             )
--- a/libs/mimosaloom-relay/mimosaloom_relay/pipeline.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/pipeline.py
@@ -4,15 +4,18 @@
 the order of the requests, so one that is finished early is held until its turn.
 """
 
+import math
 from collections.abc import Callable, Hashable
 from typing import Generic, TypeVar
 
+from .answer_sizes import ByteBudget
+
 __all__ = ["MAX_HELD_BYTES", "MAX_OVERLAPPING", "MAX_WAITING", "Pipeline"]
 
 # Requests of one connection that are started and not yet answered.
 MAX_OVERLAPPING = 64
 # Bytes that the unanswered requests of one connection hold, in bodies of requests and
-# in finished answers. Requests that run already may exceed this by their answers.
+# in answers, expected or finished. The answer that is written next does not count.
 MAX_HELD_BYTES = 1 << 20
 # Requests of one connection that are read but not started.
 MAX_WAITING = 64
@@ -29,16 +32,26 @@
     Args:
         may_overlap: Returns whether a request may run beside others that may. It is
             called only for connections with more than one request.
+        expect_answer_bytes: Returns how many bytes the answer to a request may hold;
+            called only for requests that are to run beside others.
+        budget: Bytes that all connections hold together.
 
     Attributes:
         is_stopped: Whether no more requests are started.
         held_bytes: Bytes that the started requests hold.
     """
 
-    def __init__(self, may_overlap: Callable[[_T], bool]):
+    def __init__(
+        self,
+        may_overlap: Callable[[_T], bool],
+        expect_answer_bytes: Callable[[_T], int] = lambda request: 0,
+        budget: ByteBudget | None = None,
+    ):
         self.is_stopped = False
         self.held_bytes = 0
         self._may_overlap = may_overlap
+        self._expect_answer_bytes = expect_answer_bytes
+        self._budget = ByteBudget(math.inf) if budget is None else budget
         # Requests in order, with the bytes that each holds.
         self._started: dict[_T, int] = {}
         self._waiting: dict[_T, int] = {}
@@ -83,22 +96,24 @@
         request = next(iter(self._waiting), None)
         if request is None or self.is_stopped:
             return None
-        if self._started and not self._fits_beside_started(request):
-            return None
-        size_bytes = self._waiting.pop(request)
-        self._waiting_bytes -= size_bytes
-        self._started[request] = size_bytes
-        self.held_bytes += size_bytes
+        reserved_bytes = self._waiting[request]
+        if self._started:
+            reserved_bytes += self._expect_answer_bytes(request)
+            if not self._fits_beside_started(request, reserved_bytes):
+                return None
+        self._waiting_bytes -= self._waiting.pop(request)
+        self._started[request] = reserved_bytes
+        self._count_held(reserved_bytes)
         return request
 
     def hold_answer(self, request: _T, size_bytes: int) -> None:
-        """Count the bytes of a finished answer, in place of those of its request."""
-        self.held_bytes += size_bytes - self._started[request]
+        """Count the bytes of a finished answer, in place of those reserved for it."""
+        self._count_held(size_bytes - self._started[request])
         self._started[request] = size_bytes
 
     def remove(self, request: _T) -> None:
         """Remove a request that is answered, or that gets no answer."""
-        self.held_bytes -= self._started.pop(request, 0)
+        self._count_held(-self._started.pop(request, 0))
         self._waiting_bytes -= self._waiting.pop(request, 0)
 
     def stop_starting(self) -> list[_T]:
@@ -114,13 +129,19 @@
         started = list(self._started)
         self._started.clear()
         self._waiting.clear()
-        self.held_bytes = self._waiting_bytes = 0
+        self._waiting_bytes = 0
+        self._count_held(-self.held_bytes)
         return started
 
-    def _fits_beside_started(self, request: _T) -> bool:
+    def _count_held(self, change_bytes: int) -> None:
+        self.held_bytes += change_bytes
+        self._budget.used_bytes += change_bytes
+
+    def _fits_beside_started(self, request: _T, reserved_bytes: int) -> bool:
         return (
             len(self._started) < MAX_OVERLAPPING
-            and self.held_bytes <= MAX_HELD_BYTES
+            and self.held_bytes + reserved_bytes <= MAX_HELD_BYTES
+            and self._budget.has_room(reserved_bytes)
             and self._may_overlap(request)
             and self._may_overlap(self.last_started)
         )
--- a/libs/mimosaloom-relay/mimosaloom_relay/settings.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/settings.py
@@ -41,6 +41,7 @@
         grace_s: Time between the stop signal and the kill of the process.
         recovery_s: Time after a disturbance within which the node follows the store
             again.
+        memory_bytes: Memory that the process may take.
         quota_bounds: How far the requests that run may exceed the quota of their
             organisation.
     """
@@ -53,4 +54,5 @@
     retry_budget: SharedRetryBudget
     grace_s: float
     recovery_s: float = 3.0
+    memory_bytes: int = 200 * 10**6
     quota_bounds: QuotaBounds = QuotaBounds()
--- a/tests/platform_adapter/standins.py
+++ b/tests/platform_adapter/standins.py
@@ -199,6 +199,12 @@
     return head + b"\r\n\r\n%x\r\n%s\r\n0\r\n\r\n" % (len(body), body)
 
 
+def _enlarge(answer: bytes, size: int) -> bytes:
+    """Return an answer with a body of another size."""
+    head = answer.partition(b"Content-Length: ")[0]
+    return head + b"Content-Length: %d\r\n\r\n" % size + b"x" * size
+
+
 # What the target writes in each mode, built from its answer and an unsolicited one.
 _ANSWER_BUILDERS = {
     "ok": lambda answer, unsolicited: answer,
@@ -215,6 +221,10 @@
     ),
     "error": lambda answer, unsolicited: answer.replace(b"200 OK", b"500 Error"),
     "chunked": lambda answer, unsolicited: _encode_chunked(answer),
+    # Sizes below and above those up to which nodes buffer an answer.
+    "medium": lambda answer, unsolicited: _enlarge(answer, 240_000),
+    "large": lambda answer, unsolicited: _enlarge(answer, 800_000),
+    "large-cut": lambda answer, unsolicited: _enlarge(answer, 800_000)[:-400_000],
 }
 _SIGNED_START = (
     b"HTTP/1.1 200 OK\r\nMimosaloom-Attempt-Id: ID\r\n"
@@ -233,7 +243,7 @@
     ),
     "endless-body": (_SIGNED_START + b"\r\n", b"b" * _PIECE_BYTES),
 }
-_CLOSING_MODES = frozenset({"lose", "cut", "garbage", "no-length"})
+_CLOSING_MODES = frozenset({"lose", "cut", "garbage", "no-length", "large-cut"})
 
 
 async def _read_body(reader, headers) -> bytes:
--- a/tests/platform_adapter/test_pipelined_requests.py
+++ b/tests/platform_adapter/test_pipelined_requests.py
@@ -7,6 +7,8 @@
 import pytest
 from platform_adapter.cluster import run_cluster, wait_until
 
+from mimosaloom_relay.pipeline import MAX_HELD_BYTES
+
 pytestmark = pytest.mark.sockets
 
 COUNT = 10
@@ -64,11 +66,45 @@
     return float(found[1])
 
 
+async def answer_first(front, back):
+    """Answer a request, so that the size of the answers of its class is known."""
+    assert (await front.send_request("/b/first")).status == 200
+    back.target.runs.clear()
+
+
+@pytest.mark.parametrize("is_known", [True, False])
+def test_answers_that_wait_behind_a_slow_reader_are_bounded(is_known):
+    """Guards against slow readers whose answers fill the memory of a node."""
+
+    async def scenario(cluster):
+        front, back = await start_pair(cluster)
+        back.target.modes = ["medium"] * (is_known + 6 * COUNT)
+        if is_known:
+            await answer_first(front, back)
+        paths = [f"/b/{number}" for number in range(6 * COUNT)]
+        async with connect(front) as (reader, writer):
+            # The transport of the client stops reading at the limit of its stream.
+            writer.write(encode_requests(paths))
+            await asyncio.sleep(0.7)
+            page = front.node.metrics.render()
+            found = re.search(rb"^mimosaloom_held_bytes (\S+)", page, re.MULTILINE)
+            assert 0 < float(found[1]) <= MAX_HELD_BYTES
+            assert len(back.target.runs) < len(paths)
+            raw = await asyncio.wait_for(reader.read(-1), 10)
+        assert raw.count(b"HTTP/1.1 200") == len(paths)
+
+    run_cluster(scenario)
+
+
 def test_target_has_pipelined_requests_at_the_same_time():
-    """Guards against requests that wait for the work of those before them."""
+    """Guards against requests that wait for the work of those before them.
+
+    How large the answers of the class are is known, as one has been answered.
+    """
 
     async def scenario(cluster):
         front, back = await start_pair(cluster)
+        await answer_first(front, back)
         back.target.modes = ["hold"] * COUNT
         paths = [f"/b/{number}" for number in range(COUNT)]
         async with connect(front) as (reader, writer):
@@ -109,6 +145,7 @@
 
     async def scenario(cluster):
         front, back = await start_pair(cluster)
+        await answer_first(front, back)
         back.target.modes = ["hold"] * COUNT
         paths = [f"/b/{number}" for number in range(COUNT)]
         async with connect(front) as (_, writer):
--- a/tests/relay/test_pipelining.py
+++ b/tests/relay/test_pipelining.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import itertools
+import math
 import re
 from types import SimpleNamespace
 
@@ -13,6 +14,7 @@
 from mimosaloom_mesh.messages import Response, find_header
 from mimosaloom_model import Address
 from mimosaloom_relay import Answer, RelayServer, new_event_loop
+from mimosaloom_relay.answer_sizes import WINDOW_ANSWERS, AnswerSizes, ByteBudget
 from mimosaloom_relay.bodies import MAX_BUFFERED_BYTES, Body
 from mimosaloom_relay.connections import FlowControl, PauseReason
 from mimosaloom_relay.pipeline import (
@@ -151,6 +153,57 @@
         assert pipeline.is_idle == (not started)
 
 
+def test_bytes_of_answers_are_reserved_before_the_requests_start():
+    """Guards against a slow reader whose finished answers fill the memory of a node."""
+    budget = ByteBudget(math.inf)
+    pipeline = Pipeline(lambda r: True, lambda r: MAX_BUFFERED_BYTES, budget)
+    requests = [f"r{n}" for n in range(40)]
+    for request in requests:
+        pipeline.add(request, 0)
+    # The first one is written at once and reserves nothing.
+    fitting = 1 + MAX_HELD_BYTES // MAX_BUFFERED_BYTES
+    assert start_all(pipeline) == requests[:fitting]
+    assert budget.used_bytes == MAX_HELD_BYTES
+    for request in requests[1:fitting]:
+        pipeline.hold_answer(request, 1000)
+    assert start_all(pipeline) == requests[fitting : fitting + 3]
+    pipeline.clear()
+    assert budget.used_bytes == 0
+
+
+def test_budget_holds_over_all_connections():
+    """Guards against many slow readers, each within the bound of its connection."""
+    budget = ByteBudget(3 * MAX_BUFFERED_BYTES)
+    pipelines = [
+        Pipeline(lambda r: True, lambda r: MAX_BUFFERED_BYTES, budget)
+        for _ in range(50)
+    ]
+    for pipeline in pipelines:
+        for request in ("a", "b"):
+            pipeline.add(request, 0)
+    # Each connection goes on with one request at a time.
+    assert [len(start_all(p)) for p in pipelines] == [2, 2, 2] + [1] * 47
+    assert budget.used_bytes <= budget.limit_bytes
+    pipelines[0].remove("a")
+    pipelines[0].remove("b")
+    assert start_all(pipelines[-1]) == ["b"]
+
+
+def test_sizes_of_answers_are_learned_and_forgotten():
+    """Guards against a class that is slow for ever after one large answer."""
+    sizes = AnswerSizes()
+    assert sizes.expect("a") == MAX_BUFFERED_BYTES
+    sizes.record("a", 700_000)
+    for _ in range(WINDOW_ANSWERS):
+        sizes.record("a", 500)
+        assert sizes.expect("a") == 700_000
+    for _ in range(WINDOW_ANSWERS):
+        sizes.record("a", 500)
+    assert sizes.expect("a") == 500
+    sizes.drop_unused({"b"})
+    assert sizes.expect("a") == MAX_BUFFERED_BYTES
+
+
 class Gate:
     """A handler that holds requests until the test releases them.
 
