Start nothing behind a request whose answer is too large to buffer

Cause: requests of a connection are started at once, before the size of the first answer is known. A buffered answer is checked whole; one that is streamed can only close the connection when it breaks off.

--- a/libs/mimosaloom-relay/mimosaloom_relay/origin.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/origin.py
@@ -160,9 +160,17 @@
         self._root_rank.apply_organisations(configuration.organisations)
 
     def may_overlap(self, request: Request) -> bool:
-        """Return whether a request may run while others of its connection run."""
+        """Return whether a request may run while others of its connection run.
+
+        An answer that is streamed can break off midway, which closes the connection.
+        Requests behind it would have run without an answer, so none is started.
+        """
         request_class = self._find_class(request)
-        return request_class is not None and request_class.is_idempotent
+        return (
+            request_class is not None
+            and request_class.is_idempotent
+            and self.answer_sizes.expect(request_class.name) <= MAX_BUFFERED_BYTES
+        )
 
     def expect_answer_bytes(self, request: Request) -> int:
         """Return how many bytes the answer to a request may have."""
--- a/tests/platform_adapter/test_pipelined_requests.py
+++ b/tests/platform_adapter/test_pipelined_requests.py
@@ -72,6 +72,30 @@
     back.target.runs.clear()
 
 
+async def load_all(front, target, paths):
+    """Send pipelined requests, read nothing, and return which of them run."""
+    known = len(target.runs)
+    async with connect(front) as (reader, writer):
+        writer.write(encode_requests(paths))
+        await asyncio.sleep(0.5)
+        return target.runs[known:], await reader.read(-1)
+
+
+def test_request_behind_a_large_answer_that_breaks_off_does_not_run():
+    """Guards against requests that ran and are cut off with an answer before them."""
+
+    async def scenario(cluster):
+        front, back = await start_pair(cluster)
+        back.target.modes = ["large", "large-cut"]
+        await answer_first(front, back)
+        paths = [f"/b/{number}" for number in range(COUNT)]
+        runs, raw = await load_all(front, back.target, paths)
+        assert len(raw) < 800_000
+        assert runs == ["b/0"]
+
+    run_cluster(scenario)
+
+
 @pytest.mark.parametrize("is_known", [True, False])
 def test_answers_that_wait_behind_a_slow_reader_are_bounded(is_known):
     """Guards against slow readers whose answers fill the memory of a node."""
