End a large answer that stalls at the deadline of its request

Cause: the time-outs at both nodes cover an answer until it is returned, which for a streamed one is before its rest has arrived.

Change: a streamed body has the deadline of its request. After it, it ends when the reader waits for 0.15 s for a piece. A client that reads slowly still gets all that is there.

Why it works: what ends the wait for the rest is the body itself, at each node, and an ended body closes the connection of the client without the end of the answer and that to the target.

--- a/libs/mimosaloom-relay/mimosaloom_relay/bodies.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/bodies.py
@@ -9,6 +9,8 @@
 # Messages up to this size are buffered completely, so that they can be resent, or
 # checked before a byte of them is passed on. Larger ones are streamed piece by piece.
 MAX_BUFFERED_BYTES = 256 * 1024
+# How long a consumer waits for the next piece of a body whose time has passed.
+OVERDUE_WAIT_S = 0.15
 
 
 class Body:
@@ -34,6 +36,8 @@
         self._pieces: deque[bytes] = deque()
         self._buffered_bytes = 0
         self._is_discarded = False
+        self._is_overdue = False
+        self._deadline: asyncio.TimerHandle | None = None
         self._body_changed: asyncio.Future | None = None
         self._space_available: asyncio.Future | None = None
 
@@ -46,6 +50,8 @@
         """
         if self._is_discarded:
             return None
+        if self._is_overdue:
+            self._stop_deadline()
         self._pieces.append(piece)
         self._buffered_bytes += len(piece)
         self._wake_reader()
@@ -71,6 +77,19 @@
             self.failure = reason
             self._end()
 
+    def limit_time(self, remaining_s: float) -> None:
+        """End the body if its sender does not deliver the rest in time.
+
+        After that time, it ends when the consumer waits for `OVERDUE_WAIT_S` for a
+        piece. A consumer that reads slowly gets all that the sender has ready.
+
+        Args:
+            remaining_s: Time from now in seconds.
+        """
+        if not self.is_complete and not self.failure:
+            loop = asyncio.get_running_loop()
+            self._deadline = loop.call_later(max(0.0, remaining_s), self._note_overdue)
+
     def discard(self) -> None:
         """Drop the buffered and all later pieces, since the body has no consumer."""
         self._is_discarded = True
@@ -112,10 +131,33 @@
                 yield piece
             if self.is_complete or self.failure:
                 return
+            if self._is_overdue:
+                self._await_piece()
             self._body_changed = asyncio.get_running_loop().create_future()
             await self._body_changed
 
+    def _note_overdue(self) -> None:
+        self._is_overdue = True
+        if not self._pieces:
+            self._await_piece()
+
+    def _await_piece(self) -> None:
+        """End the overdue body if no piece arrives soon."""
+        self._stop_deadline()
+        loop = asyncio.get_running_loop()
+        self._deadline = loop.call_later(OVERDUE_WAIT_S, self._end_overdue)
+
+    def _end_overdue(self) -> None:
+        self.fail("the rest did not arrive in time")
+        self.abort()
+
+    def _stop_deadline(self) -> None:
+        if self._deadline is not None:
+            self._deadline.cancel()
+            self._deadline = None
+
     def _end(self) -> None:
+        self._stop_deadline()
         self._wake_reader()
         self._release_sender()
         self._notify_ready()
--- a/libs/mimosaloom-relay/mimosaloom_relay/origin.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/origin.py
@@ -305,6 +305,9 @@
             raise
         if answer is not None:
             self._record_call_result(call, is_success=answer.response.status < 500)
+            if answer.streamed_body is not None:
+                left_s = call.deadline_s - self._clock.monotonic_s()
+                answer.streamed_body.limit_time(left_s + DEADLINE_SLACK_S)
             self.answer_sizes.record(
                 call.route.request_class.name,
                 len(answer.response.body)
--- a/libs/mimosaloom-relay/mimosaloom_relay/target_side.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/target_side.py
@@ -490,6 +490,7 @@
         was_rejected = context.request_id in self._rejected_until_s
         request = self._build_request(context, incoming.request, remaining_s)
         address = self.own_target.address
+        start_s = self._clock.monotonic_s()
         is_written = False
 
         def note_write() -> None:
@@ -499,7 +500,7 @@
 
         try:
             async with asyncio.timeout(max(0.0, remaining_s) + DEADLINE_SLACK_S):
-                return await self._client.send(
+                outcome = await self._client.send(
                     address,
                     request,
                     incoming.streamed_body,
@@ -510,6 +511,10 @@
                     expected_id=(self._names.request_id, context.request_id),
                     on_write=note_write,
                 )
+            if isinstance(outcome, Answer) and outcome.streamed_body is not None:
+                left_s = start_s + remaining_s - self._clock.monotonic_s()
+                outcome.streamed_body.limit_time(left_s + DEADLINE_SLACK_S)
+            return outcome
         except asyncio.CancelledError:
             if is_written:
                 self._end_detector.note_lost_call(start_key, context.request_key)
--- a/tests/platform_adapter/standins.py
+++ b/tests/platform_adapter/standins.py
@@ -19,8 +19,9 @@
             "early" answers before the body has arrived, "reject" refuses the request
             without running it, "reject-twice" also sends a copy of that answer when the
             next request on the connection arrives, "reject-unnamed-twice" does so
-            without the id of the request, "hold" and "hold-error" run it and
-            answer once `released` is set, "hang" never answers and does not run it;
+            without the id of the request, "hold", "hold-error" and "hold-large" run it
+            and answer once `released` is set, "hang" never answers and does not run it,
+            "large-stall" stops in the middle of a large answer;
             those of `_ENDLESS_ANSWERS` write until the connection closes;
             `_ANSWER_BUILDERS` has the others.
         released: Event that lets held requests end.
@@ -142,13 +143,19 @@
             await reader.read()
             return False
         await self.run(request_id)
+        if mode == "large-stall":
+            answer = _enlarge(self._build_answer(request_id, b""), 800_000)
+            writer.write(answer[:-400_000])
+            await reader.read()
+            self.disconnected.append(request_id)
+            return False
         if mode in _ENDLESS_ANSWERS:
             await self._write_endlessly(request_id, writer, *_ENDLESS_ANSWERS[mode])
             return False
         answer = self._build_answer(request_id, b"done:" + body)
         if mode.startswith("hold"):
-            if mode == "hold-error":
-                answer = _ANSWER_BUILDERS["error"](answer, b"")
+            if mode != "hold":
+                answer = _ANSWER_BUILDERS[mode.removeprefix("hold-")](answer, b"")
             return await self._hold_request(request_id, answer, reader, writer)
         unsolicited = self._build_answer(
             "another" if mode == "extra" else request_id, b"late"
@@ -223,6 +230,7 @@
     "chunked": lambda answer, unsolicited: _encode_chunked(answer),
     # Sizes below and above those up to which nodes buffer an answer.
     "medium": lambda answer, unsolicited: _enlarge(answer, 240_000),
+    "huge": lambda answer, unsolicited: _enlarge(answer, 12_000_000),
     "large": lambda answer, unsolicited: _enlarge(answer, 800_000),
     "large-cut": lambda answer, unsolicited: _enlarge(answer, 800_000)[:-400_000],
 }
--- a/tests/platform_adapter/test_path.py
+++ b/tests/platform_adapter/test_path.py
@@ -5,6 +5,8 @@
 """
 
 import asyncio
+import contextlib
+import time
 
 import pytest
 from platform_adapter.cluster import run_cluster, wait_until
@@ -233,6 +235,55 @@
     run_cluster(scenario)
 
 
+@pytest.mark.parametrize("method", ["GET", "POST"])
+def test_answer_that_stalls_midway_ends_at_the_deadline(method):
+    """Guards against a caller that waits for the rest of an answer without an end."""
+
+    async def scenario(cluster):
+        front, back = await start_pair(cluster, **NON_IDEMPOTENT, timeoutMs=400)
+        back.target.modes = ["large-stall"]
+        start_s = time.monotonic()
+        host, port = front.node.addresses.outbound
+        reader, writer = await asyncio.open_connection(host, port)
+        writer.write(
+            f"{method} /b/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 0\r\n"
+            "Mimosaloom-Attempt-Id: id-1\r\n\r\n".encode()
+        )
+        raw = bytearray()
+        with contextlib.suppress(ConnectionResetError):
+            while piece := await asyncio.wait_for(reader.read(1 << 20), 5):
+                raw += piece
+        assert 0.3 < time.monotonic() - start_s < 0.9
+        assert b"Content-Length: 800000" in raw
+        assert len(raw) < 800_000
+        await wait_until(lambda: back.target.disconnected == ["id-1"])
+        writer.close()
+
+    run_cluster(scenario)
+
+
+def test_large_answer_is_delivered_whole_to_a_slow_reader_after_the_deadline():
+    """Guards against an answer that is there and is cut as its time has passed."""
+
+    async def scenario(cluster):
+        front, back = await start_pair(cluster, timeoutMs=500)
+        back.target.modes = ["huge"]
+        host, port = front.node.addresses.outbound
+        reader, writer = await asyncio.open_connection(host, port)
+        writer.write(
+            b"GET /b/x HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n"
+            b"Mimosaloom-Attempt-Id: id-1\r\n\r\n"
+        )
+        head = await reader.readuntil(b"\r\n\r\n")
+        assert b" 200 " in head
+        await asyncio.sleep(1.2)
+        body = await asyncio.wait_for(reader.read(-1), 10)
+        assert len(body) == 12_000_000
+        writer.close()
+
+    run_cluster(scenario)
+
+
 def test_large_answers_leave_no_connections_behind():
     """Guards against two descriptors that each large answer costs for good."""
 
