Abort a streamed answer that nobody waits for

Cause: the run goes on without its caller, and nothing reads or closes its streamed answer, which holds its connection and 256 KiB until the cycle collector finds it.

Change: once the caller is gone, the answer is aborted as soon as it is there.

--- a/libs/mimosaloom-relay/mimosaloom_relay/target_side.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/target_side.py
@@ -304,7 +304,11 @@
         task = asyncio.ensure_future(sending)
         self._detached_runs.add(task)
         task.add_done_callback(self._detached_runs.discard)
-        return await asyncio.shield(task)
+        try:
+            return await asyncio.shield(task)
+        except asyncio.CancelledError:
+            task.add_done_callback(_abort_unread_answer)
+            raise
 
     def _find_refusal(
         self, context: HopContext, gate: AdmissionGate | None
@@ -657,6 +661,15 @@
         return round(1000 * (self._clock.monotonic_s() - start_s))
 
 
+def _abort_unread_answer(task: asyncio.Task) -> None:
+    """Close the connection of a streamed answer that nobody waits for."""
+    if task.cancelled() or task.exception() is not None:
+        return
+    answer = task.result().answer
+    if answer is not None and answer.streamed_body is not None:
+        answer.streamed_body.abort()
+
+
 def _build_arrival(key: str, context: HopContext, deadline_s: float) -> Arrival:
     priority = context.priority
     return Arrival(
--- a/tests/platform_adapter/test_path.py
+++ b/tests/platform_adapter/test_path.py
@@ -284,6 +284,28 @@
     run_cluster(scenario)
 
 
+def test_large_answer_to_a_client_that_has_left_is_not_kept():
+    """Guards against answers that nobody reads and that hold memory and connections."""
+
+    async def scenario(cluster):
+        front, back = await start_pair(cluster, **NON_IDEMPOTENT)
+        back.target.modes = ["hold-large"] * 5
+        for number in range(5):
+            host, port = front.node.addresses.outbound
+            _, writer = await asyncio.open_connection(host, port)
+            writer.write(
+                b"POST /b/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 0\r\n"
+                b"Mimosaloom-Attempt-Id: id-%d\r\n\r\n" % number
+            )
+            await wait_until(lambda n=number: len(back.target.runs) == n + 1)
+            writer.close()
+        await wait_until(lambda: not front.node.count_open_connections()["outbound"])
+        back.target.released.set()
+        await wait_until(lambda: not back.node.count_open_connections()["target"])
+
+    run_cluster(scenario)
+
+
 def test_large_answers_leave_no_connections_behind():
     """Guards against two descriptors that each large answer costs for good."""
 
