Read messages between nodes of more than 256 KiB

What callers saw: nothing yet; a node that starts while the store is away would know no other node of a deployment of about 900 nodes or more, and no configuration of more than 256 KiB.

Cause: an answer that is too large to buffer is streamed, and the messages between nodes read only what is buffered, which is nothing.

Change: the whole body is read, up to 8 MiB. A larger message is logged and is no answer; one that breaks off is a failed send.

--- a/libs/mimosaloom-relay/mimosaloom_relay/peer_messenger.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/peer_messenger.py
@@ -6,10 +6,10 @@
 
 from mimosaloom_mesh.messages import Request, Response
 from mimosaloom_mesh.transport import FailedSend
-from mimosaloom_model import Address
+from mimosaloom_model import Address, ErrorKind
 
 from .decision_log import DecisionLog
-from .http_client import HttpClient
+from .http_client import Answer, HttpClient
 from .peers import PeerRecord
 from .task_set import TaskSet
 
@@ -18,6 +18,9 @@
 # Number of nodes that a broadcast goes to. If each node to which it is new passes it
 # on, all but one in e^8 nodes are reached.
 FANOUT = 8
+# Several times the records of 5,200 nodes, and the largest configuration that the store
+# takes in a call.
+MAX_MESSAGE_BYTES = 8 << 20
 
 
 class PeerMessenger:
@@ -45,6 +48,7 @@
     ):
         self._own_name = own_name
         self._client = client
+        self._log = log
         self._records = records
         self._rng = rng
         self.tasks = TaskSet(log)
@@ -60,16 +64,45 @@
         """Send a message to a node.
 
         Returns:
-            The response; `FailedSend` if the connection failed; None after the timeout.
+            The whole response; `FailedSend` if the connection failed; None after the
+            timeout or if the response is larger than `MAX_MESSAGE_BYTES`.
         """
         try:
             async with asyncio.timeout(timeout_s):
                 outcome = await self._client.send(
                     address, request, needs_fresh_connection=True
                 )
+                if isinstance(outcome, FailedSend):
+                    return outcome
+                if outcome.streamed_body is None:
+                    return outcome.response
+                return await self._read_whole(address, request, outcome)
         except TimeoutError:
             return None
-        return outcome if isinstance(outcome, FailedSend) else outcome.response
+
+    async def _read_whole(
+        self, address: Address, request: Request, answer: Answer
+    ) -> Response | FailedSend | None:
+        """Return a response that was too large to buffer, with its body."""
+        body = bytearray()
+        streamed_body = answer.streamed_body
+        try:
+            async for piece in streamed_body.pieces():
+                body += piece
+                if len(body) > MAX_MESSAGE_BYTES:
+                    self._log.change(
+                        "message_too_large",
+                        node=f"{address.host}:{address.port}",
+                        path=request.path,
+                        limit_bytes=MAX_MESSAGE_BYTES,
+                    )
+                    return None
+        finally:
+            if not streamed_body.is_complete:
+                streamed_body.abort()
+        if not streamed_body.is_complete:
+            return FailedSend(ErrorKind.ANSWER_TRUNCATED, streamed_body.failure)
+        return answer.response._replace(body=bytes(body))
 
     def broadcast(self, request: Request, timeout_s: float) -> None:
         """Send a message to some other nodes, without waiting for answers."""
