Ignore the trailers of requests

What callers saw: a request with a trailer that names another id got 504; one with a trailer could set any header that the system reads, behind its body.

Cause: fields behind a chunked body up to 256 KiB were added to the headers, as the parser reports both in the same way and the request is built afterwards.

Change: fields after the head are counted, so that they stay bounded, and dropped.

Before: test_trailers_of_a_request_are_no_headers fails on for a buffered body; after: passes for a buffered and a streamed one.

--- a/libs/mimosaloom-relay/mimosaloom_relay/exchanges.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/exchanges.py
@@ -20,6 +20,7 @@
         abort: Aborts the connection.
 
     Attributes:
+        has_head: Whether the head has been read; fields after it are trailers.
         request: The request as queued, with an empty body if that is streamed; None
             before it is queued.
         is_streamed: Whether the body was too large to buffer when it was queued.
@@ -33,6 +34,7 @@
         self.headers: list[tuple[str, str]] = []
         self.method = ""
         self.size_bytes = 0
+        self.has_head = False
         self.is_kept_alive = True
         self.is_http_1_0 = False
         self.request: Request | None = None
--- a/libs/mimosaloom-relay/mimosaloom_relay/http_server.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/http_server.py
@@ -228,12 +228,16 @@
 
     def on_header(self, name, value):
         self._count_head(len(name) + len(value))
+        if self._incoming.has_head:
+            # A trailer. It could replace what the system has read from the head.
+            return
         header = (name.decode("latin-1"), value.decode("latin-1"))
         self._incoming.headers.append(header)
 
     def on_headers_complete(self):
         self._head_meter.reset()
         exchange = self._incoming
+        exchange.has_head = True
         exchange.method = self._parser.get_method().decode("latin-1")
         exchange.is_kept_alive = (
             self._parser.should_keep_alive() and not self._parser.should_upgrade()
--- a/tests/platform_adapter/test_path.py
+++ b/tests/platform_adapter/test_path.py
@@ -492,3 +492,28 @@
         assert back.target.runs == ["same", "same"]
 
     run_cluster(scenario)
+
+
+@pytest.mark.parametrize("size", [4, 300_000])
+def test_trailers_of_a_request_are_no_headers(size):
+    """Guards against an id, host or time that a client sets behind the body."""
+
+    async def scenario(cluster):
+        front, back = await start_pair(cluster)
+        host, port = front.node.addresses.outbound
+        reader, writer = await asyncio.open_connection(host, port)
+        writer.write(
+            b"POST /b/x HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n"
+            b"Mimosaloom-Attempt-Id: id-1\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"%x\r\n%b\r\n0\r\nMimosaloom-Attempt-Id: id-2\r\nX-Trailer: y\r\n\r\n"
+            % (size, b"x" * size)
+        )
+        answer = await asyncio.wait_for(reader.read(-1), 5)
+        assert answer.startswith(b"HTTP/1.1 200 ")
+        assert back.target.runs == ["id-1"]
+        _, headers, body = back.target.requests[0]
+        assert "X-Trailer" not in headers
+        assert len(body) == size
+        writer.close()
+
+    run_cluster(scenario)
