--- a/tests/platform_adapter/test_stops_and_restarts.py
+++ b/tests/platform_adapter/test_stops_and_restarts.py
@@ -161,6 +161,15 @@
     run_cluster(scenario)
 
 
+async def check_unused(target, members):
+    """Send requests to several nodes for a while; none may reach a target."""
+    for number in range(20):
+        for member in members:
+            await member.send_request("/b/x", f"{member.target.port}-{number}")
+        await asyncio.sleep(0.01)
+    assert target.runs == []
+
+
 @pytest.mark.parametrize("is_store_late", [False, True])
 def test_leave_that_the_store_has_not_got_outlives_its_node(is_store_late):
     """Guards against requests to a target whose node has forgotten that it left."""
@@ -179,11 +188,7 @@
         cluster.store.is_down = False
         await wait_until(lambda: restarted.node.version == 1)
         await wait_until(lambda: restarted.node.own_target.is_leaving)
-        for number in range(20):
-            for member in (front, restarted):
-                await member.send_request("/b/x", f"{member.target.port}-{number}")
-            await asyncio.sleep(0.01)
-        assert back.target.runs == []
+        await check_unused(back.target, (front, restarted))
 
     run_cluster(scenario)
 
@@ -212,11 +217,7 @@
         await wait_until(lambda: restarted.node.version == 1)
         await restarted.announce(born=5)
         await wait_until(lambda: restarted.node.own_target.is_leaving)
-        for number in range(20):
-            for member in (front, restarted):
-                await member.send_request("/b/x", f"{member.target.port}-{number}")
-            await asyncio.sleep(0.01)
-        assert back.target.runs == []
+        await check_unused(back.target, (front, restarted))
 
     run_cluster(scenario)
 
