Believe a leave against the order of start times only after a heartbeat

Cause: any leave of such a start was believed. A late message alone is more likely than a clock that was set back.

Change: the leave is believed if its start has sent a heartbeat since the last one of the current start. A target that runs sends one between two messages of any other; one that has ended does not.

--- a/libs/mimosaloom-relay/mimosaloom_relay/own_target.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/own_target.py
@@ -121,6 +121,8 @@
         # that have been current and may still be alive.
         self._heard_s = 0.0
         self._newest_born_ms = 0
+        # Start with an earlier time that has sent a heartbeat since the current one.
+        self._contender: _Start | None = None
         self._sequences: dict[_Start, int] = {}
         # Starts that are draining or have left; ids of targets that left without
         # telling their start time, with the time of that message.
@@ -167,6 +169,8 @@
         is_same_start = current is not None and _start_of(current) == start
         is_draining = heartbeat.state is TargetState.DRAINING
         if not is_same_start and not self._may_replace_current(start, is_draining):
+            if start not in self._sequences and start not in self._left_starts:
+                self._contender = start
             return HeartbeatResult.STALE
         if heartbeat.sequence <= self._sequences.get(start, 0):
             return HeartbeatResult.STALE
@@ -232,9 +236,10 @@
         target's instance has been set back between two starts, so that the later one
         has the earlier time. Two things are believed nevertheless. After a silence of
         the current start that is longer than messages are delayed, whoever still sends
-        is alive. Until then, a start with the id of the current one that has not been
-        heard of may be the one that serves its requests, so its leave is respected.
-        If that was a late message, the current start is back after the same silence.
+        is alive. Until then, a start with the id of the current one that has sent a
+        heartbeat since the last one of the current start may be the one that serves its
+        requests, so its leave is respected. If both were late messages, the current
+        start is back after the same silence.
 
         Args:
             start: Start of the target that sent the message.
@@ -249,8 +254,8 @@
             return True
         if start.born_ms > self._newest_born_ms:
             return True
-        is_news = start not in self._sequences and start not in self._left_starts
-        if is_news and is_leaving and start.target_id == current.target_id:
+        is_same_id = start.target_id == current.target_id
+        if is_leaving and is_same_id and start == self._contender:
             return True
         return self._is_silent()
 
@@ -262,6 +267,7 @@
         newest_born_ms = 0 if self._is_silent() else self._newest_born_ms
         self._newest_born_ms = max(newest_born_ms, announcement.born_ms)
         self._heard_s = self._clock.monotonic_s()
+        self._contender = None
         self.announcement = announcement
         self.is_reachable = True
 
