Let the soak's view of the store serve whole pages

The stand-in of the store can garble pages of newest records since. The soak answers through a view of it that lacked the field, so each call got 500 and no node became ready.

--- a/tests/soak/stores.py
+++ b/tests/soak/stores.py
@@ -57,6 +57,7 @@
         self._server: HTTPServer | None = None
         self.lost_reads: set = set()
         self._waiting: set = set()
+        self.garbled_page = store.garbled_page
 
     @property
     def era(self) -> int:
