--- a/tests/platform_adapter/standins.py
+++ b/tests/platform_adapter/standins.py
@@ -258,9 +258,9 @@
     if headers.get("Transfer-Encoding") == "chunked":
         pieces = []
         while True:
-            size = int((await reader.readline()).strip(), 16)
+            size = int((await reader.readuntil(b"\r\n")).strip(), 16)
             piece = await reader.readexactly(size)
-            await reader.readline()
+            await reader.readuntil(b"\r\n")
             if not size:
                 return b"".join(pieces)
             pieces.append(piece)
--- a/tests/soak/machines.py
+++ b/tests/soak/machines.py
@@ -95,13 +95,16 @@
         machine: The machine.
         folder: Receives the settings file and the log.
         tree: Checkout whose sources the node runs.
+        further_settings: Added at the end of the settings file.
 
     Attributes:
         starts: Number of starts so far.
         is_paused: Whether the process is stopped by SIGSTOP.
     """
 
-    def __init__(self, machine: Machine, folder: Path, tree: Path):
+    def __init__(
+        self, machine: Machine, folder: Path, tree: Path, further_settings: str = ""
+    ):
         self.machine = machine
         self.starts = 0
         self.is_paused = False
@@ -120,7 +123,8 @@
                 ready_port=READY_PORT,
                 admin_port=ADMIN_PORT,
                 store_port=STORE_PORT,
-            ),
+            )
+            + further_settings,
             encoding="utf-8",
         )
 
@@ -129,6 +133,11 @@
         """Whether the process runs."""
         return self._process is not None and self._process.returncode is None
 
+    @property
+    def pid(self) -> int:
+        """Id of the process, which has been started."""
+        return self._process.pid
+
     @property
     def exit_code(self) -> int | None:
         """Exit code of the process; None while it runs, negative after a signal."""
