Move the connection of a client to a module of its own

Change: ServerConnection is in server_connections.py, Incoming in exchanges.py; no change of behaviour.

--- a/libs/mimosaloom-relay/mimosaloom_relay/exchanges.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/exchanges.py
@@ -2,13 +2,30 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import NamedTuple
 
 from mimosaloom_mesh.messages import Request, Response
 
 from .bodies import MAX_BUFFERED_BYTES, Body
 from .http_client import Answer
 
-__all__ = ["Exchange", "add_framing_headers", "count_held_bytes"]
+__all__ = ["Exchange", "Incoming", "add_framing_headers", "count_held_bytes"]
+
+
+class Incoming(NamedTuple):
+    """A complete request, or the head of one whose body is too large to buffer.
+
+    Attributes:
+        request: Head of the request, and its body unless `streamed_body` is set.
+        streamed_body: The body if it is streamed piece by piece; None if it is
+            buffered.
+        read_at_s: When the request was read, on the server's monotonic clock, if it
+            then waited for requests before it; None if it did not wait.
+    """
+
+    request: Request
+    streamed_body: Body | None = None
+    read_at_s: float | None = None
 
 
 class Exchange:
--- a/libs/mimosaloom-relay/mimosaloom_relay/http_server.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/http_server.py
@@ -4,63 +4,20 @@
 import math
 import socket
 from collections.abc import Awaitable, Callable
-from http import HTTPStatus
-from typing import NamedTuple
 
-import httptools
-from eliot import write_traceback
-
-from mimosaloom_mesh.messages import Request, Response, find_header
+from mimosaloom_mesh.messages import Request, Response
 from mimosaloom_model import Address, Clock, SystemClock
 
 from .answer_sizes import ByteBudget
-from .bodies import Body
-from .connections import (
-    MAX_HEAD_BYTES,
-    FlowControl,
-    HeadMeter,
-    PauseReason,
-    configure_socket,
-    encode_head,
-)
-from .exchanges import Exchange, add_framing_headers, count_held_bytes
-from .hop_messages import forwarded_headers
+from .connections import configure_socket
+from .exchanges import Incoming
 from .http_client import Answer
-from .pipeline import Pipeline
+from .server_connections import ServerConnection
 
 __all__ = ["Handler", "Incoming", "RelayServer"]
 
 LISTEN_BACKLOG = 1024
-# Time for which the rest of a request is still read after an early answer. Closing a
-# connection with unread bytes resets it, and the client would lose the answer.
-LINGER_S = 0.5
 DEFAULT_MAX_BODY_BYTES = 1 << 30
-CONTENT_TOO_LARGE_RESPONSE = (
-    b"HTTP/1.1 413 Content Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
-)
-BAD_REQUEST_RESPONSE = (
-    b"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
-)
-CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
-_REASONS = {status.value: status.phrase for status in HTTPStatus}
-
-
-class Incoming(NamedTuple):
-    """A complete request, or the head of one whose body is too large to buffer.
-
-    Attributes:
-        request: Head of the request, and its body unless `streamed_body` is set.
-        streamed_body: The body if it is streamed piece by piece; None if it is
-            buffered.
-        read_at_s: When the request was read, on the server's monotonic clock, if it
-            then waited for requests before it; None if it did not wait.
-    """
-
-    request: Request
-    streamed_body: Body | None = None
-    read_at_s: float | None = None
-
-
 Handler = Callable[[Incoming], Awaitable[Answer]]
 
 
@@ -99,7 +56,7 @@
         self.held = ByteBudget(math.inf)
         self.is_closing = False
         self.tasks: set[asyncio.Task] = set()
-        self.connections: set[_Connection] = set()
+        self.connections: set[ServerConnection] = set()
         self._server: asyncio.Server | None = None
 
     async def listen(self, address: Address) -> Address:
@@ -111,7 +68,7 @@
         sock.bind((address.host, address.port))
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: _Connection(self), sock=sock, backlog=LISTEN_BACKLOG
+            lambda: ServerConnection(self), sock=sock, backlog=LISTEN_BACKLOG
         )
         return Address(address.host, sock.getsockname()[1])
 
@@ -148,297 +105,3 @@
         self.stop_accepting()
         for connection in list(self.connections):
             connection.transport.close()
-
-
-class _Connection(FlowControl):
-    """One connection of a client; httptools calls its `on_` methods.
-
-    Answers are written in the order of the requests, also if requests run at once.
-    """
-
-    def __init__(self, server: RelayServer):
-        super().__init__()
-        self._server = server
-        self._parser = httptools.HttpRequestParser(self)
-        self._incoming: Exchange | None = None
-        self._pipeline: Pipeline[Exchange] = Pipeline(
-            self._may_overlap,
-            lambda exchange: server.expect_answer_bytes(exchange.request),
-            server.held,
-        )
-        self._owes_continue = False
-        self._has_dropped = False
-        self._head_bytes = 0
-        self._head_meter = HeadMeter()
-        self._has_stopped_parsing = False
-        self._error_response = BAD_REQUEST_RESPONSE
-
-    @property
-    def is_receiving(self) -> bool:
-        """Whether part of a request has arrived and the rest has not."""
-        return self._incoming is not None and not self._has_stopped_parsing
-
-    @property
-    def overlapping_count(self) -> int:
-        """Number of requests started before one in front of them is answered."""
-        return self._pipeline.overlapping_count
-
-    @property
-    def _can_write_own(self) -> bool:
-        """Whether a response other than the answers may be written now."""
-        return self._pipeline.is_idle and not self._pipeline.is_stopped
-
-    def connection_made(self, transport):
-        self.transport = transport
-        self._server.connections.add(self)
-
-    def connection_lost(self, exc):
-        self._server.connections.discard(self)
-        self.resume_writing()
-        if self._incoming is not None:
-            self._incoming.body.fail("the client closed the connection")
-        for exchange in self._pipeline.clear():
-            exchange.task.cancel()
-
-    def data_received(self, data):
-        if self._has_stopped_parsing:
-            return
-        self._head_meter.add(len(data))
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            # No other protocol is supported: the request is answered without an
-            # upgrade, and no bytes after it are parsed.
-            self._has_stopped_parsing = True
-            self._error_response = b""
-        except httptools.HttpParserError:
-            self._reject()
-            return
-        if self._head_meter.is_exceeded:
-            self._reject()
-
-    def on_message_begin(self):
-        self._incoming = Exchange(self.enqueue, lambda: self.transport.abort())
-        self._head_bytes = 0
-        self._owes_continue = False
-
-    def on_url(self, url):
-        self._incoming.path += url
-        self._count_head(len(url))
-
-    def on_header(self, name, value):
-        self._count_head(len(name) + len(value))
-        if self._incoming.has_head:
-            # A trailer. It could replace what the system has read from the head.
-            return
-        header = (name.decode("latin-1"), value.decode("latin-1"))
-        self._incoming.headers.append(header)
-
-    def on_headers_complete(self):
-        self._head_meter.reset()
-        exchange = self._incoming
-        exchange.has_head = True
-        exchange.method = self._parser.get_method().decode("latin-1")
-        exchange.is_kept_alive = (
-            self._parser.should_keep_alive() and not self._parser.should_upgrade()
-        )
-        version = self._parser.get_http_version()
-        if version not in ("1.0", "1.1"):
-            raise ValueError("the HTTP version is not supported; use 1.0 or 1.1")
-        exchange.is_http_1_0 = version == "1.0"
-        if find_header(exchange.headers, "Expect") is not None:
-            self._owes_continue = True
-            self._write_owed_continue()
-
-    def on_body(self, body):
-        self._head_meter.reset()
-        # The client has not waited for the interim response.
-        self._owes_continue = False
-        self._incoming.size_bytes += len(body)
-        if self._incoming.size_bytes > self._server.max_body_bytes():
-            self._error_response = CONTENT_TOO_LARGE_RESPONSE
-            raise ValueError("the request body is larger than the limit")
-        self.feed_with_backpressure(self._incoming.body.feed, body)
-
-    def on_message_complete(self):
-        self._head_meter.reset()
-        self._owes_continue = False
-        exchange, self._incoming = self._incoming, None
-        exchange.body.finish()
-
-    def enqueue(self, exchange: Exchange) -> None:
-        """Queue a request that is complete, or too large to buffer, for its answer."""
-        if exchange.body.failure:
-            return
-        if self._pipeline.is_stopped:
-            self._drop(exchange)
-            return
-        exchange.build_request()
-        self._pipeline.add(exchange, exchange.size_bytes)
-        self._start_waiting()
-        if exchange.task is None:
-            exchange.read_at_s = self._server.clock.monotonic_s()
-
-    def _count_head(self, size: int) -> None:
-        self._head_bytes += size
-        if self._head_bytes > MAX_HEAD_BYTES:
-            raise ValueError("the request head is larger than the limit")
-
-    def _reject(self) -> None:
-        """Stop parsing after an invalid request, and answer it with an error.
-
-        Where one request ends and the next begins is no longer certain, so the
-        connection is closed afterwards.
-        """
-        self._has_stopped_parsing = True
-        incoming = self._incoming
-        if incoming is not None:
-            incoming.body.fail("the request is not valid HTTP or exceeds a limit")
-            if incoming in self._pipeline and not self._pipeline.is_stopped:
-                self._pipeline.remove(incoming)
-                if incoming.task is not None:
-                    # It is already being passed on; cancelling it ends the hop.
-                    incoming.task.cancel()
-        self._write_owed_error()
-
-    def _drop(self, exchange: Exchange) -> None:
-        """Drop a request that is not started, as the connection is about to close."""
-        exchange.body.discard()
-        self._has_dropped = True
-
-    def _write_owed_error(self) -> None:
-        """Answer an invalid request and close, once those before it are answered."""
-        if not self._has_stopped_parsing or not self._can_write_own:
-            return
-        self.transport.write(self._error_response)
-        loop = asyncio.get_running_loop()
-        loop.call_later(LINGER_S, self.transport.close)
-
-    def _write_owed_continue(self) -> None:
-        """Ask for the body of a request, once those before it are answered."""
-        if self._owes_continue and self._can_write_own:
-            self._owes_continue = False
-            self.transport.write(CONTINUE_RESPONSE)
-
-    def _may_overlap(self, exchange: Exchange) -> bool:
-        """Return whether a request may run beside others.
-
-        The answer to an HTTP/1.0 request may end only with the connection, and those to
-        the requests behind it would be lost. A server that stops starts none either, as
-        the connection closes after the last answer.
-        """
-        return (
-            not exchange.is_streamed
-            and not exchange.is_http_1_0
-            and not self._server.is_closing
-            and self._server.may_overlap(exchange.request)
-        )
-
-    def _start_waiting(self) -> None:
-        while (exchange := self._pipeline.start_next()) is not None:
-            self._start(exchange)
-        if self._pipeline.is_full:
-            self.pause_reading(PauseReason.REQUESTS)
-        else:
-            self.resume_reading(PauseReason.REQUESTS)
-
-    def _start(self, exchange: Exchange) -> None:
-        incoming = Incoming(*exchange.take_parts(), exchange.read_at_s)
-        exchange.task = asyncio.ensure_future(self._answer(exchange, incoming))
-        self._server.tasks.add(exchange.task)
-        exchange.task.add_done_callback(self._server.tasks.discard)
-
-    async def _answer(self, exchange: Exchange, incoming: Incoming) -> None:
-        is_answered = False
-        try:
-            await self._write(exchange, await self._run(exchange, incoming))
-            is_answered = True
-        finally:
-            if not is_answered and exchange in self._pipeline:
-                # The requests behind it would wait for ever.
-                self.transport.abort()
-        exchange.body.discard()
-        self._pipeline.remove(exchange)
-        if self.transport.is_closing():
-            return
-        following = self._pipeline.first_started
-        if following is not None and following.turn is not None:
-            following.turn.set_result(None)
-        self._start_waiting()
-        self._write_owed_continue()
-        self._write_owed_error()
-
-    async def _run(self, exchange: Exchange, incoming: Incoming) -> Answer:
-        """Return the answer to a request when it is its turn."""
-        try:
-            answer = await self._server.handle(incoming)
-        except Exception:
-            write_traceback()
-            answer = Answer(self._server.answer_crash())
-        if self._pipeline.first_started is not exchange:
-            await self._wait_for_turn(exchange, answer)
-        return answer
-
-    async def _wait_for_turn(self, exchange: Exchange, answer: Answer) -> None:
-        self._pipeline.hold_answer(exchange, count_held_bytes(answer))
-        exchange.turn = asyncio.get_running_loop().create_future()
-        try:
-            await exchange.turn
-        except asyncio.CancelledError:
-            if answer.streamed_body is not None:
-                answer.streamed_body.abort()
-            raise
-
-    async def _write(self, exchange: Exchange, answer: Answer) -> None:
-        response, streamed_body = answer
-        headers = list(forwarded_headers(response.headers))
-        is_chunked = add_framing_headers(exchange, response, streamed_body, headers)
-        must_close = (
-            response.is_last
-            or self._server.is_closing
-            or not exchange.is_kept_alive
-            or not exchange.body.is_complete
-            or (streamed_body is not None and not is_chunked and exchange.is_http_1_0)
-            or self._pipeline.is_stopped
-        )
-        if must_close:
-            for dropped in self._pipeline.stop_starting():
-                self._drop(dropped)
-        # Requests that are already started are answered first.
-        is_final = must_close and self._pipeline.last_started is exchange
-        if is_final:
-            headers.append(("Connection", "close"))
-        reason = _REASONS.get(response.status, "Unknown")
-        head = encode_head(f"HTTP/1.1 {response.status} {reason}", headers)
-        is_head_request = exchange.method == "HEAD"
-        self.transport.write(head if is_head_request else head + response.body)
-        if streamed_body is not None and not is_head_request:
-            await self._write_streamed_body(streamed_body, is_chunked=is_chunked)
-        await self.drain()
-        if is_final:
-            self._close(exchange)
-
-    async def _write_streamed_body(
-        self, streamed_body: Body, *, is_chunked: bool
-    ) -> None:
-        is_complete = False
-        try:
-            is_complete = await self.write_pieces(streamed_body, is_chunked=is_chunked)
-        finally:
-            if not is_complete:
-                # Closing the connection shows the client that the answer is incomplete.
-                streamed_body.abort()
-                self.transport.abort()
-
-    def _close(self, exchange: Exchange) -> None:
-        if (
-            exchange.body.is_complete
-            and self._incoming is None
-            and not self._has_dropped
-        ):
-            self.transport.close()
-        else:
-            # All requests that waited are dropped.
-            self.resume_reading(PauseReason.REQUESTS)
-            loop = asyncio.get_running_loop()
-            loop.call_later(LINGER_S, self.transport.close)
