Apply the limit on heads, and count their lines

What callers saw: 64 clients that send header lines of two letters without end took 187 MB of a node that may take 128 MB. Cause: only the letters of names and values counted, up to 64 KiB; a line of two letters takes 64 bytes, so a head held up to 2 MB. `maxHeaderBytes` of the operator was not read. Heads between nodes may be larger by what a hop adds. Why it works: all that is kept of a head is in proportion to the bytes that count.

--- a/libs/mimosaloom-relay/mimosaloom_relay/__init__.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/__init__.py
@@ -7,6 +7,7 @@
 from .http_client import Answer, HttpClient
 from .http_server import Incoming, RelayServer
 from .incoming_hops import CONFIGURATION_PATH
+from .limits import Limits
 from .metrics import RelayMetrics
 from .node import QUARANTINE_RECORD, RelayNode
 from .organisations import Organisation, OrganisationDirectory, digest_key
@@ -24,7 +25,6 @@
 from .retry_share import RetryBudgetShare, SharedRetryBudget
 from .routes import (
     Configuration,
-    Limits,
     Route,
     ServiceProfile,
     ShareRotation,
--- a/libs/mimosaloom-relay/mimosaloom_relay/connections.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/connections.py
@@ -35,7 +35,7 @@
 # time covers one packet loss, since two in a row are rare, and it leaves time to send
 # the request to a second node if the first is cut off.
 SILENCE_MS = 600
-# Larger than the limits that operators set for clients.
+# Largest head of an answer.
 MAX_HEAD_BYTES = 65536
 LAST_CHUNK = b"0\r\n\r\n"
 
@@ -85,15 +85,19 @@
 
     The parser passes on whole fields only and buffers an unfinished one, so a field
     that never ends would take all memory.
+
+    Attributes:
+        limit_bytes: Bytes that may arrive without a result.
     """
 
     def __init__(self):
+        self.limit_bytes = MAX_HEAD_BYTES
         self._bytes = 0
 
     @property
     def is_exceeded(self) -> bool:
-        """Whether more bytes than `MAX_HEAD_BYTES` have arrived without a result."""
-        return self._bytes > MAX_HEAD_BYTES
+        """Whether more bytes than allowed have arrived without a result."""
+        return self._bytes > self.limit_bytes
 
     def add(self, size: int) -> None:
         """Count bytes, before they are passed to the parser."""
--- a/libs/mimosaloom-relay/mimosaloom_relay/http_server.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/http_server.py
@@ -12,12 +12,12 @@
 from .connections import configure_socket
 from .exchanges import Incoming
 from .http_client import Answer
+from .limits import Limits
 from .server_connections import ServerConnection
 
 __all__ = ["Handler", "Incoming", "RelayServer"]
 
 LISTEN_BACKLOG = 1024
-DEFAULT_MAX_BODY_BYTES = 1 << 30
 Handler = Callable[[Incoming], Awaitable[Answer]]
 
 
@@ -27,7 +27,7 @@
     Args:
         handle: Answers a request; cancelled if the client closes its connection.
         answer_crash: Returns the answer to a request whose handler raised an exception.
-        max_body_bytes: Returns the largest body that is accepted.
+        limits: Returns the limits on requests.
         may_overlap: Returns by the head of a request whether it may run while others
             of its connection run; by default, none may.
         clock: Source of the time at which requests are read.
@@ -42,14 +42,14 @@
         self,
         handle: Handler,
         answer_crash: Callable[[], Response],
-        max_body_bytes: Callable[[], int] = lambda: DEFAULT_MAX_BODY_BYTES,
+        limits: Callable[[], Limits] = Limits,
         *,
         may_overlap: Callable[[Request], bool] = lambda request: False,
         clock: Clock | None = None,
     ):
         self.handle = handle
         self.answer_crash = answer_crash
-        self.max_body_bytes = max_body_bytes
+        self.limits = limits
         self.may_overlap = may_overlap
         self.clock = clock or SystemClock()
         self.expect_answer_bytes: Callable[[Request], int] = lambda request: 0
--- a/libs/mimosaloom-relay/mimosaloom_relay/node.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/node.py
@@ -18,6 +18,7 @@
 from .http_server import Handler, Incoming, RelayServer
 from .incoming_hops import IncomingHops
 from .leave_exchange import LeaveExchange
+from .limits import Limits
 from .metrics import RelayMetrics
 from .origin import Origin
 from .own_record import OwnRecord
@@ -34,7 +35,7 @@
 from .refusals import build_refusal
 from .request_account import AccountLog, RequestAccount
 from .retry_policy import RetryPolicy
-from .routes import Configuration, Limits
+from .routes import Configuration
 from .settings import Listeners, RelaySettings
 from .status import describe_admission, describe_configuration, describe_peers
 from .store_era import StoreEra
@@ -68,6 +69,8 @@
 # Share of the memory of the process that answers may take which wait for those before
 # them on their connections.
 HELD_MEMORY_RATIO = 0.2
+# What a node adds to the head of a request that it passes on.
+MAX_HOP_HEADER_BYTES = 16 * 1024
 # Name of the record, beside those of the nodes, of the requests that are held back.
 QUARANTINE_RECORD = "quarantine"
 
@@ -292,9 +295,8 @@
         }
         opened = {}
         for name, handle in handlers.items():
-            server = RelayServer(
-                handle, self._answer_crash, self._max_body_bytes, clock=self._clock
-            )
+            limits = self._find_limits if name == "outbound" else self._find_peer_limits
+            server = RelayServer(handle, self._answer_crash, limits, clock=self._clock)
             self._servers[name] = server
             opened[name] = await server.listen(getattr(self.settings.listen, name))
         self.addresses = Listeners(**opened)
@@ -614,10 +616,22 @@
         body = self.metrics.render()
         return Answer(Response(200, (("Content-Type", METRICS_TYPE),), body))
 
-    def _max_body_bytes(self) -> int:
+    def _find_limits(self) -> Limits:
+        """Return the limits on requests of clients."""
         configuration = self.origin.configuration
-        limits = Limits() if configuration is None else configuration.limits
-        return limits.max_body_bytes
+        return Limits() if configuration is None else configuration.limits
+
+    def _find_peer_limits(self) -> Limits:
+        """Return the limits on requests of nodes and of the platform.
+
+        A head that another node passes on also has the context of the hop. A connection
+        between nodes stays open as long as the other node needs it.
+        """
+        limits = self._find_limits()
+        return Limits(
+            limits.max_body_bytes,
+            max_header_bytes=limits.max_header_bytes + MAX_HOP_HEADER_BYTES,
+        )
 
     def _answer_crash(self) -> Response:
         self.metrics.count_refusal(ErrorKind.INTERNAL)
--- a/libs/mimosaloom-relay/mimosaloom_relay/routes.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/routes.py
@@ -1,14 +1,14 @@
-"""Configuration in force: routes by host and path, services and limits."""
+"""Configuration in force: routes by host and path, and services."""
 
 from typing import NamedTuple
 
 from mimosaloom_model import RequestClass
 
+from .limits import Limits
 from .organisations import OrganisationDirectory
 
 __all__ = [
     "Configuration",
-    "Limits",
     "Route",
     "ServiceProfile",
     "ShareRotation",
@@ -52,18 +52,6 @@
     is_public: bool = False
 
 
-class Limits(NamedTuple):
-    """Limits on requests and connections of clients.
-
-    Attributes:
-        max_body_bytes: Largest request body.
-        idle_timeout_s: Time that a connection may stay idle.
-    """
-
-    max_body_bytes: int = 64 * 1024 * 1024
-    idle_timeout_s: float = 60.0
-
-
 class Configuration(NamedTuple):
     """One version of the configuration.
 
--- a/libs/mimosaloom-relay/mimosaloom_relay/server_connections.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/server_connections.py
@@ -11,7 +11,6 @@
 
 from .bodies import Body
 from .connections import (
-    MAX_HEAD_BYTES,
     FlowControl,
     HeadMeter,
     PauseReason,
@@ -36,6 +35,15 @@
 BAD_REQUEST_RESPONSE = (
     b"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 )
+HEAD_TOO_LARGE_RESPONSE = (
+    b"HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\n"
+    b"Connection: close\r\n\r\n"
+)
+# The limit on heads is for their lines; method, version and line breaks come on top.
+START_LINE_BYTES = 1024
+# A line counts with its colon and line break, so that the lines that are kept of a head
+# are bounded as well as its letters.
+LINE_BREAK_BYTES = 3
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _REASONS = {status.value: status.phrase for status in HTTPStatus}
 
@@ -59,7 +67,9 @@
         self._owes_continue = False
         self._has_dropped = False
         self._head_bytes = 0
+        self._limits = server.limits()
         self._head_meter = HeadMeter()
+        self._head_meter.limit_bytes = self._max_head_bytes
         self._has_stopped_parsing = False
         self._error_response = BAD_REQUEST_RESPONSE
 
@@ -73,6 +83,10 @@
         """Number of requests started before one in front of them is answered."""
         return self._pipeline.overlapping_count
 
+    @property
+    def _max_head_bytes(self) -> int:
+        return self._limits.max_header_bytes + START_LINE_BYTES
+
     @property
     def _can_write_own(self) -> bool:
         """Whether a response other than the answers may be written now."""
@@ -108,6 +122,7 @@
             self._reject()
             return
         if self._head_meter.is_exceeded:
+            self._error_response = HEAD_TOO_LARGE_RESPONSE
             self._reject()
 
     def on_message_begin(self):
@@ -115,6 +130,8 @@
         self._incoming = Exchange(self.enqueue, lambda: self.transport.abort())
         self._head_bytes = 0
         self._owes_continue = False
+        self._limits = self._server.limits()
+        self._head_meter.limit_bytes = self._max_head_bytes
 
     def on_url(self, url):
         """Add a piece of the target of the request."""
@@ -123,7 +140,7 @@
 
     def on_header(self, name, value):
         """Add a field of the head, or a trailer, which is ignored."""
-        self._count_head(len(name) + len(value))
+        self._count_head(len(name) + len(value) + LINE_BREAK_BYTES)
         if self._incoming.has_head:
             # A trailer. It could replace what the system has read from the head.
             return
@@ -133,6 +150,8 @@
     def on_headers_complete(self):
         """Complete the head, and ask for the body if the client waits."""
         self._head_meter.reset()
+        # Trailers have the same limit again.
+        self._head_bytes = 0
         exchange = self._incoming
         exchange.has_head = True
         exchange.method = self._parser.get_method().decode("latin-1")
@@ -153,7 +172,7 @@
         # The client has not waited for the interim response.
         self._owes_continue = False
         self._incoming.size_bytes += len(body)
-        if self._incoming.size_bytes > self._server.max_body_bytes():
+        if self._incoming.size_bytes > self._limits.max_body_bytes:
             self._error_response = CONTENT_TOO_LARGE_RESPONSE
             raise ValueError("the request body is larger than the limit")
         self.feed_with_backpressure(self._incoming.body.feed, body)
@@ -180,7 +199,8 @@
 
     def _count_head(self, size: int) -> None:
         self._head_bytes += size
-        if self._head_bytes > MAX_HEAD_BYTES:
+        if self._head_bytes > self._max_head_bytes:
+            self._error_response = HEAD_TOO_LARGE_RESPONSE
             raise ValueError("the request head is larger than the limit")
 
     def _reject(self) -> None:
