Parse in slices, and stop parsing while reading pauses

What callers saw: 100 clients that send 3,000 small complete requests each took 357 MB and 940 sockets of a node that may take 128 MB. Cause: a connection with 64 waiting requests stops reading, but all that had been read, up to 256 KiB, was parsed nevertheless: thousands of requests. Up to 64 requests of each connection then ran at once, each with a connection of its own, without a bound over all connections. Change: bytes are parsed in slices of 4 KiB while they hold short parts, and not at all while reading pauses for any reason; what is left is parsed first afterwards. Over all connections, a request starts beside others only while the running ones stay within a tenth of the memory of the process and a quarter of its sockets. A connection's only request always starts. Why it works: a pause bounds the requests that are kept, not only the reads to come.

--- a/libs/mimosaloom-relay/mimosaloom_relay/answer_sizes.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/answer_sizes.py
@@ -1,5 +1,7 @@
 """Sizes of answers, learned by request class, and a budget of bytes that are held."""
 
+import math
+
 from .bodies import MAX_BUFFERED_BYTES
 
 __all__ = ["AnswerSizes", "ByteBudget"]
@@ -39,19 +41,28 @@
 
 
 class ByteBudget:
-    """Bytes that all connections of a process together hold for others.
+    """Bytes and started requests that all connections of a process have together.
+
+    The limits hold for requests that start beside others of their connection.
 
     Args:
         limit_bytes: Bytes that may be held.
 
     Attributes:
         used_bytes: Bytes that are held or reserved.
+        limit_requests: Requests that may be started.
+        used_requests: Requests that are started and not answered.
     """
 
     def __init__(self, limit_bytes: float):
         self.limit_bytes = limit_bytes
         self.used_bytes = 0
+        self.limit_requests = math.inf
+        self.used_requests = 0
 
     def has_room(self, size_bytes: int) -> bool:
-        """Return whether further bytes may be held."""
-        return self.used_bytes + size_bytes <= self.limit_bytes
+        """Return whether a further request may start and hold some bytes."""
+        return (
+            self.used_requests < self.limit_requests
+            and self.used_bytes + size_bytes <= self.limit_bytes
+        )
--- a/libs/mimosaloom-relay/mimosaloom_relay/node.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/node.py
@@ -11,6 +11,7 @@
 from mimosaloom_model import Address, Clock, ErrorKind
 from mimosaloom_policy import Quarantine
 
+from .client_bounds import choose_max_overlapping
 from .decision_log import DecisionLog
 from .hop_messages import HeaderNames
 from .hops import HopSender
@@ -312,6 +313,9 @@
         outbound.may_overlap = self.origin.may_overlap
         outbound.expect_answer_bytes = self.origin.expect_answer_bytes
         outbound.held.limit_bytes = HELD_MEMORY_RATIO * self.settings.memory_bytes
+        outbound.held.limit_requests = choose_max_overlapping(
+            self.settings.memory_bytes, self.settings.max_sockets
+        )
         self.metrics.held_bytes.set_function(lambda: outbound.held.used_bytes)
         self.metrics.overlapping.set_function(lambda: outbound.overlapping_count)
         self.metrics.peers.set_function(lambda: len(self.upstreams.peers))
--- a/libs/mimosaloom-relay/mimosaloom_relay/pipeline.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/pipeline.py
@@ -34,7 +34,7 @@
             called only for connections with more than one request.
         expect_answer_bytes: Returns how many bytes the answer to a request may hold;
             called only for requests that are to run beside others.
-        budget: Bytes that all connections hold together.
+        budget: Bytes and started requests of all connections together.
 
     Attributes:
         is_stopped: Whether no more requests are started.
@@ -103,6 +103,7 @@
                 return None
         self._waiting_bytes -= self._waiting.pop(request)
         self._started[request] = reserved_bytes
+        self._budget.used_requests += 1
         self._count_held(reserved_bytes)
         return request
 
@@ -113,6 +114,8 @@
 
     def remove(self, request: _T) -> None:
         """Remove a request that is answered, or that gets no answer."""
+        if request in self._started:
+            self._budget.used_requests -= 1
         self._count_held(-self._started.pop(request, 0))
         self._waiting_bytes -= self._waiting.pop(request, 0)
 
@@ -127,6 +130,7 @@
     def clear(self) -> list[_T]:
         """Remove all requests and return those that are started."""
         started = list(self._started)
+        self._budget.used_requests -= len(started)
         self._started.clear()
         self._waiting.clear()
         self._waiting_bytes = 0
--- a/libs/mimosaloom-relay/mimosaloom_relay/server_connections.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/server_connections.py
@@ -44,6 +44,10 @@
 # A line counts with its colon and line break, so that the lines that are kept of a head
 # are bounded as well as its letters.
 LINE_BREAK_BYTES = 3
+# What is parsed at once of bytes that may hold many short parts.
+SLICE_BYTES = 4096
+# Parts that are shorter than this on average are short ones.
+DENSE_BYTES = 256
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _REASONS = {status.value: status.phrase for status in HTTPStatus}
 
@@ -71,12 +75,16 @@
         self._head_meter = HeadMeter()
         self._head_meter.limit_bytes = self._max_head_bytes
         self._has_stopped_parsing = False
+        self._unparsed = b""
+        self._is_dense = False
+        self._slice_parts = 0
         self._error_response = BAD_REQUEST_RESPONSE
 
     @property
     def is_receiving(self) -> bool:
         """Whether part of a request has arrived and the rest has not."""
-        return self._incoming is not None and not self._has_stopped_parsing
+        has_part = self._incoming is not None or bool(self._unparsed)
+        return has_part and not self._has_stopped_parsing
 
     @property
     def overlapping_count(self) -> int:
@@ -100,6 +108,7 @@
     def connection_lost(self, exc):
         """Cancel all requests on the connection; called by asyncio."""
         self._server.connections.discard(self)
+        self._stop_parsing()
         self.resume_writing()
         if self._incoming is not None:
             self._incoming.body.fail("the client closed the connection")
@@ -110,13 +119,43 @@
         """Parse received bytes, unless the connection is about to close."""
         if self._has_stopped_parsing:
             return
-        self._head_meter.add(len(data))
+        self._unparsed += data
+        self._parse()
+
+    def resume_reading(self, reason: PauseReason) -> None:
+        """Parse what was received before the pause, and read again."""
+        super().resume_reading(reason)
+        if self._unparsed and not self._pause_reasons:
+            # The caller may be a callback of the parser.
+            asyncio.get_running_loop().call_soon(self._parse)
+
+    def _parse(self) -> None:
+        """Parse what was received, in slices, until it is parsed or reading pauses."""
+        while self._unparsed and not self._pause_reasons:
+            size = self._choose_slice_bytes()
+            piece, self._unparsed = self._unparsed[:size], self._unparsed[size:]
+            self._slice_parts = 0
+            self._feed_parser(piece)
+            self._is_dense = self._slice_parts * DENSE_BYTES > len(piece)
+
+    def _choose_slice_bytes(self) -> int:
+        """Return how much is parsed before the bounds are checked again.
+
+        Many short parts, such as requests, header lines or chunks, can follow each
+        other in what is read at once. A body in large pieces is parsed as it was read.
+        """
+        if self._is_dense or self._incoming is None or not self._incoming.has_head:
+            return SLICE_BYTES
+        return len(self._unparsed)
+
+    def _feed_parser(self, piece: bytes) -> None:
+        self._head_meter.add(len(piece))
         try:
-            self._parser.feed_data(data)
+            self._parser.feed_data(piece)
         except httptools.HttpParserUpgrade:
             # No other protocol is supported: the request is answered without an
             # upgrade, and no bytes after it are parsed.
-            self._has_stopped_parsing = True
+            self._stop_parsing()
             self._error_response = b""
         except httptools.HttpParserError:
             self._reject()
@@ -125,8 +164,13 @@
             self._error_response = HEAD_TOO_LARGE_RESPONSE
             self._reject()
 
+    def _stop_parsing(self) -> None:
+        self._has_stopped_parsing = True
+        self._unparsed = b""
+
     def on_message_begin(self):
         """Start a request."""
+        self._slice_parts += 1
         self._incoming = Exchange(self.enqueue, lambda: self.transport.abort())
         self._head_bytes = 0
         self._owes_continue = False
@@ -140,6 +184,7 @@
 
     def on_header(self, name, value):
         """Add a field of the head, or a trailer, which is ignored."""
+        self._slice_parts += 1
         self._count_head(len(name) + len(value) + LINE_BREAK_BYTES)
         if self._incoming.has_head:
             # A trailer. It could replace what the system has read from the head.
@@ -151,8 +196,8 @@
         """Complete the head, and ask for the body if the client waits."""
         self._head_meter.reset()
         # Trailers have the same limit again.
-        self._head_bytes = 0
         exchange = self._incoming
+        self._head_bytes = 0
         exchange.has_head = True
         exchange.method = self._parser.get_method().decode("latin-1")
         exchange.is_kept_alive = (
@@ -168,6 +213,7 @@
 
     def on_body(self, body):
         """Add a piece of the body, and stop reading while there is no room."""
+        self._slice_parts += 1
         self._head_meter.reset()
         # The client has not waited for the interim response.
         self._owes_continue = False
@@ -209,7 +255,7 @@
         Where one request ends and the next begins is no longer certain, so the
         connection is closed afterwards.
         """
-        self._has_stopped_parsing = True
+        self._stop_parsing()
         incoming = self._incoming
         if incoming is not None:
             incoming.body.fail("the request is not valid HTTP or exceeds a limit")
@@ -354,6 +400,7 @@
             exchange.body.is_complete
             and self._incoming is None
             and not self._has_dropped
+            and not self._unparsed
         ):
             self.transport.close()
         else:
--- a/libs/mimosaloom-relay/mimosaloom_relay/settings.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/settings.py
@@ -42,6 +42,7 @@
         recovery_s: Time after a disturbance within which the node follows the store
             again.
         memory_bytes: Memory that the process may take.
+        max_sockets: Sockets that the process may have.
         quota_bounds: How far the requests that run may exceed the quota of their
             organisation.
     """
@@ -55,4 +56,5 @@
     grace_s: float
     recovery_s: float = 3.0
     memory_bytes: int = 200 * 10**6
+    max_sockets: int = 3900
     quota_bounds: QuotaBounds = QuotaBounds()
