Bound the memory that requests of all connections hold together

Cause: each connection had its bounds, and nothing bounded their sum. It grew with the number of connections, of which `maxFds` allows thousands. Change: ReceiveBudget counts, over all listeners, what requests hold from their first byte to their answer: header lines at 160 bytes and their letters, bodies as far as they are buffered, bytes that wait to be parsed. 16 KiB of each connection are not counted. Beyond an eighth of the memory of the process, the connection that holds the most without a started request gets 503 and is closed. A complete request that then finds no room is refused with 503 before it starts, at the next node with a hop result, so that its origin may try another; ordinary ones always start. Pipelined requests wait in the socket. Why it works: the sum is counted where it grows, and closing the largest holder frees more than the request that made it grow.

--- a/libs/mimosaloom-relay/mimosaloom_relay/client_bounds.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/client_bounds.py
@@ -5,7 +5,9 @@
 callers still find room.
 """
 
-__all__ = ["choose_max_overlapping"]
+__all__ = ["choose_max_overlapping", "choose_received_bytes"]
+
+RECEIVED_MEMORY_RATIO = 0.125
 
 # Memory that a started request takes on its way through the system: its task, the hop
 # to another node and the connection for it.
@@ -27,3 +29,14 @@
     """
     by_memory = int(OVERLAPPING_MEMORY_RATIO * memory_bytes / STARTED_COST_BYTES)
     return min(by_memory, int(OVERLAPPING_SOCKETS_RATIO * max_sockets))
+
+
+def choose_received_bytes(memory_bytes: int) -> int:
+    """Return what the requests of all clients may hold beyond ordinary ones.
+
+    Answers clients that send many header lines or large bodies, complete or not.
+
+    Args:
+        memory_bytes: Memory that the process may take.
+    """
+    return int(RECEIVED_MEMORY_RATIO * memory_bytes)
--- a/libs/mimosaloom-relay/mimosaloom_relay/exchanges.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/exchanges.py
@@ -12,6 +12,10 @@
 __all__ = ["Exchange", "Incoming", "add_framing_headers", "count_held_bytes"]
 
 
+# Memory that a request takes besides its head and its body, by estimate.
+REQUEST_COST_BYTES = 4096
+
+
 class Incoming(NamedTuple):
     """A complete request, or the head of one whose body is too large to buffer.
 
@@ -37,6 +41,9 @@
         abort: Aborts the connection.
 
     Attributes:
+        size_bytes: Bytes of the body that have arrived.
+        held_bytes: Memory that the request takes, by estimate.
+        refusal: Answer in place of that of the handler; None if the request may run.
         has_head: Whether the head has been read; fields after it are trailers.
         request: The request as queued, with an empty body if that is streamed; None
             before it is queued.
@@ -51,6 +58,8 @@
         self.headers: list[tuple[str, str]] = []
         self.method = ""
         self.size_bytes = 0
+        self.held_bytes = REQUEST_COST_BYTES
+        self.refusal: Response | None = None
         self.has_head = False
         self.is_kept_alive = True
         self.is_http_1_0 = False
@@ -70,6 +79,14 @@
             tuple(self.headers),
             b"" if self.is_streamed else self.body.take_buffered(),
         )
+        self.headers = []
+
+    def refuse(self, response: Response) -> None:
+        """Answer with a response of the server's own, and free what was received."""
+        self.refusal = response
+        self.body.discard()
+        self.request = Request(self.method)
+        self.held_bytes = REQUEST_COST_BYTES
 
     def take_parts(self) -> tuple[Request, Body | None]:
         """Return the request, and its body if that is streamed.
--- a/libs/mimosaloom-relay/mimosaloom_relay/http_server.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/http_server.py
@@ -13,6 +13,7 @@
 from .exchanges import Incoming
 from .http_client import Answer
 from .limits import Limits
+from .receive_budget import ReceiveBudget
 from .server_connections import ServerConnection
 
 __all__ = ["Handler", "Incoming", "RelayServer"]
@@ -36,6 +37,9 @@
         expect_answer_bytes: Returns by the head of a request how many bytes its answer
             may hold while it waits for those before it.
         held: Bytes that all connections hold together for requests that overlap.
+        received: Memory that all connections hold for requests; servers may share it.
+        refuse: Returns the answer to a request that is not started, as there is no
+            memory for it.
     """
 
     def __init__(
@@ -54,6 +58,8 @@
         self.clock = clock or SystemClock()
         self.expect_answer_bytes: Callable[[Request], int] = lambda request: 0
         self.held = ByteBudget(math.inf)
+        self.received = ReceiveBudget()
+        self.refuse: Callable[[Request], Response] = lambda request: Response(503)
         self.is_closing = False
         self.tasks: set[asyncio.Task] = set()
         self.connections: set[ServerConnection] = set()
--- a/libs/mimosaloom-relay/mimosaloom_relay/incoming_hops.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/incoming_hops.py
@@ -126,6 +126,15 @@
         )
         return self._build_answer(context, reply.answer, result)
 
+    def refuse(self, request: Request) -> Response:
+        """Return the answer to a hop that is not started for lack of memory."""
+        context = decode_header(request.header(HOP_HEADER), HopContext)
+        if context is None:
+            return build_refusal(self._names, ErrorKind.OVERLOADED, "")
+        detail = "the requests from all nodes take the memory for them"
+        result = HopResult(ErrorKind.OVERLOADED.value, detail)
+        return self._build_answer(context, None, result).response
+
     def _apply_origin_state(self, context: HopContext) -> None:
         """Catch up where the state of the origin is newer than that of this node."""
         self._store_era.hint(context.store_era)
--- a/libs/mimosaloom-relay/mimosaloom_relay/metrics.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/metrics.py
@@ -83,6 +83,10 @@
             "held_bytes",
             "Bytes held or reserved for answers that wait for those before them",
         )
+        self.received_bytes = self._gauge(
+            "received_bytes",
+            "Memory that requests beyond the ordinary hold, by estimate",
+        )
         self.fair_share_ratio = self._gauge(
             "fair_share_ratio", "Largest demand of an organisation over the mean"
         )
--- a/libs/mimosaloom-relay/mimosaloom_relay/node.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/node.py
@@ -11,7 +11,7 @@
 from mimosaloom_model import Address, Clock, ErrorKind
 from mimosaloom_policy import Quarantine
 
-from .client_bounds import choose_max_overlapping
+from .client_bounds import choose_max_overlapping, choose_received_bytes
 from .decision_log import DecisionLog
 from .hop_messages import HeaderNames
 from .hops import HopSender
@@ -32,6 +32,7 @@
 from .quota_exchange import QuotaExchange
 from .read_progress import ReadProgress
 from .reader_role import ReaderRole
+from .receive_budget import ReceiveBudget
 from .record_fanout import RecordFanout, StoreProgress
 from .refusals import build_refusal
 from .request_account import AccountLog, RequestAccount
@@ -295,9 +296,11 @@
             "metrics": self._answer_metrics,
         }
         opened = {}
+        received = ReceiveBudget(choose_received_bytes(self.settings.memory_bytes))
         for name, handle in handlers.items():
             limits = self._find_limits if name == "outbound" else self._find_peer_limits
             server = RelayServer(handle, self._answer_crash, limits, clock=self._clock)
+            server.received = received
             self._servers[name] = server
             opened[name] = await server.listen(getattr(self.settings.listen, name))
         self.addresses = Listeners(**opened)
@@ -309,7 +312,9 @@
             )
         self.metrics.ready.set_function(lambda: self.is_ready)
         self.metrics.version.set_function(lambda: self.version)
+        self._servers["inbound"].refuse = self._hops.refuse
         outbound = self._servers["outbound"]
+        outbound.refuse = self.origin.refuse_for_memory
         outbound.may_overlap = self.origin.may_overlap
         outbound.expect_answer_bytes = self.origin.expect_answer_bytes
         outbound.held.limit_bytes = HELD_MEMORY_RATIO * self.settings.memory_bytes
@@ -317,6 +322,7 @@
             self.settings.memory_bytes, self.settings.max_sockets
         )
         self.metrics.held_bytes.set_function(lambda: outbound.held.used_bytes)
+        self.metrics.received_bytes.set_function(lambda: received.used_bytes)
         self.metrics.overlapping.set_function(lambda: outbound.overlapping_count)
         self.metrics.peers.set_function(lambda: len(self.upstreams.peers))
         self.log.change(
--- a/libs/mimosaloom-relay/mimosaloom_relay/origin.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/origin.py
@@ -7,7 +7,7 @@
 import asyncio
 from collections.abc import Callable
 
-from mimosaloom_mesh.messages import Request, parse_decimal
+from mimosaloom_mesh.messages import Request, Response, parse_decimal
 from mimosaloom_model import (
     ERROR_ANSWERS,
     Address,
@@ -222,6 +222,12 @@
         with self._target_side.work.record_call(call.parent):
             return await self._answer_call(call)
 
+    def refuse_for_memory(self, request: Request) -> Response:
+        """Return the answer to a request that is not started for lack of memory."""
+        request_id = request.header(self._names.request_id) or ""
+        detail = "the requests of all clients take the memory for them"
+        return self._refuse_early(ErrorKind.OVERLOADED, request_id, detail).response
+
     def _build_call(
         self,
         incoming: Incoming,
--- a/libs/mimosaloom-relay/mimosaloom_relay/pipeline.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/pipeline.py
@@ -66,6 +66,11 @@
         """Whether all requests that were read are answered."""
         return not self._started and not self._waiting
 
+    @property
+    def has_waiting(self) -> bool:
+        """Whether requests were read and are not started."""
+        return bool(self._waiting)
+
     @property
     def is_full(self) -> bool:
         """Whether no more requests are to be read."""
@@ -122,6 +127,10 @@
     def stop_starting(self) -> list[_T]:
         """Start no more requests; remove and return those that wait."""
         self.is_stopped = True
+        return self.drop_waiting()
+
+    def drop_waiting(self) -> list[_T]:
+        """Remove and return the requests that wait."""
         waiting = list(self._waiting)
         self._waiting.clear()
         self._waiting_bytes = 0
--- a/libs/mimosaloom-relay/mimosaloom_relay/server_connections.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/server_connections.py
@@ -20,6 +20,7 @@
 from .hop_messages import forwarded_headers
 from .http_client import Answer
 from .pipeline import Pipeline
+from .receive_budget import ORDINARY_BYTES
 
 if TYPE_CHECKING:
     from .http_server import RelayServer
@@ -39,11 +40,17 @@
     b"HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\n"
     b"Connection: close\r\n\r\n"
 )
+OVERLOADED_RESPONSE = (
+    b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\n"
+    b"Connection: close\r\n\r\n"
+)
 # The limit on heads is for their lines; method, version and line breaks come on top.
 START_LINE_BYTES = 1024
 # A line counts with its colon and line break, so that the lines that are kept of a head
 # are bounded as well as its letters.
 LINE_BREAK_BYTES = 3
+# Memory that a header line takes besides its letters, by estimate.
+LINE_COST_BYTES = 160
 # What is parsed at once of bytes that may hold many short parts.
 SLICE_BYTES = 4096
 # Parts that are shorter than this on average are short ones.
@@ -77,6 +84,9 @@
         self._has_stopped_parsing = False
         self._unparsed = b""
         self._is_dense = False
+        # Memory of the requests that are queued, and of those of them that are started.
+        self._queued_bytes = 0
+        self._started_bytes = 0
         self._slice_parts = 0
         self._error_response = BAD_REQUEST_RESPONSE
 
@@ -91,6 +101,22 @@
         """Number of requests started before one in front of them is answered."""
         return self._pipeline.overlapping_count
 
+    @property
+    def evictable_bytes(self) -> int:
+        """Memory of the requests that are not started, which `evict` frees."""
+        incoming = self._incoming
+        is_started = incoming is not None and incoming.task is not None
+        if is_started or self._has_stopped_parsing or self._pipeline.is_stopped:
+            return 0
+        return self._held_bytes - self._started_bytes
+
+    @property
+    def _held_bytes(self) -> int:
+        held_bytes = self._queued_bytes + len(self._unparsed)
+        if self._incoming is not None and self._incoming.request is None:
+            held_bytes += self._incoming.held_bytes
+        return held_bytes
+
     @property
     def _max_head_bytes(self) -> int:
         return self._limits.max_header_bytes + START_LINE_BYTES
@@ -114,6 +140,7 @@
             self._incoming.body.fail("the client closed the connection")
         for exchange in self._pipeline.clear():
             exchange.task.cancel()
+        self._server.received.update(self, 0)
 
     def data_received(self, data):
         """Parse received bytes, unless the connection is about to close."""
@@ -137,6 +164,13 @@
             self._slice_parts = 0
             self._feed_parser(piece)
             self._is_dense = self._slice_parts * DENSE_BYTES > len(piece)
+        self._update_held()
+        if self._server.received.is_exceeded:
+            self._server.received.make_room()
+
+    def _update_held(self) -> None:
+        if not self.transport.is_closing():
+            self._server.received.update(self, self._held_bytes)
 
     def _choose_slice_bytes(self) -> int:
         """Return how much is parsed before the bounds are checked again.
@@ -180,17 +214,20 @@
     def on_url(self, url):
         """Add a piece of the target of the request."""
         self._incoming.path += url
+        self._incoming.held_bytes += len(url)
         self._count_head(len(url))
 
     def on_header(self, name, value):
         """Add a field of the head, or a trailer, which is ignored."""
         self._slice_parts += 1
-        self._count_head(len(name) + len(value) + LINE_BREAK_BYTES)
+        size = len(name) + len(value)
+        self._count_head(size + LINE_BREAK_BYTES)
         if self._incoming.has_head:
             # A trailer. It could replace what the system has read from the head.
             return
         header = (name.decode("latin-1"), value.decode("latin-1"))
         self._incoming.headers.append(header)
+        self._incoming.held_bytes += LINE_COST_BYTES + size
 
     def on_headers_complete(self):
         """Complete the head, and ask for the body if the client waits."""
@@ -218,6 +255,8 @@
         # The client has not waited for the interim response.
         self._owes_continue = False
         self._incoming.size_bytes += len(body)
+        if self._incoming.request is None:
+            self._incoming.held_bytes += len(body)
         if self._incoming.size_bytes > self._limits.max_body_bytes:
             self._error_response = CONTENT_TOO_LARGE_RESPONSE
             raise ValueError("the request body is larger than the limit")
@@ -238,11 +277,46 @@
             self._drop(exchange)
             return
         exchange.build_request()
+        self._queued_bytes += exchange.held_bytes
+        if not self._find_memory(exchange):
+            self._queued_bytes -= exchange.held_bytes
+            exchange.refuse(self._server.refuse(exchange.request))
+            self._queued_bytes += exchange.held_bytes
         self._pipeline.add(exchange, exchange.size_bytes)
         self._start_waiting()
         if exchange.task is None:
             exchange.read_at_s = self._server.clock.monotonic_s()
 
+    def _find_memory(self, exchange: Exchange) -> bool:
+        """Return whether there is memory to run a request, if need be after evictions.
+
+        Ordinary requests don't need the memory that others share.
+        """
+        received = self._server.received
+        self._update_held()
+        if received.is_exceeded:
+            received.make_room(spared=self, least_bytes=exchange.held_bytes)
+        return not received.is_exceeded or exchange.held_bytes <= ORDINARY_BYTES
+
+    def evict(self) -> None:
+        """Refuse the requests that are not started, and close the connection.
+
+        The first of them gets the answer. Those behind it count as not read.
+        """
+        self._error_response = OVERLOADED_RESPONSE
+        for exchange in self._pipeline.drop_waiting():
+            self._release(exchange)
+            self._drop(exchange)
+        self._reject()
+
+    def _release(self, exchange: Exchange) -> None:
+        """Free the memory of a request that was queued and is answered or dropped."""
+        self._queued_bytes -= exchange.held_bytes
+        if exchange.task is not None:
+            self._started_bytes -= exchange.held_bytes
+        exchange.held_bytes = 0
+        self._update_held()
+
     def _count_head(self, size: int) -> None:
         self._head_bytes += size
         if self._head_bytes > self._max_head_bytes:
@@ -255,15 +329,24 @@
         Where one request ends and the next begins is no longer certain, so the
         connection is closed afterwards.
         """
+        if self._has_stopped_parsing:
+            return
         self._stop_parsing()
         incoming = self._incoming
         if incoming is not None:
             incoming.body.fail("the request is not valid HTTP or exceeds a limit")
+            incoming.body.discard()
             if incoming in self._pipeline and not self._pipeline.is_stopped:
                 self._pipeline.remove(incoming)
+                self._release(incoming)
                 if incoming.task is not None:
                     # It is already being passed on; cancelling it ends the hop.
                     incoming.task.cancel()
+        # The rest is read and dropped until the connection closes.
+        for reason in list(self._pause_reasons):
+            self.resume_reading(reason)
+        self._incoming = None
+        self._update_held()
         self._write_owed_error()
 
     def _drop(self, exchange: Exchange) -> None:
@@ -302,7 +385,10 @@
     def _start_waiting(self) -> None:
         while (exchange := self._pipeline.start_next()) is not None:
             self._start(exchange)
-        if self._pipeline.is_full:
+        is_short_of_memory = (
+            self._pipeline.has_waiting and self._server.received.is_exceeded
+        )
+        if self._pipeline.is_full or is_short_of_memory:
             self.pause_reading(PauseReason.REQUESTS)
         else:
             self.resume_reading(PauseReason.REQUESTS)
@@ -310,6 +396,7 @@
     def _start(self, exchange: Exchange) -> None:
         incoming = Incoming(*exchange.take_parts(), exchange.read_at_s)
         exchange.task = asyncio.ensure_future(self._answer(exchange, incoming))
+        self._started_bytes += exchange.held_bytes
         self._server.tasks.add(exchange.task)
         exchange.task.add_done_callback(self._server.tasks.discard)
 
@@ -324,6 +411,7 @@
                 self.transport.abort()
         exchange.body.discard()
         self._pipeline.remove(exchange)
+        self._release(exchange)
         if self.transport.is_closing():
             return
         following = self._pipeline.first_started
@@ -336,7 +424,10 @@
     async def _run(self, exchange: Exchange, incoming: Incoming) -> Answer:
         """Return the answer to a request when it is its turn."""
         try:
-            answer = await self._server.handle(incoming)
+            if exchange.refusal is not None:
+                answer = Answer(exchange.refusal)
+            else:
+                answer = await self._server.handle(incoming)
         except Exception:
             write_traceback()
             answer = Answer(self._server.answer_crash())
@@ -368,6 +459,7 @@
         )
         if must_close:
             for dropped in self._pipeline.stop_starting():
+                self._release(dropped)
                 self._drop(dropped)
         # Requests that are already started are answered first.
         is_final = must_close and self._pipeline.last_started is exchange
@@ -399,6 +491,7 @@
         if (
             exchange.body.is_complete
             and self._incoming is None
+            and not self._has_stopped_parsing
             and not self._has_dropped
             and not self._unparsed
         ):
