Bound the bytes that the sockets of clients have received and not read

What callers saw: 600 clients with 15 chunks of 1 MiB each, not ended, held 81 to 178 MB of a node that may take 128 MB, mostly bytes that it had not read; 64 clients with endless heads or trailers held up to 105 MB. Cause: the system grows the receive buffer of a connection up to megabytes, 32 MiB here. While a node reads no more of a body, or is busy, each connection fills its own. Change: listeners set a receive buffer of 32 KiB, which the system doubles. The single odd requests are served, 16 MiB with a length and 15 chunks of 1 MiB among them. Why it works: unread bytes are bounded by the number of connections times a small buffer.

--- a/libs/mimosaloom-relay/mimosaloom_relay/http_server.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/http_server.py
@@ -19,6 +19,9 @@
 __all__ = ["Handler", "Incoming", "RelayServer"]
 
 LISTEN_BACKLOG = 1024
+# Bytes that a connection may have received and not read; the system takes twice as much
+# for its own records. By default it grows up to megabytes for each connection.
+RECEIVE_BUFFER_BYTES = 32 * 1024
 Handler = Callable[[Incoming], Awaitable[Answer]]
 
 
@@ -71,6 +74,7 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         # Accepted connections inherit the socket options.
         configure_socket(sock)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         sock.bind((address.host, address.port))
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
