Parse requests of many short parts at a bounded pace

What callers saw: 300 clients that send bodies in chunks of one byte held 253 MB of a node that may take 128 MB, and an ordinary request 3 s after they had left got no answer. Cause: each chunk took a callback, about a microsecond, and an object of its own, some 50 bytes; what the sockets had received took the node tens of seconds, and nothing else ran. Change: header lines and pieces below 512 bytes, of requests with more than 128 of them, are parsed at 100,000 a second over all connections; between two slices other connections go first. Short pieces that wait are joined to blocks. Why it works: the time for such requests is a tenth of a processor, however many there are. A single request of up to 250,000 parts waits for nothing.

--- a/libs/mimosaloom-relay/mimosaloom_relay/bodies.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/bodies.py
@@ -4,11 +4,16 @@
 from collections import deque
 from collections.abc import AsyncIterator, Callable
 
-__all__ = ["MAX_BUFFERED_BYTES", "Body"]
+__all__ = ["MAX_BUFFERED_BYTES", "SHORT_PIECE_BYTES", "Body"]
 
 # Messages up to this size are buffered completely, so that they can be resent, or
 # checked before a byte of them is passed on. Larger ones are streamed piece by piece.
 MAX_BUFFERED_BYTES = 256 * 1024
+# Once some pieces wait, those that are shorter than this are joined to blocks of up to
+# `BLOCK_BYTES`, as each object takes some 50 bytes besides its content.
+SHORT_PIECE_BYTES = 512
+MAX_SEPARATE_PIECES = 16
+BLOCK_BYTES = 16 * 1024
 # How long a consumer waits for the next piece of a body whose time has passed.
 OVERDUE_WAIT_S = 0.15
 
@@ -33,7 +38,7 @@
         self.is_consumed = False
         self.abort = abort
         self._on_ready: Callable[[], None] | None = on_ready
-        self._pieces: deque[bytes] = deque()
+        self._pieces: deque[bytes | bytearray] = deque()
         self._buffered_bytes = 0
         self._is_discarded = False
         self._is_overdue = False
@@ -52,7 +57,7 @@
             return None
         if self._is_overdue:
             self._stop_deadline()
-        self._pieces.append(piece)
+        self._append(piece)
         self._buffered_bytes += len(piece)
         self._wake_reader()
         if self._buffered_bytes <= MAX_BUFFERED_BYTES:
@@ -61,6 +66,19 @@
         self._space_available = asyncio.get_running_loop().create_future()
         return self._space_available
 
+    def _append(self, piece: bytes) -> None:
+        is_separate = len(self._pieces) < MAX_SEPARATE_PIECES
+        if is_separate or len(piece) >= SHORT_PIECE_BYTES:
+            self._pieces.append(piece)
+            return
+        last = self._pieces[-1]
+        if len(last) >= BLOCK_BYTES:
+            self._pieces.append(piece)
+        elif isinstance(last, bytearray):
+            last += piece
+        else:
+            self._pieces[-1] = bytearray(last) + piece
+
     def finish(self) -> None:
         """Mark the body as complete, unless it has failed."""
         if not self.failure:
--- a/libs/mimosaloom-relay/mimosaloom_relay/client_bounds.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/client_bounds.py
@@ -5,10 +5,18 @@
 callers still find room.
 """
 
-__all__ = ["choose_max_overlapping", "choose_received_bytes"]
+import math
+
+from mimosaloom_model import Clock
+
+__all__ = ["ParsingPace", "choose_max_overlapping", "choose_received_bytes"]
 
 RECEIVED_MEMORY_RATIO = 0.125
 
+# Short parts of requests, such as header lines and chunks of a byte. One takes about a
+# microsecond, so this is a tenth of a processor.
+PARTS_PER_S = 100_000
+PARTS_BURST_S = 2.5
 # Memory that a started request takes on its way through the system: its task, the hop
 # to another node and the connection for it.
 STARTED_COST_BYTES = 20 * 1024
@@ -17,6 +25,30 @@
 OVERLAPPING_SOCKETS_RATIO = 0.25
 
 
+class ParsingPace:
+    """Spreads the parsing of many short parts over time.
+
+    Answers clients that send requests of very many header lines or of very small
+    chunks: all of them together get a tenth of a processor, and ordinary requests are
+    parsed in between. A single request of 250,000 parts waits for nothing.
+
+    Args:
+        clock: Source of time.
+    """
+
+    def __init__(self, clock: Clock):
+        self._clock = clock
+        # When the parts so far would be parsed at `PARTS_PER_S`.
+        self._parsed_at_s = -math.inf
+
+    def delay_s(self, parts: int) -> float:
+        """Return how long to wait in seconds after some parts were parsed."""
+        now_s = self._clock.monotonic_s()
+        start_s = max(self._parsed_at_s, now_s - PARTS_BURST_S)
+        self._parsed_at_s = start_s + parts / PARTS_PER_S
+        return max(0.0, self._parsed_at_s - now_s)
+
+
 def choose_max_overlapping(memory_bytes: int, max_sockets: int) -> int:
     """Return how many requests may be started when one more starts beside others.
 
--- a/libs/mimosaloom-relay/mimosaloom_relay/connections.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/connections.py
@@ -115,6 +115,8 @@
     BODY = enum.auto()
     # Too many requests wait for those before them.
     REQUESTS = enum.auto()
+    # Requests of many short parts take too much processor time.
+    PARSING = enum.auto()
 
 
 class FlowControl(asyncio.Protocol):
--- a/libs/mimosaloom-relay/mimosaloom_relay/http_server.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/http_server.py
@@ -9,6 +9,7 @@
 from mimosaloom_model import Address, Clock, SystemClock
 
 from .answer_sizes import ByteBudget
+from .client_bounds import ParsingPace
 from .connections import configure_socket
 from .exchanges import Incoming
 from .http_client import Answer
@@ -41,6 +42,7 @@
             may hold while it waits for those before it.
         held: Bytes that all connections hold together for requests that overlap.
         received: Memory that all connections hold for requests; servers may share it.
+        parsing_pace: Delays connections whose requests have very many short parts.
         refuse: Returns the answer to a request that is not started, as there is no
             memory for it.
     """
@@ -62,6 +64,7 @@
         self.expect_answer_bytes: Callable[[Request], int] = lambda request: 0
         self.held = ByteBudget(math.inf)
         self.received = ReceiveBudget()
+        self.parsing_pace = ParsingPace(self.clock)
         self.refuse: Callable[[Request], Response] = lambda request: Response(503)
         self.is_closing = False
         self.tasks: set[asyncio.Task] = set()
--- a/libs/mimosaloom-relay/mimosaloom_relay/server_connections.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/server_connections.py
@@ -9,7 +9,7 @@
 
 from mimosaloom_mesh.messages import find_header
 
-from .bodies import Body
+from .bodies import SHORT_PIECE_BYTES, Body
 from .connections import (
     FlowControl,
     HeadMeter,
@@ -51,6 +51,8 @@
 LINE_BREAK_BYTES = 3
 # Memory that a header line takes besides its letters, by estimate.
 LINE_COST_BYTES = 160
+# Header lines and short pieces that no request is delayed for.
+PROMPT_PARTS = 128
 # What is parsed at once of bytes that may hold many short parts.
 SLICE_BYTES = 4096
 # Parts that are shorter than this on average are short ones.
@@ -84,6 +86,8 @@
         self._has_stopped_parsing = False
         self._unparsed = b""
         self._is_dense = False
+        # Header lines and short pieces of the request that is being received.
+        self._short_parts = 0
         # Memory of the requests that are queued, and of those of them that are started.
         self._queued_bytes = 0
         self._started_bytes = 0
@@ -164,10 +168,20 @@
             self._slice_parts = 0
             self._feed_parser(piece)
             self._is_dense = self._slice_parts * DENSE_BYTES > len(piece)
+            if self._short_parts > PROMPT_PARTS:
+                self._delay_parsing()
         self._update_held()
         if self._server.received.is_exceeded:
             self._server.received.make_room()
 
+    def _delay_parsing(self) -> None:
+        """Let other connections go first after a request of many short parts."""
+        delay_s = self._server.parsing_pace.delay_s(self._slice_parts)
+        self.pause_reading(PauseReason.PARSING)
+        asyncio.get_running_loop().call_later(
+            delay_s, self.resume_reading, PauseReason.PARSING
+        )
+
     def _update_held(self) -> None:
         if not self.transport.is_closing():
             self._server.received.update(self, self._held_bytes)
@@ -205,6 +219,7 @@
     def on_message_begin(self):
         """Start a request."""
         self._slice_parts += 1
+        self._short_parts = 0
         self._incoming = Exchange(self.enqueue, lambda: self.transport.abort())
         self._head_bytes = 0
         self._owes_continue = False
@@ -220,6 +235,7 @@
     def on_header(self, name, value):
         """Add a field of the head, or a trailer, which is ignored."""
         self._slice_parts += 1
+        self._short_parts += 1
         size = len(name) + len(value)
         self._count_head(size + LINE_BREAK_BYTES)
         if self._incoming.has_head:
@@ -250,17 +266,21 @@
 
     def on_body(self, body):
         """Add a piece of the body, and stop reading while there is no room."""
+        size = len(body)
+        exchange = self._incoming
         self._slice_parts += 1
+        if size < SHORT_PIECE_BYTES:
+            self._short_parts += 1
         self._head_meter.reset()
         # The client has not waited for the interim response.
         self._owes_continue = False
-        self._incoming.size_bytes += len(body)
-        if self._incoming.request is None:
-            self._incoming.held_bytes += len(body)
-        if self._incoming.size_bytes > self._limits.max_body_bytes:
+        exchange.size_bytes += size
+        if exchange.request is None:
+            exchange.held_bytes += size
+        if exchange.size_bytes > self._limits.max_body_bytes:
             self._error_response = CONTENT_TOO_LARGE_RESPONSE
             raise ValueError("the request body is larger than the limit")
-        self.feed_with_backpressure(self._incoming.body.feed, body)
+        self.feed_with_backpressure(exchange.body.feed, body)
 
     def on_message_complete(self):
         """Complete the request."""
