Close connections whose clients take too long

What callers saw: a connection that stops before a request, in its head or in its body stayed open as long as the system of its peer answered; nothing closed it in 30 s, with `headerTimeoutMs` 1,000 and `idleTimeoutMs` 2,000. Cause: `headerTimeoutMs` was not applied, `idleTimeoutMs` was read and used nowhere. Change: a listener checks its connections once a second. Without a request, a connection closes after the idle timeout; a head that is not complete in time, or a body without a new byte before its request is started, gets 408 and the connection closes. A request that is started ends by its deadline as before. The time is counted in checks: a process that was paused has not given its clients that time. While the node itself reads no more, no time counts. Why it works: each state that waits for the client alone has a timeout; empty lines and single bytes of a head don't start it anew.

--- a/libs/mimosaloom-relay/mimosaloom_relay/http_server.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/http_server.py
@@ -20,6 +20,7 @@
 __all__ = ["Handler", "Incoming", "RelayServer"]
 
 LISTEN_BACKLOG = 1024
+STALL_CHECK_S = 1.0
 # Bytes that a connection may have received and not read; the system takes twice as much
 # for its own records. By default it grows up to megabytes for each connection.
 RECEIVE_BUFFER_BYTES = 32 * 1024
@@ -70,6 +71,7 @@
         self.tasks: set[asyncio.Task] = set()
         self.connections: set[ServerConnection] = set()
         self._server: asyncio.Server | None = None
+        self._stall_check: asyncio.TimerHandle | None = None
 
     async def listen(self, address: Address) -> Address:
         """Start listening; return the address with the actual port."""
@@ -85,6 +87,23 @@
         )
         return Address(address.host, sock.getsockname()[1])
 
+    def add_connection(self, connection: ServerConnection) -> None:
+        """Keep a new connection, and check from time to time whether it stalls."""
+        self.connections.add(connection)
+        if self._stall_check is None:
+            self._schedule_stall_check()
+
+    def _schedule_stall_check(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._stall_check = loop.call_later(STALL_CHECK_S, self._check_stalls)
+
+    def _check_stalls(self) -> None:
+        self._stall_check = None
+        for connection in list(self.connections):
+            connection.check_stall(STALL_CHECK_S)
+        if self.connections:
+            self._schedule_stall_check()
+
     def announce_close(self) -> None:
         """Close each connection after its next answer, but accept new connections."""
         self.is_closing = True
@@ -116,5 +135,7 @@
     def close(self) -> None:
         """Close all connections after the data already written has been sent."""
         self.stop_accepting()
+        if self._stall_check is not None:
+            self._stall_check.cancel()
         for connection in list(self.connections):
             connection.transport.close()
--- a/libs/mimosaloom-relay/mimosaloom_relay/server_connections.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/server_connections.py
@@ -44,6 +44,9 @@
     b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\n"
     b"Connection: close\r\n\r\n"
 )
+TIMEOUT_RESPONSE = (
+    b"HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+)
 # The limit on heads is for their lines; method, version and line breaks come on top.
 START_LINE_BYTES = 1024
 # A line counts with its colon and line break, so that the lines that are kept of a head
@@ -86,6 +89,8 @@
         self._has_stopped_parsing = False
         self._unparsed = b""
         self._is_dense = False
+        # Time without progress, as counted by `check_stall`.
+        self._stalled_s = 0.0
         # Header lines and short pieces of the request that is being received.
         self._short_parts = 0
         # Memory of the requests that are queued, and of those of them that are started.
@@ -133,7 +138,7 @@
     def connection_made(self, transport):
         """Start to serve the connection; called by asyncio."""
         self.transport = transport
-        self._server.connections.add(self)
+        self._server.add_connection(self)
 
     def connection_lost(self, exc):
         """Cancel all requests on the connection; called by asyncio."""
@@ -174,6 +179,37 @@
         if self._server.received.is_exceeded:
             self._server.received.make_room()
 
+    def check_stall(self, elapsed_s: float) -> None:
+        """Close the connection if its client has taken too long; called regularly.
+
+        The time is counted in calls, as a process that was paused has not given its
+        clients that time.
+
+        Args:
+            elapsed_s: Time since the last call.
+        """
+        incoming = self._incoming
+        is_idle = incoming is None and self._pipeline.is_idle
+        is_awaited = incoming is not None and incoming.task is None
+        if self._has_stopped_parsing or not (is_idle or is_awaited):
+            return
+        if self._pause_reasons:
+            return
+        self._stalled_s += elapsed_s
+        limits = self._server.limits()
+        has_part_of_head = incoming is not None and not incoming.has_head
+        timeout_s = (
+            limits.header_timeout_s if has_part_of_head else limits.idle_timeout_s
+        )
+        # The first call may come right after the last progress.
+        if self._stalled_s < timeout_s + elapsed_s:
+            return
+        if incoming is None:
+            self.transport.close()
+        else:
+            self._error_response = TIMEOUT_RESPONSE
+            self._reject()
+
     def _delay_parsing(self) -> None:
         """Let other connections go first after a request of many short parts."""
         delay_s = self._server.parsing_pace.delay_s(self._slice_parts)
@@ -218,6 +254,7 @@
 
     def on_message_begin(self):
         """Start a request."""
+        self._stalled_s = 0.0
         self._slice_parts += 1
         self._short_parts = 0
         self._incoming = Exchange(self.enqueue, lambda: self.transport.abort())
@@ -248,6 +285,7 @@
     def on_headers_complete(self):
         """Complete the head, and ask for the body if the client waits."""
         self._head_meter.reset()
+        self._stalled_s = 0.0
         # Trailers have the same limit again.
         exchange = self._incoming
         self._head_bytes = 0
@@ -266,6 +304,7 @@
 
     def on_body(self, body):
         """Add a piece of the body, and stop reading while there is no room."""
+        self._stalled_s = 0.0
         size = len(body)
         exchange = self._incoming
         self._slice_parts += 1
@@ -286,6 +325,7 @@
         """Complete the request."""
         self._head_meter.reset()
         self._owes_continue = False
+        self._stalled_s = 0.0
         exchange, self._incoming = self._incoming, None
         exchange.body.finish()
 
@@ -432,6 +472,7 @@
         exchange.body.discard()
         self._pipeline.remove(exchange)
         self._release(exchange)
+        self._stalled_s = 0.0
         if self.transport.is_closing():
             return
         following = self._pipeline.first_started
