Bound the connections of clients

What callers saw: 600 clients that send nothing, or part of a head, took 610 sockets of a node that may have 400. Cause: nothing bounded the connections that a node accepts. Change: clients may have a third of the sockets of the process, and at most a quarter of its memory at the size of a receive buffer. Beyond that, a connection without a complete request closes for a new one: first those that never had an answer, then those without progress for longest. The listeners of the platform and the target have 64 connections each; those between nodes have no bound of their own. The queue of new connections is at most a quarter of the sockets, since all of them are accepted at once. The choice has tests without a network. Why it works: a new connection never makes one more, and connections whose clients use them are the last to close.

--- a/libs/mimosaloom-relay/mimosaloom_relay/client_bounds.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/client_bounds.py
@@ -6,12 +6,28 @@
 """
 
 import math
+from collections.abc import Iterable
+from typing import Protocol
 
 from mimosaloom_model import Clock
 
-__all__ = ["ParsingPace", "choose_max_overlapping", "choose_received_bytes"]
+__all__ = [
+    "ParsingPace",
+    "choose_backlog",
+    "choose_dispensable",
+    "choose_max_connections",
+    "choose_max_overlapping",
+    "choose_received_bytes",
+]
 
+MAX_BACKLOG = 1024
 RECEIVED_MEMORY_RATIO = 0.125
+# A connection may hold this much in the buffer of its socket.
+CONNECTION_COST_BYTES = 64 * 1024
+CONNECTIONS_MEMORY_RATIO = 0.25
+# A running request needs two more sockets at most: to another node, and there from that
+# node to its target.
+CONNECTIONS_SOCKETS_RATIO = 1 / 3
 
 # Short parts of requests, such as header lines and chunks of a byte. One takes about a
 # microsecond, so this is a tenth of a processor.
@@ -25,6 +41,22 @@
 OVERLAPPING_SOCKETS_RATIO = 0.25
 
 
+class Connection(Protocol):
+    """A connection of a client.
+
+    Attributes:
+        has_served: Whether a request on it was answered.
+        stalled_s: Time without progress.
+    """
+
+    has_served: bool
+    stalled_s: float
+
+    @property
+    def is_awaiting_client(self) -> bool:
+        """Whether no request is started or complete."""
+
+
 class ParsingPace:
     """Spreads the parsing of many short parts over time.
 
@@ -72,3 +104,42 @@
         memory_bytes: Memory that the process may take.
     """
     return int(RECEIVED_MEMORY_RATIO * memory_bytes)
+
+
+def choose_backlog(max_sockets: int) -> int:
+    """Return how many connections may wait to be accepted, and so come at once.
+
+    Args:
+        max_sockets: Sockets that the process may have.
+    """
+    return min(MAX_BACKLOG, max_sockets // 4)
+
+
+def choose_max_connections(memory_bytes: int, max_sockets: int) -> int:
+    """Return how many connections clients may have.
+
+    Answers clients that open connections and send nothing, or parts of requests.
+
+    Args:
+        memory_bytes: Memory that the process may take.
+        max_sockets: Sockets that the process may have.
+    """
+    by_memory = int(CONNECTIONS_MEMORY_RATIO * memory_bytes / CONNECTION_COST_BYTES)
+    return min(by_memory, int(CONNECTIONS_SOCKETS_RATIO * max_sockets))
+
+
+def choose_dispensable(
+    connections: Iterable[Connection], newest: Connection
+) -> Connection:
+    """Return the connection that closes for a new one when there are too many.
+
+    Those that never had a request answered come first, then those without progress for
+    longest. Connections with a complete request stay; if all have one, the new one
+    closes.
+
+    Args:
+        connections: All connections.
+        newest: The new one.
+    """
+    others = (c for c in connections if c is not newest and c.is_awaiting_client)
+    return min(others, key=lambda c: (c.has_served, -c.stalled_s), default=newest)
--- a/libs/mimosaloom-relay/mimosaloom_relay/http_server.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/http_server.py
@@ -9,7 +9,7 @@
 from mimosaloom_model import Address, Clock, SystemClock
 
 from .answer_sizes import ByteBudget
-from .client_bounds import ParsingPace
+from .client_bounds import MAX_BACKLOG, ParsingPace, choose_dispensable
 from .connections import configure_socket
 from .exchanges import Incoming
 from .http_client import Answer
@@ -19,7 +19,6 @@
 
 __all__ = ["Handler", "Incoming", "RelayServer"]
 
-LISTEN_BACKLOG = 1024
 STALL_CHECK_S = 1.0
 # Bytes that a connection may have received and not read; the system takes twice as much
 # for its own records. By default it grows up to megabytes for each connection.
@@ -41,6 +40,7 @@
     Attributes:
         expect_answer_bytes: Returns by the head of a request how many bytes its answer
             may hold while it waits for those before it.
+        max_connections: Connections that may be open.
         held: Bytes that all connections hold together for requests that overlap.
         received: Memory that all connections hold for requests; servers may share it.
         parsing_pace: Delays connections whose requests have very many short parts.
@@ -64,6 +64,7 @@
         self.clock = clock or SystemClock()
         self.expect_answer_bytes: Callable[[Request], int] = lambda request: 0
         self.held = ByteBudget(math.inf)
+        self.max_connections = math.inf
         self.received = ReceiveBudget()
         self.parsing_pace = ParsingPace(self.clock)
         self.refuse: Callable[[Request], Response] = lambda request: Response(503)
@@ -73,8 +74,14 @@
         self._server: asyncio.Server | None = None
         self._stall_check: asyncio.TimerHandle | None = None
 
-    async def listen(self, address: Address) -> Address:
-        """Start listening; return the address with the actual port."""
+    async def listen(self, address: Address, backlog: int = MAX_BACKLOG) -> Address:
+        """Start listening; return the address with the actual port.
+
+        Args:
+            address: Address to listen on.
+            backlog: Connections that may wait to be accepted. All of them are accepted
+                at once, before any can be closed.
+        """
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         # Accepted connections inherit the socket options.
@@ -83,13 +90,18 @@
         sock.bind((address.host, address.port))
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: ServerConnection(self), sock=sock, backlog=LISTEN_BACKLOG
+            lambda: ServerConnection(self), sock=sock, backlog=backlog
         )
         return Address(address.host, sock.getsockname()[1])
 
     def add_connection(self, connection: ServerConnection) -> None:
-        """Keep a new connection, and check from time to time whether it stalls."""
+        """Keep a new connection, and check from time to time whether it stalls.
+
+        Beyond the bound, another one closes for it, or it closes itself.
+        """
         self.connections.add(connection)
+        if len(self.connections) > self.max_connections:
+            choose_dispensable(self.connections, connection).transport.close()
         if self._stall_check is None:
             self._schedule_stall_check()
 
--- a/libs/mimosaloom-relay/mimosaloom_relay/node.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/node.py
@@ -11,7 +11,12 @@
 from mimosaloom_model import Address, Clock, ErrorKind
 from mimosaloom_policy import Quarantine
 
-from .client_bounds import choose_max_overlapping, choose_received_bytes
+from .client_bounds import (
+    choose_backlog,
+    choose_max_connections,
+    choose_max_overlapping,
+    choose_received_bytes,
+)
 from .decision_log import DecisionLog
 from .hop_messages import HeaderNames
 from .hops import HopSender
@@ -71,6 +76,8 @@
 # Share of the memory of the process that answers may take which wait for those before
 # them on their connections.
 HELD_MEMORY_RATIO = 0.2
+# Connections to each of the listeners that the platform and the target use.
+MAX_SIDE_CONNECTIONS = 64
 # What a node adds to the head of a request that it passes on.
 MAX_HOP_HEADER_BYTES = 16 * 1024
 # Name of the record, beside those of the nodes, of the requests that are held back.
@@ -301,8 +308,17 @@
             limits = self._find_limits if name == "outbound" else self._find_peer_limits
             server = RelayServer(handle, self._answer_crash, limits, clock=self._clock)
             server.received = received
+            if name == "outbound":
+                server.max_connections = choose_max_connections(
+                    self.settings.memory_bytes, self.settings.max_sockets
+                )
+            elif name != "inbound":
+                server.max_connections = MAX_SIDE_CONNECTIONS
             self._servers[name] = server
-            opened[name] = await server.listen(getattr(self.settings.listen, name))
+            opened[name] = await server.listen(
+                getattr(self.settings.listen, name),
+                choose_backlog(self.settings.max_sockets),
+            )
         self.addresses = Listeners(**opened)
         self._tasks.spawn(self._pauses.run())
         self._tasks.spawn(self._account_log.run())
--- a/libs/mimosaloom-relay/mimosaloom_relay/server_connections.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/server_connections.py
@@ -68,6 +68,10 @@
     """One connection of a client; httptools calls its `on_` methods.
 
     Answers are written in the order of the requests, also if requests run at once.
+
+    Attributes:
+        stalled_s: Time without progress, as counted by `check_stall`.
+        has_served: Whether a request was answered.
     """
 
     def __init__(self, server: "RelayServer"):
@@ -89,8 +93,8 @@
         self._has_stopped_parsing = False
         self._unparsed = b""
         self._is_dense = False
-        # Time without progress, as counted by `check_stall`.
-        self._stalled_s = 0.0
+        self.stalled_s = 0.0
+        self.has_served = False
         # Header lines and short pieces of the request that is being received.
         self._short_parts = 0
         # Memory of the requests that are queued, and of those of them that are started.
@@ -110,6 +114,11 @@
         """Number of requests started before one in front of them is answered."""
         return self._pipeline.overlapping_count
 
+    @property
+    def is_awaiting_client(self) -> bool:
+        """Whether no request is started or complete."""
+        return self._pipeline.is_idle and not self.transport.is_closing()
+
     @property
     def evictable_bytes(self) -> int:
         """Memory of the requests that are not started, which `evict` frees."""
@@ -195,14 +204,14 @@
             return
         if self._pause_reasons:
             return
-        self._stalled_s += elapsed_s
+        self.stalled_s += elapsed_s
         limits = self._server.limits()
         has_part_of_head = incoming is not None and not incoming.has_head
         timeout_s = (
             limits.header_timeout_s if has_part_of_head else limits.idle_timeout_s
         )
         # The first call may come right after the last progress.
-        if self._stalled_s < timeout_s + elapsed_s:
+        if self.stalled_s < timeout_s + elapsed_s:
             return
         if incoming is None:
             self.transport.close()
@@ -254,7 +263,7 @@
 
     def on_message_begin(self):
         """Start a request."""
-        self._stalled_s = 0.0
+        self.stalled_s = 0.0
         self._slice_parts += 1
         self._short_parts = 0
         self._incoming = Exchange(self.enqueue, lambda: self.transport.abort())
@@ -285,7 +294,7 @@
     def on_headers_complete(self):
         """Complete the head, and ask for the body if the client waits."""
         self._head_meter.reset()
-        self._stalled_s = 0.0
+        self.stalled_s = 0.0
         # Trailers have the same limit again.
         exchange = self._incoming
         self._head_bytes = 0
@@ -304,7 +313,7 @@
 
     def on_body(self, body):
         """Add a piece of the body, and stop reading while there is no room."""
-        self._stalled_s = 0.0
+        self.stalled_s = 0.0
         size = len(body)
         exchange = self._incoming
         self._slice_parts += 1
@@ -325,7 +334,7 @@
         """Complete the request."""
         self._head_meter.reset()
         self._owes_continue = False
-        self._stalled_s = 0.0
+        self.stalled_s = 0.0
         exchange, self._incoming = self._incoming, None
         exchange.body.finish()
 
@@ -472,7 +481,8 @@
         exchange.body.discard()
         self._pipeline.remove(exchange)
         self._release(exchange)
-        self._stalled_s = 0.0
+        self.stalled_s = 0.0
+        self.has_served = True
         if self.transport.is_closing():
             return
         following = self._pipeline.first_started
--- a/tests/relay/test_client_bounds.py
+++ b/tests/relay/test_client_bounds.py
@@ -1,6 +1,7 @@
 """Bounds on what all clients together may take, without a network."""
 
 import tracemalloc
+from typing import NamedTuple
 
 import pytest
 
@@ -9,6 +10,9 @@
     PARTS_BURST_S,
     PARTS_PER_S,
     ParsingPace,
+    choose_backlog,
+    choose_dispensable,
+    choose_max_connections,
     choose_max_overlapping,
     choose_received_bytes,
 )
@@ -25,6 +29,42 @@
         return self.now_s
 
 
+class FakeConnection(NamedTuple):
+    """A connection of a client."""
+
+    name: str
+    is_awaiting_client: bool = True
+    has_served: bool = False
+    stalled_s: float = 0.0
+
+
+def test_connection_that_never_sent_a_request_closes_first():
+    """Guards against ordinary callers whose idle connections close for a crowd."""
+    newest = FakeConnection("newest")
+    connections = [
+        FakeConnection("running", is_awaiting_client=False, stalled_s=9),
+        FakeConnection("kept", has_served=True, stalled_s=8),
+        FakeConnection("fresh", stalled_s=1),
+        FakeConnection("silent", stalled_s=3),
+        newest,
+    ]
+    closed = []
+    while len(connections) > 1:
+        found = choose_dispensable(connections, newest)
+        connections.remove(found)
+        closed.append(found.name)
+    assert closed == ["silent", "fresh", "kept", "newest"]
+
+
+def test_connections_fit_beside_those_to_nodes_and_targets():
+    """Guards against clients that take all descriptors of a node."""
+    for max_sockets in (400, 3900):
+        accepted = choose_max_connections(10**9, max_sockets)
+        accepted += choose_backlog(max_sockets)
+        assert accepted + accepted // 2 <= max_sockets
+    assert choose_max_connections(128 * 10**6, 3900) == 488
+
+
 def test_many_short_parts_get_a_bounded_pace():
     """Guards against chunks of one byte that take all time of a node."""
     clock = FakeClock()
