Give up an answer whose status is below 100

What callers saw: a target on the caller's own instance that answered 001 or 099 had this passed on, as `HTTP/1.1 1` or `HTTP/1.1 99`, which is no answer of HTTP. 000 ended as 502 for another reason, and 000 in front of the real answer as 504 at the deadline. Cause: the parser accepts any three digits, and nothing checked the number. Between nodes the parser of the other node met the short form and failed. Change: a response with a status below 100 fails when its head is complete. The users' report of a status of 000 as an answer did not show here in any form. Why it works: the check is where each answer is read, before a byte of it is passed on. The request has run, so 502 promises nothing. 600 to 999 are passed on unchanged.

--- a/libs/mimosaloom-relay/mimosaloom_relay/client_connections.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/client_connections.py
@@ -23,6 +23,8 @@
 MAX_IDLE_S = 4.0
 # Answers to other requests that are skipped before the connection is closed.
 MAX_UNRELATED_ANSWERS = 2
+# The parser accepts lower ones of three digits.
+MIN_STATUS = 100
 _NO_BODY_STATUSES = frozenset({204, 304})
 
 # Name of the header by which a response names its request, and the id in it.
@@ -173,11 +175,18 @@
         self._headers.append((name.decode("latin-1"), value.decode("latin-1")))
 
     def on_headers_complete(self):
-        """Decide whether the response is that to the pending request."""
+        """Decide whether the response is that to the pending request.
+
+        Raises:
+            ValueError: If the status is none of HTTP; the parser reports it as an error
+                of the message.
+        """
         pending = self._pending
         if pending is None:
             return
         status = self._parser.get_status_code()
+        if status < MIN_STATUS:
+            raise ValueError(f"{status:03} is no status")
         headers = tuple(self._headers)
         is_interim = 100 <= status < 200
         self._skips_response = is_interim or pending.is_for_other_request(headers)
--- a/tests/platform_adapter/standins.py
+++ b/tests/platform_adapter/standins.py
@@ -28,6 +28,8 @@
         disconnected: Ids of the requests whose connection closed while they were held.
         connections: Number of connections accepted so far.
         endless_bytes: Number of bytes written in endless answers.
+        status: Status of its own answers.
+        invalid_head: Bytes in front of each of its own answers.
         is_healthy: Whether its health check succeeds.
         signals: Header lines in all of its answers.
         ends_on: Returns whether a request ends the target, from its request line,
@@ -45,6 +47,8 @@
         self.disconnected: list[str] = []
         self.connections = 0
         self.endless_bytes = 0
+        self.status = "200"
+        self.invalid_head = b""
         self.is_healthy = True
         self.signals: list[str] = []
         self.ends_on = lambda line, headers, body: False
@@ -189,11 +193,15 @@
 
     def _build_answer(self, request_id: str, body: bytes) -> bytes:
         return (
-            f"HTTP/1.1 200 OK\r\nMimosaloom-Attempt-Id: {request_id}\r\n"
-            f"Mimosaloom-Response-Signature: sig.{self.target_id}\r\n"
-            f"{self._encode_signals().decode()}"
-            f"Content-Length: {len(body)}\r\n\r\n"
-        ).encode() + body
+            self.invalid_head
+            + (
+                f"HTTP/1.1 {self.status} OK\r\nMimosaloom-Attempt-Id: {request_id}\r\n"
+                f"Mimosaloom-Response-Signature: sig.{self.target_id}\r\n"
+                f"{self._encode_signals().decode()}"
+                f"Content-Length: {len(body)}\r\n\r\n"
+            ).encode()
+            + body
+        )
 
     def _encode_signals(self) -> bytes:
         return "".join(f"{line}\r\n" for line in self.signals).encode()
