--- a/libs/mimosaloom-relay/mimosaloom_relay/http_server.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/http_server.py
@@ -44,6 +44,8 @@
         held: Bytes that all connections hold together for requests that overlap.
         received: Memory that all connections hold for requests; servers may share it.
         parsing_pace: Delays connections whose requests have very many short parts.
+        count_closed: Called with the reason when a connection is closed to keep a
+            bound: `memory`, `time` or `connections`.
         refuse: Returns the answer to a request that is not started, as there is no
             memory for it.
     """
@@ -67,6 +69,7 @@
         self.max_connections = math.inf
         self.received = ReceiveBudget()
         self.parsing_pace = ParsingPace(self.clock)
+        self.count_closed: Callable[[str], None] = lambda reason: None
         self.refuse: Callable[[Request], Response] = lambda request: Response(503)
         self.is_closing = False
         self.tasks: set[asyncio.Task] = set()
@@ -101,6 +104,7 @@
         """
         self.connections.add(connection)
         if len(self.connections) > self.max_connections:
+            self.count_closed("connections")
             choose_dispensable(self.connections, connection).transport.close()
         if self._stall_check is None:
             self._schedule_stall_check()
--- a/libs/mimosaloom-relay/mimosaloom_relay/metrics.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/metrics.py
@@ -37,6 +37,11 @@
         self._ignored = self._counter(
             "ignored_messages", "Messages that could not be used", "source"
         )
+        self._closed_connections = self._counter(
+            "closed_connections",
+            "Connections of clients closed to bound them",
+            "reason",
+        )
         self._connections = self._counter(
             "connections_opened", "Connections opened by this node", "peer"
         )
@@ -149,6 +154,10 @@
         """Count a message that was ignored because it is not valid."""
         self._ignored.labels(source).inc()
 
+    def count_closed_connection(self, reason: str) -> None:
+        """Count a connection of a client that was closed to keep a bound."""
+        self._closed_connections.labels(reason).inc()
+
     def count_store_call(self, topic: str, kind: str) -> None:
         """Count a call to the store."""
         self._store_calls.labels(topic, kind).inc()
--- a/libs/mimosaloom-relay/mimosaloom_relay/node.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/node.py
@@ -308,6 +308,7 @@
             limits = self._find_limits if name == "outbound" else self._find_peer_limits
             server = RelayServer(handle, self._answer_crash, limits, clock=self._clock)
             server.received = received
+            server.count_closed = self.metrics.count_closed_connection
             if name == "outbound":
                 server.max_connections = choose_max_connections(
                     self.settings.memory_bytes, self.settings.max_sockets
--- a/libs/mimosaloom-relay/mimosaloom_relay/server_connections.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/server_connections.py
@@ -127,6 +127,7 @@
         # The first call may come right after the last progress.
         if self.stalled_s < timeout_s + elapsed_s:
             return
+        self._server.count_closed("time")
         if incoming is None:
             self.transport.close()
         else:
@@ -180,6 +181,7 @@
 
         The first of them gets the answer. Those behind it count as not read.
         """
+        self._server.count_closed("memory")
         self._error_response = OVERLOADED_RESPONSE
         for exchange in self._pipeline.drop_waiting():
             self._release(exchange)
--- a/tests/cli/test_metrics_page.py
+++ b/tests/cli/test_metrics_page.py
@@ -53,6 +53,7 @@
     metrics.count_outcome("lookup", "answered", 0.1)
     metrics.count_dropped_line("success")
     metrics.count_ignored("heartbeat")
+    metrics.count_closed_connection("memory")
     metrics.count_connection("target")
     metrics.show_open_connections("target", lambda: 0)
     metrics.count_quota_question("claims", "answered")
