Start a trial call of a class that no call may run

Cause: admission refuses a call whose expected service time is longer than the time that it has left. The expectation changes only when a call of the class ends, so once it is above the timeout of the route nothing can lower it again.

Change: ServiceTimes keeps the estimates. After 1 s without a measurement of a class one call may start as a trial; it stays the trial while it waits. Its service time replaces the outdated estimate.

Why it works: each class is measured at least once a second while it is called, so the estimate is never older than that and follows a target that is fast again. A target that stays slow gets one call a second in vain.

--- a/libs/mimosaloom-policy/mimosaloom_policy/admission.py
+++ b/libs/mimosaloom-policy/mimosaloom_policy/admission.py
@@ -14,12 +14,12 @@
 from .queue import WaitingQueue
 from .rank import PRIORITY_COUNT
 from .rate_limit import RateLimit
+from .service_times import ServiceTimes
 from .shedding import WINDOW_S, LevelControl, WindowStats
 
 __all__ = ["Admission", "Arrival", "Decision", "Refuse", "Start"]
 
 RETRY_AFTER_S = 1.0
-SERVICE_TIME_SMOOTHING = 0.1
 # Share of the limit that is reserved for protected classes. Protected calls in flight
 # count towards it, so it leaves slots unused only where protected calls are rare.
 RESERVED_RATIO = 0.03
@@ -135,7 +135,7 @@
         # bounds the queue delay.
         self._queue = WaitingQueue(queue_capacity)
         self._running: dict[str, _Running] = {}
-        self._service_time_s: dict[str, float] = {}
+        self._service_times = ServiceTimes()
         self._is_draining = False
         self._control = LevelControl()
         self._meter = _WindowMeter(now_s)
@@ -198,7 +198,9 @@
         del self._running[call_key]
         self._protected_running -= running.arrival.is_protected
         if is_success:
-            self._update_service_time(running, now_s)
+            self._service_times.record(
+                running.arrival.class_name, call_key, now_s - running.start_s, now_s
+            )
         self._end_window(now_s)
         return self._start_waiting(now_s)
 
@@ -296,13 +298,7 @@
 
     def _misses_deadline(self, arrival: Arrival, now_s: float) -> bool:
         """Return whether a call that starts now would end after its deadline."""
-        service_time_s = self._service_time_s.get(arrival.class_name, 0.0)
-        return now_s + service_time_s >= arrival.deadline_s
-
-    def _update_service_time(self, running: _Running, now_s: float) -> None:
-        name = running.arrival.class_name
-        elapsed_s = now_s - running.start_s
-        smoothed_s = self._service_time_s.get(name, elapsed_s)
-        self._service_time_s[name] = smoothed_s + SERVICE_TIME_SMOOTHING * (
-            elapsed_s - smoothed_s
+        remaining_s = arrival.deadline_s - now_s
+        return remaining_s <= 0 or not self._service_times.may_start(
+            arrival.class_name, arrival.call_key, remaining_s, now_s
         )
--- /dev/null
+++ b/libs/mimosaloom-policy/mimosaloom_policy/service_times.py
@@ -0,0 +1,76 @@
+"""Service times of the request classes of one target."""
+
+from typing import NamedTuple
+
+__all__ = ["TRIAL_INTERVAL_S", "ServiceTimes"]
+
+SMOOTHING = 0.1
+# Time without a measurement after which a class gets a trial call, and time between two
+# trial calls. It bounds how long a target that is fast again stays without calls.
+TRIAL_INTERVAL_S = 1.0
+
+
+class _Estimate(NamedTuple):
+    """Estimate of one class.
+
+    Attributes:
+        service_time_s: Smoothed service time.
+        updated_s: Time of the last measurement or of the start of the last trial.
+        trial_key: Key of the last trial call; empty for none.
+    """
+
+    service_time_s: float
+    updated_s: float
+    trial_key: str = ""
+
+
+class ServiceTimes:
+    """Estimates how long a call of each class takes.
+
+    Only calls that run are measured. If no call of a class had as much time as the
+    estimate demands, none would run, and the estimate would never fall again. One call
+    per interval without a measurement therefore starts as a trial.
+    """
+
+    def __init__(self):
+        self._estimates: dict[str, _Estimate] = {}
+
+    def may_start(
+        self, class_name: str, call_key: str, remaining_s: float, now_s: float
+    ) -> bool:
+        """Return whether a call is expected to end in time, or is a trial.
+
+        Args:
+            class_name: Class of the call.
+            call_key: Key of the call. A call that has become the trial stays it.
+            remaining_s: Time until the deadline of the call.
+            now_s: Current time on the monotonic clock.
+        """
+        estimate = self._estimates.get(class_name)
+        if estimate is None or estimate.service_time_s < remaining_s:
+            return True
+        if call_key == estimate.trial_key:
+            return True
+        if now_s - estimate.updated_s < TRIAL_INTERVAL_S:
+            return False
+        self._estimates[class_name] = _Estimate(
+            estimate.service_time_s, now_s, trial_key=call_key
+        )
+        return True
+
+    def record(
+        self, class_name: str, call_key: str, elapsed_s: float, now_s: float
+    ) -> None:
+        """Update the estimate of a class from a call that has ended.
+
+        A trial replaces the estimate, which is outdated then.
+        """
+        estimate = self._estimates.get(class_name)
+        if estimate is None or call_key == estimate.trial_key:
+            self._estimates[class_name] = _Estimate(elapsed_s, now_s)
+            return
+        smoothed_s = estimate.service_time_s
+        smoothed_s += SMOOTHING * (elapsed_s - smoothed_s)
+        self._estimates[class_name] = estimate._replace(
+            service_time_s=smoothed_s, updated_s=now_s
+        )
