Acknowledge a leave only once it outlives the process

Cause: the acknowledgement was written before anything outside the process knew of the leave; the writes to the store and to other nodes were only started. The same holds for the answer to a heartbeat that says draining.

Evidence: with a store that answers after 100 ms, its record still says available when the acknowledgement arrives. With the leave stored first, the late heartbeat changes nothing in the same test, so what a new process reads is right.

Change: the answer waits until the store has confirmed the record (0.4 s), else until another node has taken it (0.4 s), and is 503 otherwise. Requests to the target end at once as before.

Why it works: what a target may rely on is known outside of all processes, or of this one while the store is away, before it relies on it.

--- a/libs/mimosaloom-relay/mimosaloom_relay/leave_exchange.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/leave_exchange.py
@@ -4,6 +4,7 @@
 node wrote.
 """
 
+import asyncio
 from collections.abc import Callable
 from urllib.parse import quote
 
@@ -46,6 +47,16 @@
             request = Request("POST", self._path, (), encode_record(record))
             self._messenger.broadcast(request, TIMEOUT_S)
 
+    async def confirm(self, record: PeerRecord) -> bool:
+        """Tell other nodes that the target leaves; return whether one has answered."""
+        request = Request("POST", self._path, (), encode_record(record))
+        telling = [
+            self._messenger.send(address, request, TIMEOUT_S)
+            for address in self._messenger.choose_peers()
+        ]
+        answers = await asyncio.gather(*telling)
+        return any(isinstance(a, Response) and a.status < 300 for a in answers)
+
     def ask(self) -> None:
         """Ask other nodes once whether a start of the own target has left."""
         if self._has_asked:
--- a/libs/mimosaloom-relay/mimosaloom_relay/node.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/node.py
@@ -71,6 +71,9 @@
 # Time between the end of a stop and the moment when the platform kills the process.
 KILL_MARGIN_S = 0.6
 STOP_POLL_S = 0.05
+# Time for the store to accept a leave before other nodes are asked to remember it. A
+# target takes an answer for an acknowledgement only within a second.
+LEAVE_STORE_TIMEOUT_S = 0.4
 # A node is removed if its record is still missing this long after the store was read.
 MISSING_GRACE_S = 2.0
 # Share of the memory of the process that answers may take which wait for those before
@@ -482,6 +485,24 @@
         )
         return is_own
 
+    async def confirm_leave(self) -> bool:
+        """Return whether the leave of the target outlives this process.
+
+        An acknowledged leave binds all later incarnations, and this process may end
+        right after the acknowledgement. The store keeps the leave even if all processes
+        end. While it does not answer, other nodes keep it.
+        """
+        if not self.own_target.is_leaving:
+            return True
+        try:
+            async with asyncio.timeout(LEAVE_STORE_TIMEOUT_S):
+                await self.own_record.wait_until_stored()
+            return True
+        except TimeoutError:
+            is_known = await self._leaves.confirm(self.own_record.build())
+        self.log.change("leave_not_stored", is_known_to_others=is_known)
+        return is_known
+
     def describe(self) -> dict:
         """Return the configuration in force, the target and the known upstreams."""
         return {
--- a/libs/mimosaloom-relay/mimosaloom_relay/own_record.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/own_record.py
@@ -1,6 +1,6 @@
 """Published record of this node, and the target it resumes after a restart."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from mimosaloom_model import Address
 
@@ -26,6 +26,7 @@
 
     Attributes:
         send: Publishes an encoded record, or removes the published one if given None.
+        wait_until_stored: Waits until the store has what was sent last.
     """
 
     def __init__(
@@ -38,6 +39,7 @@
         has_handed_over: Callable[[], bool],
     ):
         self.send: Callable[[bytes | None], None] = lambda record: None
+        self.wait_until_stored: Callable[[], Awaitable[None]] = _return_at_once
         self._settings = settings
         self._incarnation = incarnation
         self._own_target = own_target
@@ -139,3 +141,7 @@
         """Remove the record of an earlier incarnation whose target does not answer."""
         if self._published is None:
             self.send(None)
+
+
+async def _return_at_once() -> None:
+    """Wait for nothing, as a node without a store does."""
--- a/libs/mimosaloom-relay/mimosaloom_relay/publisher.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/publisher.py
@@ -34,11 +34,18 @@
         self._log = log
         self._pending_record: bytes | None = None
         self._has_pending_record = asyncio.Event()
+        self._is_stored = asyncio.Event()
+        self._is_stored.set()
 
     def put(self, record: bytes | None) -> None:
         """Write a record, or remove it if None, as soon as the store accepts it."""
         self._pending_record = record
         self._has_pending_record.set()
+        self._is_stored.clear()
+
+    async def wait_until_stored(self) -> None:
+        """Wait until the store has confirmed the newest record."""
+        await self._is_stored.wait()
 
     async def run(self) -> None:
         """Write records until cancelled."""
@@ -48,6 +55,8 @@
             self._has_pending_record.clear()
             if await self._publish(self._pending_record):
                 self._reset_delay()
+                if not self._has_pending_record.is_set():
+                    self._is_stored.set()
                 if is_failing:
                     self._log.change("record_published_again")
                 is_failing = False
--- a/tests/platform_adapter/cluster.py
+++ b/tests/platform_adapter/cluster.py
@@ -26,6 +26,7 @@
     RelayNode,
     RelaySettings,
     SharedRetryBudget,
+    decode_record,
     new_event_loop,
 )
 
@@ -165,7 +166,10 @@
             node, store, backoff, SystemClock(), store_reads_per_s=2000
         )
         handler = build_announcement_handler(
-            node.apply_heartbeat, node.mark_target_left, node.metrics.count_ignored
+            node.apply_heartbeat,
+            node.mark_target_left,
+            node.confirm_leave,
+            node.metrics.count_ignored,
         )
         await node.start(handler)
         member = self.members[name] = Member(node, target, self.client)
@@ -197,6 +201,11 @@
         for member in self.members.values():
             await wait_until(lambda m=member: m.node.version >= version)
 
+    def is_leaving_in_store(self, name: str) -> bool:
+        """Return whether the store's record of a node says that its target leaves."""
+        value = self.store.newest_values("keyed.nodes").get(name)
+        return value is not None and decode_record(value).is_leaving
+
     async def announce_all(self) -> None:
         """Announce all targets and wait until all nodes know them as available."""
         for member in self.members.values():
--- a/tests/platform_adapter/test_stops_and_restarts.py
+++ b/tests/platform_adapter/test_stops_and_restarts.py
@@ -6,12 +6,15 @@
 import pytest
 from platform_adapter.cluster import run_cluster, wait_until
 
-from mimosaloom_relay.node import KILL_MARGIN_S, MIN_STOP_S
+from mimosaloom_relay.leave_exchange import TIMEOUT_S
+from mimosaloom_relay.node import KILL_MARGIN_S, LEAVE_STORE_TIMEOUT_S, MIN_STOP_S
 
 pytestmark = pytest.mark.sockets
 
 # A stall of the event loop counts against the time of a request, at each node.
 BACK_ROUTE = {"pathPrefix": "/b/", "service": "back", "timeoutMs": 30_000}
+# A target takes a later answer for none.
+MAX_ACKNOWLEDGEMENT_S = 1.0
 FRONT_ROUTE = {"pathPrefix": "/f/", "service": "front"}
 
 
@@ -195,10 +198,55 @@
     run_cluster(scenario)
 
 
+@pytest.mark.parametrize("is_delete", [False, True])
+def test_acknowledged_leave_outlives_all_nodes(is_delete):
+    """Guards against a leave that is acknowledged before the store has it."""
+
+    async def scenario(cluster):
+        await cluster.add_member("front-1", "front")
+        back = await cluster.add_member("back-1", "back")
+        await cluster.configure(1, [BACK_ROUTE])
+        await cluster.announce_all()
+        cluster.store.answer_delay_s = 0.1
+        answer = await (back.leave() if is_delete else back.announce("draining"))
+        assert answer.status == 200
+        assert cluster.is_leaving_in_store("back-1")
+        cluster.store.answer_delay_s = 0.0
+        for task in cluster.tasks:
+            task.cancel()
+        front, back = [await cluster.restart(name) for name in ("front-1", "back-1")]
+        await wait_until(lambda: back.node.version == 1)
+        await back.announce()
+        await check_unused(back.target, (front, back))
+
+    run_cluster(scenario)
+
+
+@pytest.mark.parametrize("is_silent", [False, True])
+def test_leave_that_only_one_node_knows_is_not_acknowledged(is_silent):
+    """Guards against an acknowledgement that does not outlive the node."""
+
+    async def scenario(cluster):
+        back = await cluster.add_member("back-1", "back")
+        await cluster.configure(1, [BACK_ROUTE])
+        await cluster.announce_all()
+        cluster.store.is_silent, cluster.store.is_down = is_silent, not is_silent
+        assert LEAVE_STORE_TIMEOUT_S + TIMEOUT_S < MAX_ACKNOWLEDGEMENT_S
+        assert (await back.announce("draining")).status == 503
+        assert (await back.send_request("/b/x")).status == 503
+        cluster.store.is_silent = cluster.store.is_down = False
+        while (await back.announce("draining")).status != 200:
+            pass
+        assert cluster.is_leaving_in_store("back-1")
+
+    run_cluster(scenario)
+
+
 def test_leave_before_the_first_heartbeat_after_a_restart_is_kept_by_all_nodes():
-    """Guards against a late heartbeat that revokes a leave that has been confirmed.
+    """Guards against a late heartbeat that revokes a leave.
 
-    The store is away, and the node that confirms the leave starts anew twice.
+    The store is away, and the node that hears of the leave starts anew twice. It knows
+    no other node then, so it does not confirm the leave before the store has it.
     """
 
     async def scenario(cluster):
@@ -209,11 +257,13 @@
         cluster.store.is_down = True
         restarted = await cluster.restart("back-1")
         start = msgspec.json.encode({"born": 5})
-        assert (await restarted.leave(start)).status == 200
+        assert (await restarted.leave(start)).status == 503
         await restarted.announce(born=5)
         assert restarted.node.own_target.is_leaving
         cluster.store.is_down = False
         await wait_until(lambda: restarted.node.version == 1)
+        await wait_until(lambda: cluster.is_leaving_in_store("back-1"))
+        assert (await restarted.leave(start)).status == 200
         await wait_until(lambda: not front.sees_all_available(cluster.members))
         restarted = await cluster.restart("back-1")
         await wait_until(lambda: restarted.node.version == 1)
--- a/tests/platform_adapter/test_target_signals.py
+++ b/tests/platform_adapter/test_target_signals.py
@@ -5,7 +5,6 @@
 import pytest
 from platform_adapter.cluster import run_cluster, wait_until
 
-from mimosaloom_relay import decode_record
 from mimosaloom_relay.leave_exchange import LeaveExchange
 
 pytestmark = pytest.mark.sockets
@@ -147,7 +146,7 @@
 
     async def scenario(cluster):
         front, leaving = await start_leaving_back(cluster)
-        await wait_until(lambda: is_leaving_in_store(cluster, "back-1"))
+        await wait_until(lambda: cluster.is_leaving_in_store("back-1"))
         cluster.store.is_down = is_store_late
         restarted = await cluster.restart("back-1")
         await restarted.announce()
@@ -213,9 +212,3 @@
             number += 1
 
     run_cluster(scenario)
-
-
-def is_leaving_in_store(cluster, name):
-    """Whether the record of a node in the store says that its target leaves."""
-    value = cluster.store.newest_values("keyed.nodes").get(name)
-    return value is not None and decode_record(value).is_leaving
