Keep the leave of a target in the store over the stop of its node

Cause: a stopping node removes its record unless its target can be resumed. A target that has left can't, so the leave was removed as well. The other nodes keep it in memory only and were restarted too.

Evidence: after the stop the store has no record of the node, and after a stop of all nodes at once the late heartbeat puts the target in use. With the record in place a new process does not use it, also after a second restart.

Change: while the target still accepts connections, its node leaves the record, leaving and handed over, in the store. Other nodes take it like a removal. The next incarnation reads the leave from it and does not resume the target.

Why it works: an acknowledged leave is in the store until the target has ended or a later start replaces it, whatever processes run.

--- a/libs/mimosaloom-relay/mimosaloom_relay/node.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/node.py
@@ -399,15 +399,17 @@
             self._resume_target()
             return
         if value is None:
-            if self.upstreams.remove(name):
-                self.log.change("peer_left", peer=name)
+            self._remove_peer(name)
             return
         record = decode_record(value)
         if record is None or record.name != name:
             self.metrics.count_ignored("record")
             self.log.change("record_ignored", peer=name, bytes=len(value))
             return
-        if self.upstreams.put(record):
+        is_changed = self.upstreams.put(record)
+        if record.is_last:
+            self._remove_peer(name)
+        elif is_changed:
             self.log.change(
                 "peer_heard",
                 peer=name,
@@ -416,6 +418,10 @@
                 is_available=record.is_available,
             )
 
+    def _remove_peer(self, name: str) -> None:
+        if self.upstreams.remove(name):
+            self.log.change("peer_left", peer=name)
+
     def put_restored_record(self, name: str, value: bytes | None) -> None:
         """Process a record of a store that came back from an older copy.
 
@@ -532,8 +538,7 @@
             await asyncio.sleep(STOP_POLL_S)
             elapsed_s = self._clock.monotonic_s() - start_s
             if elapsed_s > HANDOVER_DELAY_S and not self.target_side.is_stopping:
-                self.target_side.is_stopping = True
-                self._publish_own_record()
+                await self._hand_over()
             refuse_after_s = min(
                 REFUSE_REQUESTS_AFTER_S,
                 REFUSE_REQUESTS_AFTER_RATIO * self.settings.grace_s,
@@ -547,6 +552,14 @@
         self._account_log.write()
         self.log.change("stopped", in_flight=self.count_open_requests())
 
+    async def _hand_over(self) -> None:
+        """Accept no more hops, and leave the target to the next incarnation."""
+        self.target_side.is_stopping = True
+        if self.own_target.is_leaving:
+            is_running = await self.target_side.accepts_connections()
+            self.own_record.is_target_running = is_running
+        self._publish_own_record()
+
     async def close(self) -> None:
         """Cancel all tasks and close all listeners and connections."""
         self._tasks.cancel()
--- a/libs/mimosaloom-relay/mimosaloom_relay/own_record.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/own_record.py
@@ -15,7 +15,8 @@
     """Publishes the record of this node and updates it when its target changes.
 
     A node that stops hands its target over: it accepts no more hops, and the next
-    incarnation of the node resumes the target from the published record.
+    incarnation of the node resumes the target from the published record. It also learns
+    there that the target has left, as late heartbeats may follow.
 
     Args:
         settings: Settings of the node.
@@ -26,6 +27,7 @@
 
     Attributes:
         send: Publishes an encoded record, or removes the published one if given None.
+        is_target_running: Whether a target that leaves still runs, to its knowledge.
         wait_until_stored: Waits until the store has what was sent last.
     """
 
@@ -40,6 +42,7 @@
     ):
         self.send: Callable[[bytes | None], None] = lambda record: None
         self.wait_until_stored: Callable[[], Awaitable[None]] = _return_at_once
+        self.is_target_running = True
         self._settings = settings
         self._incarnation = incarnation
         self._own_target = own_target
@@ -53,6 +56,9 @@
         """Return the current record of the node."""
         target, announcement = self._own_target, self._own_target.announcement
         has_handed_over = self._has_handed_over()
+        has_successor_use = target.is_available or (
+            target.is_leaving and self.is_target_running
+        )
         return PeerRecord(
             name=self._settings.name,
             host=self._inbound().host,
@@ -63,7 +69,7 @@
             target_id=target.target_id,
             slots=announcement.slots if announcement else 0,
             is_available=target.is_available and not has_handed_over,
-            is_handed_over=target.is_available and has_handed_over,
+            is_handed_over=has_handed_over and has_successor_use,
             target_born_ms=announcement.born_ms if announcement else 0,
             is_leaving=target.is_leaving,
         )
@@ -72,8 +78,8 @@
         """Publish and return the current record.
 
         A stopping node leaves its record published only if its target keeps running,
-        so that the next incarnation finds the target there. Otherwise the record is
-        removed.
+        so that the next incarnation finds the target there, or that it has left.
+        Otherwise the record is removed.
         """
         record = self.build()
         is_gone = self._has_handed_over() and not record.is_handed_over
@@ -122,6 +128,8 @@
         previous, self._previous_record = self._previous_record, None
         if previous is None or previous.service != self._settings.service:
             return None
+        if previous.is_leaving:
+            return None
         if not (previous.is_available or previous.is_handed_over) or not previous.slots:
             return None
         return Announcement(
--- a/libs/mimosaloom-relay/mimosaloom_relay/peers.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/peers.py
@@ -43,7 +43,8 @@
         slots: Number of calls that the target runs at once.
         is_available: Whether the target takes new calls.
         is_handed_over: Whether the node stops while its target keeps running, so that
-            the next incarnation of the node can resume the target.
+            the next incarnation of the node can resume the target, or knows that it
+            has left.
         target_born_ms: Start time of the target in Unix milliseconds; 0 if not known.
         is_leaving: Whether the target is draining or has left.
     """
@@ -66,6 +67,14 @@
         """Address where the node accepts hops."""
         return Address(self.host, self.port)
 
+    @property
+    def is_last(self) -> bool:
+        """Whether the node ends as well as its target; only the leave remains of use.
+
+        The node can't be called any more. The record is there for its next incarnation.
+        """
+        return self.is_leaving and self.is_handed_over
+
     @property
     def start_key(self) -> str:
         """Key of the start of the target."""
--- a/libs/mimosaloom-relay/mimosaloom_relay/target_side.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/target_side.py
@@ -225,6 +225,13 @@
         """Number of slots of the target that admission uses at most."""
         return self._used_slots
 
+    async def accepts_connections(self) -> bool:
+        """Return whether the target has an open connection or accepts a new one."""
+        address = self.own_target.address
+        return self._client.has_open_connection(
+            address
+        ) or await self._client.can_connect(address)
+
     async def is_serving(self, health_path: str, target_id: str) -> bool:
         """Send a health check; return whether the expected target answers it with 200.
 
