Bound the bytes that sockets to targets and nodes have received and not read

What callers saw: on the platform, the end of a process whose memory passes memoryMb, and of all requests there (a report of operators). Here: nodes take 134 to 164 MB where 128 are the goal, with 24 callers of one target whose bodies never end, half of them stopping after the first line.

Cause: the system grows the receive buffer of a connection up to megabytes.

Change: configure_socket sets the receive buffer, for all connections.

Why it works: what the system holds of answers that nobody reads is bounded by the number of connections times a small buffer.

Before: test_node_outlives_endless_answers fails for body (157 MB), long-body (164), chunk (142) and chunks (134).

--- a/libs/mimosaloom-relay/mimosaloom_relay/connections.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/connections.py
@@ -37,6 +37,9 @@
 SILENCE_MS = 600
 # Largest head of an answer.
 MAX_HEAD_BYTES = 65536
+# Bytes that a connection may have received and not read; the system takes twice as much
+# for its own records. By default it grows up to megabytes for each connection.
+RECEIVE_BUFFER_BYTES = 32 * 1024
 LAST_CHUNK = b"0\r\n\r\n"
 
 
@@ -44,8 +47,10 @@
     """Set the options that all connections share.
 
     Small writes are sent at once, and the operating system detects idle connections
-    whose peer is silent.
+    whose peer is silent. What it keeps of unread bytes counts as memory of the process,
+    so it is bounded.
     """
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_S)
--- a/libs/mimosaloom-relay/mimosaloom_relay/http_server.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/http_server.py
@@ -20,9 +20,6 @@
 __all__ = ["Handler", "Incoming", "RelayServer"]
 
 STALL_CHECK_S = 1.0
-# Bytes that a connection may have received and not read; the system takes twice as much
-# for its own records. By default it grows up to megabytes for each connection.
-RECEIVE_BUFFER_BYTES = 32 * 1024
 Handler = Callable[[Incoming], Awaitable[Answer]]
 
 
@@ -89,7 +86,6 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         # Accepted connections inherit the socket options.
         configure_socket(sock)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         sock.bind((address.host, address.port))
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
--- a/tests/client_crowds/nodes.py
+++ b/tests/client_crowds/nodes.py
@@ -1,6 +1,7 @@
 """Two nodes as processes, with their targets and the store, for a crowd of clients."""
 
 import asyncio
+import contextlib
 import itertools
 import os
 import random
@@ -148,6 +149,27 @@
             return 0
         return int(line.split()[1]) if line else 0
 
+    @contextlib.asynccontextmanager
+    async def endless_answers(self, name: str):
+        """Let an endless target take the place of that of the second node."""
+        host, target = self.machines[1].host, self._targets[1].target
+        target.crash()
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "client_crowds.endless_target",
+            name,
+            host,
+            str(target.port),
+            cwd=ROOT / "tests",
+        )
+        try:
+            yield
+        finally:
+            process.kill()
+            await process.wait()
+            await target.listen_at(host)
+
     async def watch(self, duration_s: float) -> PeakUse:
         """Return the largest use of the nodes within a time."""
         peak = PeakUse(0, 0, 0)
