Bound the lines of heads and trailers of answers, and free them at once

What callers saw: on the platform, the end of a process whose memory passes memoryMb, and of all requests there (a report of operators).

Cause: the parser got a block of up to 256 KiB whole before its bytes were compared with the limit on heads, each short line became two strings and a tuple, and trailers were kept although they are ignored. What a failed connection held stayed until a garbage collection, as parser and connection refer to each other.

Change: 64 KiB and 1,000 lines for a head and for trailers, checked line by line; trailers are dropped; heads are parsed in slices of 16 KiB; the two references are cut.

Why it works: what one answer can hold is bounded before it is held, and ends with its connection.

--- a/libs/mimosaloom-relay/mimosaloom_relay/client_connections.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/client_connections.py
@@ -9,6 +9,8 @@
 
 from .bodies import Body
 from .connections import (
+    LINE_BREAK_BYTES,
+    MAX_HEAD_BYTES,
     FlowControl,
     HeadMeter,
     configure_socket,
@@ -25,6 +27,11 @@
 MAX_UNRELATED_ANSWERS = 2
 # The parser accepts lower ones of three digits.
 MIN_STATUS = 100
+# Lines of the head of an answer, and of its trailers. Each takes some 160 bytes besides
+# its letters.
+MAX_HEAD_LINES = 1000
+# What is parsed at once of a head.
+SLICE_BYTES = 16 * 1024
 _NO_BODY_STATUSES = frozenset({204, 304})
 
 # Name of the header by which a response names its request, and the id in it.
@@ -107,6 +114,10 @@
         self._parser = httptools.HttpResponseParser(self)
         self._pending: PendingResponse | None = None
         self._headers: list[tuple[str, str]] = []
+        self._has_head = False
+        # Of the head or the trailers, as far as their lines have ended.
+        self._head_bytes = 0
+        self._head_lines = 0
         self._skips_response = False
         self._head_meter = HeadMeter()
 
@@ -119,6 +130,9 @@
         """End the response; one without a length is complete unless `exc` is set."""
         self._on_closed()
         self.is_reusable = False
+        # The parser refers to this connection, and holds what it has of a line. Without
+        # the cycle both are freed at once, and not by the next garbage collection.
+        self._parser = None
         self.resume_writing()
         pending, self._pending = self._pending, None
         if pending is None:
@@ -130,19 +144,29 @@
 
     def data_received(self, data):
         """Parse received bytes, which must belong to the pending response."""
-        if self._pending is None:
-            # These bytes answer no request. The next response could be a wrong one.
-            self.drop()
-            return
-        self._head_meter.add(len(data))
+        while data:
+            if self._pending is None:
+                # These bytes answer no request. The next response could be a wrong one.
+                self.drop()
+                return
+            size = len(data) if self._has_head else SLICE_BYTES
+            piece, data = data[:size], data[size:]
+            self._feed_parser(piece)
+
+    def _feed_parser(self, piece: bytes) -> None:
+        self._head_meter.add(len(piece))
         try:
-            self._parser.feed_data(data)
+            self._parser.feed_data(piece)
         except httptools.HttpParserError as error:
-            self._fail_response(f"the answer is not valid HTTP: {error}")
+            # An error of a callback is the context of that of the parser. A variable
+            # for the error itself would keep this frame until a garbage collection.
+            reason = str(error.__context__ or error)
+            self._fail_response(f"the answer is not valid HTTP: {reason}")
         if self._head_meter.is_exceeded:
             self._fail_response("the head of the answer is larger than the limit")
 
     def _fail_response(self, reason: str) -> None:
+        self._headers = []
         pending, self._pending = self._pending, None
         if pending is not None:
             pending.body.fail(reason)
@@ -167,11 +191,24 @@
     def on_message_begin(self):
         """Start a response, which may be one that nobody waits for."""
         self._headers = []
+        self._has_head = False
+        self._head_bytes = self._head_lines = 0
         if self._pending is None:
             self.is_reusable = False
 
     def on_header(self, name, value):
-        """Add a field of the head, or a trailer, which is ignored."""
+        """Add a field of the head, or ignore a trailer.
+
+        Raises:
+            ValueError: If the head or the trailers are larger than the limit; the
+                parser reports it as an error of the message.
+        """
+        self._head_lines += 1
+        self._head_bytes += len(name) + len(value) + LINE_BREAK_BYTES
+        if self._head_bytes > MAX_HEAD_BYTES or self._head_lines > MAX_HEAD_LINES:
+            raise ValueError("its head or its trailers are larger than the limit")
+        if self._has_head:
+            return
         self._headers.append((name.decode("latin-1"), value.decode("latin-1")))
 
     def on_headers_complete(self):
@@ -181,6 +218,9 @@
             ValueError: If the status is none of HTTP; the parser reports it as an error
                 of the message.
         """
+        # Trailers have the same limit again.
+        self._has_head = True
+        self._head_bytes = self._head_lines = 0
         pending = self._pending
         if pending is None:
             return
--- a/libs/mimosaloom-relay/mimosaloom_relay/connections.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/connections.py
@@ -15,6 +15,7 @@
 from .bodies import Body
 
 __all__ = [
+    "LINE_BREAK_BYTES",
     "MAX_HEAD_BYTES",
     "FlowControl",
     "HeadMeter",
@@ -37,6 +38,9 @@
 SILENCE_MS = 600
 # Largest head of an answer.
 MAX_HEAD_BYTES = 65536
+# A line counts with its colon and line break, so that the lines that are kept of a head
+# are bounded as well as its letters.
+LINE_BREAK_BYTES = 3
 # Bytes that a connection may have received and not read; the system takes twice as much
 # for its own records. By default it grows up to megabytes for each connection.
 RECEIVE_BUFFER_BYTES = 32 * 1024
--- a/libs/mimosaloom-relay/mimosaloom_relay/request_receiver.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/request_receiver.py
@@ -8,7 +8,7 @@
 from mimosaloom_mesh.messages import find_header
 
 from .bodies import SHORT_PIECE_BYTES
-from .connections import FlowControl, HeadMeter, PauseReason
+from .connections import LINE_BREAK_BYTES, FlowControl, HeadMeter, PauseReason
 from .exchanges import Exchange
 from .own_responses import (
     BAD_REQUEST_RESPONSE,
@@ -23,9 +23,6 @@
 
 # The limit on heads is for their lines; method, version and line breaks come on top.
 START_LINE_BYTES = 1024
-# A line counts with its colon and line break, so that the lines that are kept of a head
-# are bounded as well as its letters.
-LINE_BREAK_BYTES = 3
 # Memory that a header line takes besides its letters, by estimate.
 LINE_COST_BYTES = 160
 # Header lines and short pieces that no request is delayed for.
--- a/tests/client_crowds/endless_target.py
+++ b/tests/client_crowds/endless_target.py
@@ -30,6 +30,11 @@
 
 
 ENDLESS_ANSWERS = {
+    "header": EndlessAnswer(_SIGNED + "X: ", b"x"),
+    "headers": EndlessAnswer(_SIGNED, b"x:y\r\n"),
+    "trailers": EndlessAnswer(
+        _SIGNED + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n", b"x:y\r\n"
+    ),
     "body": EndlessAnswer(_SIGNED + "\r\n", b"b"),
     "long-body": EndlessAnswer(_SIGNED + "Content-Length: 99999999999\r\n\r\n", b"b"),
     "chunk": EndlessAnswer(
--- a/tests/relay/test_http_client.py
+++ b/tests/relay/test_http_client.py
@@ -13,6 +13,7 @@
 from mimosaloom_policy import Candidate
 from mimosaloom_relay import Answer, DecisionLog, HttpClient, Incoming, http_client
 from mimosaloom_relay.bodies import MAX_BUFFERED_BYTES
+from mimosaloom_relay.client_connections import MAX_HEAD_LINES
 from mimosaloom_relay.hop_messages import HOP_RESULT_HEADER, HopContext
 from mimosaloom_relay.hops import HopSender
 
@@ -67,6 +68,34 @@
     )
 
 
+@pytest.mark.parametrize("place", ["head", "trailers"])
+@pytest.mark.parametrize("extra", [0, 1])
+def test_answer_with_more_lines_than_the_limit_is_given_up(place, extra):
+    """Guards against lines of answers that take memory, but hardly any letters."""
+    start = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+    in_head = MAX_HEAD_LINES - 1 + extra if place == "head" else 0
+    in_trailers = MAX_HEAD_LINES + extra if place == "trailers" else 0
+    body = b"\r\na\r\n" + BODY + b"\r\n0\r\n"
+    whole = start + b"x:y\r\n" * in_head + body + b"x:y\r\n" * in_trailers + b"\r\n"
+
+    async def run():
+        async def answer(head, number, writer):
+            writer.write(whole)
+
+        server, address = await serve(answer)
+        client = HttpClient(SystemClock(), lambda: None)
+        outcome = await client.send(address, Request("GET", "/"))
+        client.close()
+        server.close()
+        return outcome
+
+    outcome = asyncio.run(run())
+    assert isinstance(outcome, FailedSend) == bool(extra)
+    if not extra:
+        assert outcome.response.body == BODY
+        assert len(outcome.response.headers) == 1 + in_head
+
+
 @pytest.mark.parametrize("framing", FRAMINGS)
 def test_answer_that_breaks_off_at_any_byte_is_never_a_whole_one(framing):
     """Guards against a broken-off answer that reaches the caller as a success."""
