Start no trial with a call that has less time than usual

Cause: any call could become a trial. A call with less time than the others is likely to fail, and its failure says nothing about them.

Change: a trial has at least 0.8 of the smoothed time that calls of its class have when they arrive.

Why it works: the trial is there for a class that is refused as a whole, and its usual calls have the usual time; after a change of the route's timeout the usual time follows within a second at 10 calls a second.

--- a/libs/mimosaloom-policy/mimosaloom_policy/admission.py
+++ b/libs/mimosaloom-policy/mimosaloom_policy/admission.py
@@ -176,7 +176,7 @@
         self._end_window(now_s)
         if self._is_draining:
             return [Refuse(arrival.call_key, ErrorKind.DRAINING, 0.0)]
-        self._record_arrival(arrival)
+        self._record_arrival(arrival, now_s)
         if arrival.depth == 0 and arrival.rank >= self.level:
             return [Refuse(arrival.call_key, ErrorKind.OVERLOADED, RETRY_AFTER_S)]
         if self._misses_deadline(arrival, now_s):
@@ -245,7 +245,10 @@
             decisions.append(Start(arrival.call_key))
         return decisions
 
-    def _record_arrival(self, arrival: Arrival) -> None:
+    def _record_arrival(self, arrival: Arrival, now_s: float) -> None:
+        self._service_times.record_arrival(
+            arrival.class_name, arrival.deadline_s - now_s
+        )
         self._control.record_arrival(arrival.rank)
         if arrival.is_protected:
             self._max_protected_priority = max(
--- a/libs/mimosaloom-policy/mimosaloom_policy/service_times.py
+++ b/libs/mimosaloom-policy/mimosaloom_policy/service_times.py
@@ -8,6 +8,10 @@
 # Time without a measurement after which a class gets a trial call, and time between two
 # trial calls. It bounds how long a target that is fast again stays without calls.
 TRIAL_INTERVAL_S = 1.0
+# A trial has at least this share of the time that calls of its class have on average. A
+# call with less time says nothing about the others and would likely fail.
+TRIAL_TIME_RATIO = 0.8
+TIME_SMOOTHING = 0.3
 
 
 class _Estimate(NamedTuple):
@@ -34,6 +38,14 @@
 
     def __init__(self):
         self._estimates: dict[str, _Estimate] = {}
+        # Smoothed time that the calls of a class have when they arrive.
+        self._usual_times_s: dict[str, float] = {}
+
+    def record_arrival(self, class_name: str, remaining_s: float) -> None:
+        """Record how much time a call has when it arrives."""
+        usual_s = self._usual_times_s.get(class_name, remaining_s)
+        usual_s += TIME_SMOOTHING * (remaining_s - usual_s)
+        self._usual_times_s[class_name] = usual_s
 
     def may_start(
         self, class_name: str, call_key: str, remaining_s: float, now_s: float
@@ -51,7 +63,9 @@
             return True
         if call_key == estimate.trial_key:
             return True
-        if now_s - estimate.updated_s < TRIAL_INTERVAL_S:
+        usual_s = self._usual_times_s.get(class_name, 0.0)
+        is_usual = remaining_s >= TRIAL_TIME_RATIO * usual_s
+        if not is_usual or now_s - estimate.updated_s < TRIAL_INTERVAL_S:
             return False
         self._estimates[class_name] = _Estimate(
             estimate.service_time_s, now_s, trial_key=call_key
