End the time of late requests before a planned stop ends

Cause: the end of the process was not part of the time that a request has.

Evidence: over real sockets with graceS 6, work of 20 s: connection closed, 502, and no answer for the upload. Work of 4 s that admission knows ran and was cut. Large answers that are read slowly and calls of running requests were served; their tests passed at once.

Change: from the signal on, new requests and hops have a deadline of 0.2 s before the end of the stop at the latest.

Why it works: the deadline is passed on to the target, which ends its work and answers by then, and admission refuses what is expected to take longer.

--- a/libs/mimosaloom-relay/mimosaloom_relay/node.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/node.py
@@ -70,6 +70,9 @@
 REFUSE_REQUESTS_AFTER_RATIO = 0.5
 # Time between the end of a stop and the moment when the platform kills the process.
 KILL_MARGIN_S = 0.6
+# Time between the latest deadline of requests that arrive during a stop and its end.
+# The answers of targets that end their work at the deadline arrive within it.
+LAST_ANSWER_S = 0.2
 STOP_POLL_S = 0.05
 # Time for the store to accept a leave before other nodes are asked to remember it. A
 # target takes an answer for an acknowledgement only within a second.
@@ -525,9 +528,14 @@
 
         In steps, the node reports that it is not ready, accepts no more hops and
         refuses new requests of clients. It ends when no request is open, at the latest
-        shortly before the platform kills the process.
+        shortly before the platform kills the process. Requests that arrive meanwhile
+        have time until then only, so that their target ends the work and answers, or
+        that they are refused if it is known to take longer.
         """
         start_s = self._clock.monotonic_s()
+        end_s = start_s + self.settings.grace_s - KILL_MARGIN_S
+        self.origin.latest_deadline_s = end_s - LAST_ANSWER_S
+        self.target_side.latest_deadline_s = end_s - LAST_ANSWER_S
         self.is_stopping = True
         self.log.change("stopping", in_flight=self.count_open_requests())
         self.record_fanout.stop()
@@ -545,7 +553,7 @@
             )
             self.origin.is_closing = elapsed_s > refuse_after_s
             is_idle = elapsed_s > MIN_STOP_S and not self.count_open_requests()
-            if is_idle or elapsed_s > self.settings.grace_s - KILL_MARGIN_S:
+            if is_idle or start_s + elapsed_s > end_s:
                 break
         for server in self._servers.values():
             server.stop_accepting()
--- a/libs/mimosaloom-relay/mimosaloom_relay/origin.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/origin.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 from collections.abc import Callable
 
 from mimosaloom_mesh.messages import Request, Response, parse_decimal
@@ -87,6 +88,8 @@
     Attributes:
         configuration: Configuration in force; None before the first.
         is_closing: Whether new root requests are refused because the node is stopping.
+        latest_deadline_s: Latest deadline of new requests, on the monotonic clock. The
+            end of the process would cut off those that still run.
         recent_pause_s: Returns for how many seconds a request that is read now may have
             waited for this process to run.
         account: Counts the requests that end here.
@@ -117,6 +120,7 @@
     ):
         self.configuration: Configuration | None = None
         self.is_closing = False
+        self.latest_deadline_s = math.inf
         self.recent_pause_s: Callable[[], float] = lambda: 0.0
         self.account = RequestAccount(clock)
         self.answer_sizes = AnswerSizes()
@@ -245,7 +249,7 @@
         caller_timeout_s = timeout_s if timeout_ms is None else timeout_ms / 1000
         timeout_s = min(timeout_s, caller_timeout_s)
         service = self._rotation.pick(route)
-        deadline_s = start_s + timeout_s
+        deadline_s = min(start_s + timeout_s, self.latest_deadline_s)
         request_key = build_request_key(incoming.request, incoming.streamed_body)
         if self.configuration.organisations is not None:
             incoming = incoming._replace(
@@ -280,7 +284,8 @@
         if call.deadline_s <= self._clock.monotonic_s():
             progress.last_result = HopResult(
                 ErrorKind.DEADLINE_TOO_SHORT.value,
-                "the time of the request ran out while this process was paused",
+                "the time of the request ran out while this process was paused, or "
+                "the process ends before it",
             )
             return self._finish_with_refusal(call, progress)
         if not await self._has_quota(call, progress):
--- a/libs/mimosaloom-relay/mimosaloom_relay/target_side.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/target_side.py
@@ -96,6 +96,8 @@
 
     Attributes:
         is_stopping: Whether hops are refused because the node is stopping.
+        latest_deadline_s: Latest deadline of new hops, on the monotonic clock. The end
+            of the process would cut off those that still run.
         account: Counts the hops that end here.
         on_unreachable: Called when the target has become unreachable.
         on_leaving: Called when the target has said in an answer that it leaves.
@@ -123,6 +125,7 @@
         self.own_target = own_target
         self.incarnation = incarnation
         self.is_stopping = False
+        self.latest_deadline_s = math.inf
         self.account = RequestAccount(clock)
         self.on_unreachable = lambda: None
         self.on_leaving = lambda: None
@@ -281,6 +284,7 @@
         if context.rate_limit_per_s:
             gate.admission.rate_limit.assume(context.rate_limit_per_s, now_s)
         deadline_s = now_s + context.remaining_ms / 1000 - self.recent_pause_s()
+        deadline_s = min(deadline_s, self.latest_deadline_s)
         key = f"{context.request_id}/{next(self._attempt_numbers)}"
         try:
             decision = await gate.wait_for_admission(
