Read what has arrived during a pause before a stop ends

What callers saw: a node was paused within the grace time; when it went on, each of 12 requests that had arrived meanwhile ended with a reset, or with 502 if the node beside the target was paused. None of them ran, but 502 does not say so.

Cause: the poll that ends a stop is due at once after a pause and runs before the sockets are read, so it finds no open request.

Evidence: statuses 0 (12 of 12) and 502 (12 of 12) for a pause from 1 s to 2.5 s and to 4.9 s after SIGTERM, and no run at a target.

Change: a stop ends after two idle polls in a row.

Why it works: between two polls the event loop reads what has arrived, and an open request keeps the stop going.

--- a/libs/mimosaloom-relay/mimosaloom_relay/node.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/node.py
@@ -74,6 +74,8 @@
 # The answers of targets that end their work at the deadline arrive within it.
 LAST_ANSWER_S = 0.2
 STOP_POLL_S = 0.05
+# After a pause of the process, the first poll may come before what has arrived is read.
+IDLE_POLLS = 2
 # Time for the store to accept a leave before other nodes are asked to remember it. A
 # target takes an answer for an acknowledgement only within a second.
 LEAVE_STORE_TIMEOUT_S = 0.4
@@ -542,7 +544,8 @@
         self.quotas.stop()
         for server in self._servers.values():
             server.announce_close()
-        while True:
+        idle_polls = 0
+        while idle_polls < IDLE_POLLS:
             await asyncio.sleep(STOP_POLL_S)
             elapsed_s = self._clock.monotonic_s() - start_s
             if elapsed_s > HANDOVER_DELAY_S and not self.target_side.is_stopping:
@@ -552,9 +555,10 @@
                 REFUSE_REQUESTS_AFTER_RATIO * self.settings.grace_s,
             )
             self.origin.is_closing = elapsed_s > refuse_after_s
-            is_idle = elapsed_s > MIN_STOP_S and not self.count_open_requests()
-            if is_idle or start_s + elapsed_s > end_s:
+            if start_s + elapsed_s > end_s:
                 break
+            is_idle = elapsed_s > MIN_STOP_S and not self.count_open_requests()
+            idle_polls = idle_polls + 1 if is_idle else 0
         for server in self._servers.values():
             server.stop_accepting()
         self._account_log.write()
--- a/tests/client_crowds/nodes.py
+++ b/tests/client_crowds/nodes.py
@@ -18,7 +18,7 @@
 from soak.machines import OUTBOUND_PORT, READY_PORT, NodeProcess, build_machines
 from soak.operations import CONFIG_KEY, CONFIG_TOPIC
 from soak.stores import StoreView
-from soak.targets import TargetHost
+from soak.targets import Run, TargetHost
 
 from mimosaloom_model import Address
 
@@ -63,9 +63,13 @@
         folder: Receives settings and logs.
         max_fds: Descriptors that the settings allow each node.
         limits: Limits in the configuration, where they differ from the usual ones.
+
+    Attributes:
+        runs: Runs of requests at the targets.
     """
 
     def __init__(self, folder: Path, max_fds: int = 4100, **limits: int):
+        self.runs: list[Run] = []
         self._store = FakeStore()
         rng = random.Random(1)
         self.machines = build_machines(os.getpid() % NETWORK_COUNT, SERVICES, 1)
@@ -79,7 +83,9 @@
         ]
         now_ms = lambda: int(1000 * time.time())  # noqa: E731
         self._targets = [
-            TargetHost(machine, [], rng, now_ms, lambda line, headers, body: False)
+            TargetHost(
+                machine, self.runs, rng, now_ms, lambda line, headers, body: False
+            )
             for machine in self.machines
         ]
         self._limits = {
