--- a/libs/mimosaloom-policy/mimosaloom_policy/admission.py
+++ b/libs/mimosaloom-policy/mimosaloom_policy/admission.py
@@ -300,7 +300,10 @@
         )
 
     def _misses_deadline(self, arrival: Arrival, now_s: float) -> bool:
-        """Return whether a call that starts now would end after its deadline."""
+        """Return whether a call that starts now is expected to miss its deadline.
+
+        Trial calls, by which the expectation is checked, are not.
+        """
         remaining_s = arrival.deadline_s - now_s
         return remaining_s <= 0 or not self._service_times.may_start(
             arrival.class_name, arrival.call_key, remaining_s, now_s
--- a/libs/mimosaloom-policy/mimosaloom_policy/service_times.py
+++ b/libs/mimosaloom-policy/mimosaloom_policy/service_times.py
@@ -4,14 +4,14 @@
 
 __all__ = ["TRIAL_INTERVAL_S", "ServiceTimes"]
 
-SMOOTHING = 0.1
+SERVICE_TIME_SMOOTHING = 0.1
 # Time without a measurement after which a class gets a trial call, and time between two
 # trial calls. It bounds how long a target that is fast again stays without calls.
 TRIAL_INTERVAL_S = 1.0
 # A trial has at least this share of the time that calls of its class have on average. A
 # call with less time says nothing about the others and would likely fail.
 TRIAL_TIME_RATIO = 0.8
-TIME_SMOOTHING = 0.3
+TIME_LEFT_SMOOTHING = 0.3
 
 
 class _Estimate(NamedTuple):
@@ -39,22 +39,24 @@
     def __init__(self):
         self._estimates: dict[str, _Estimate] = {}
         # Smoothed time that the calls of a class have when they arrive.
-        self._usual_times_s: dict[str, float] = {}
+        self._usual_times_left_s: dict[str, float] = {}
 
     def record_arrival(self, class_name: str, remaining_s: float) -> None:
         """Record how much time a call has when it arrives."""
-        usual_s = self._usual_times_s.get(class_name, remaining_s)
-        usual_s += TIME_SMOOTHING * (remaining_s - usual_s)
-        self._usual_times_s[class_name] = usual_s
+        usual_s = self._usual_times_left_s.get(class_name, remaining_s)
+        usual_s += TIME_LEFT_SMOOTHING * (remaining_s - usual_s)
+        self._usual_times_left_s[class_name] = usual_s
 
     def may_start(
         self, class_name: str, call_key: str, remaining_s: float, now_s: float
     ) -> bool:
         """Return whether a call is expected to end in time, or is a trial.
 
+        A call that is not expected to may become the next trial.
+
         Args:
             class_name: Class of the call.
-            call_key: Key of the call. A call that has become the trial stays it.
+            call_key: Key of the call. The trial may start at each later question.
             remaining_s: Time until the deadline of the call.
             now_s: Current time on the monotonic clock.
         """
@@ -63,12 +65,12 @@
             return True
         if call_key == estimate.trial_key:
             return True
-        usual_s = self._usual_times_s.get(class_name, 0.0)
+        usual_s = self._usual_times_left_s.get(class_name, 0.0)
         is_usual = remaining_s >= TRIAL_TIME_RATIO * usual_s
         if not is_usual or now_s - estimate.updated_s < TRIAL_INTERVAL_S:
             return False
         self._estimates[class_name] = _Estimate(
-            estimate.service_time_s, now_s, trial_key=call_key
+            estimate.service_time_s, now_s, call_key
         )
         return True
 
@@ -84,7 +86,5 @@
             self._estimates[class_name] = _Estimate(elapsed_s, now_s)
             return
         smoothed_s = estimate.service_time_s
-        smoothed_s += SMOOTHING * (elapsed_s - smoothed_s)
-        self._estimates[class_name] = estimate._replace(
-            service_time_s=smoothed_s, updated_s=now_s
-        )
+        smoothed_s += SERVICE_TIME_SMOOTHING * (elapsed_s - smoothed_s)
+        self._estimates[class_name] = _Estimate(smoothed_s, now_s, estimate.trial_key)
--- a/libs/mimosaloom-relay/mimosaloom_relay/client_connections.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/client_connections.py
@@ -115,7 +115,7 @@
         self._pending: PendingResponse | None = None
         self._headers: list[tuple[str, str]] = []
         self._has_head = False
-        # Of the head or the trailers, as far as their lines have ended.
+        # Size of the head or the trailers, as far as their lines have ended.
         self._head_bytes = 0
         self._head_lines = 0
         self._skips_response = False
@@ -176,6 +176,7 @@
         self, is_head_request: bool, expected_id: ExpectedId | None
     ) -> PendingResponse:
         """Prepare for the response to a request that is about to be written."""
+        self._has_head = False
         self._pending = PendingResponse(is_head_request, expected_id, self.drop)
         return self._pending
 
--- a/libs/mimosaloom-relay/mimosaloom_relay/node.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/node.py
@@ -412,7 +412,7 @@
             self.log.change("record_ignored", peer=name, bytes=len(value))
             return
         is_changed = self.upstreams.put(record)
-        if record.is_last:
+        if record.is_leave_only:
             self._remove_peer(name)
         elif is_changed:
             self.log.change(
--- a/libs/mimosaloom-relay/mimosaloom_relay/own_record.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/own_record.py
@@ -27,7 +27,7 @@
 
     Attributes:
         send: Publishes an encoded record, or removes the published one if given None.
-        is_target_running: Whether a target that leaves still runs, to its knowledge.
+        is_target_running: Whether a target that has left was last found running.
         wait_until_stored: Waits until the store has what was sent last.
     """
 
@@ -56,7 +56,7 @@
         """Return the current record of the node."""
         target, announcement = self._own_target, self._own_target.announcement
         has_handed_over = self._has_handed_over()
-        has_successor_use = target.is_available or (
+        is_of_use_later = target.is_available or (
             target.is_leaving and self.is_target_running
         )
         return PeerRecord(
@@ -69,7 +69,7 @@
             target_id=target.target_id,
             slots=announcement.slots if announcement else 0,
             is_available=target.is_available and not has_handed_over,
-            is_handed_over=has_handed_over and has_successor_use,
+            is_handed_over=has_handed_over and is_of_use_later,
             target_born_ms=announcement.born_ms if announcement else 0,
             is_leaving=target.is_leaving,
         )
--- a/libs/mimosaloom-relay/mimosaloom_relay/peers.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/peers.py
@@ -68,10 +68,11 @@
         return Address(self.host, self.port)
 
     @property
-    def is_last(self) -> bool:
-        """Whether the node ends as well as its target; only the leave remains of use.
+    def is_leave_only(self) -> bool:
+        """Whether the record is only there to keep the leave of the target.
 
-        The node can't be called any more. The record is there for its next incarnation.
+        The node stops and can't be called any more. Its next incarnation reads the
+        record.
         """
         return self.is_leaving and self.is_handed_over
 
