Close an answer to a health check that has a body without end

What callers saw: nothing yet; each restart of a node beside such a target left a connection open, with what it holds, until one of both ended.

Cause: the health check reads the head only and dropped a streamed body unread.

Change: the streamed body is aborted.

Why it works: that closes the connection, as for other answers nobody reads.

--- a/libs/mimosaloom-relay/mimosaloom_relay/target_side.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/target_side.py
@@ -255,6 +255,8 @@
             return False
         if isinstance(outcome, FailedSend):
             return False
+        if outcome.streamed_body is not None:
+            outcome.streamed_body.abort()
         response = outcome.response
         is_expected = response.header(self._names.target_id) == target_id
         return response.status == 200 and is_expected
--- a/tests/platform_adapter/standins.py
+++ b/tests/platform_adapter/standins.py
@@ -31,6 +31,7 @@
         status: Status of its own answers.
         invalid_head: Bytes in front of each of its own answers.
         is_healthy: Whether its health check succeeds.
+        has_endless_health: Whether the body of its health check never ends.
         signals: Header lines in all of its answers.
         ends_on: Returns whether a request ends the target, from its request line,
             headers and body.
@@ -50,6 +51,7 @@
         self.status = "200"
         self.invalid_head = b""
         self.is_healthy = True
+        self.has_endless_health = False
         self.signals: list[str] = []
         self.ends_on = lambda line, headers, body: False
         self.has_ended = False
@@ -107,6 +109,10 @@
         if line.startswith("GET /healthz "):
             status = "200 OK" if self.is_healthy else "503 Leaving"
             lines = (f"HTTP/1.1 {status}", f"Mimosaloom-Instance-Id: {self.target_id}")
+            if self.has_endless_health:
+                start = "\r\n".join((*lines, "\r\n")).encode()
+                await self._write_endlessly("health", writer, start, b"b" * 65536)
+                return False
             lines += (*self.signals, "Content-Length: 0\r\n\r\n")
             writer.write("\r\n".join(lines).encode())
             return True
--- a/tests/platform_adapter/test_endless_messages.py
+++ b/tests/platform_adapter/test_endless_messages.py
@@ -65,6 +65,21 @@
     run_cluster(scenario)
 
 
+def test_node_closes_an_endless_answer_to_its_health_check():
+    """Guards against a connection that stays open for an answer that nobody reads."""
+
+    async def scenario(cluster):
+        front = await start_nodes(cluster)
+        back = cluster.members["back-1"].target
+        back.has_endless_health = True
+        restarted = await cluster.restart("back-1")
+        await wait_until(lambda: "health" in back.disconnected)
+        await wait_until(lambda: restarted.node.own_target.is_available)
+        assert (await front.send_request("/b/x")).status == 200
+
+    run_cluster(scenario)
+
+
 @pytest.mark.parametrize("start", [b"GET /", b"GET /b/x HTTP/1.1\r\nX: "])
 def test_node_refuses_a_request_whose_head_never_ends(start):
     """Guards against a node that runs out of memory because of one client."""
