--- a/tests/platform_adapter/test_late_requests_of_a_stop.py
+++ b/tests/platform_adapter/test_late_requests_of_a_stop.py
@@ -68,13 +68,15 @@
     await member.node.close()
 
 
+@pytest.mark.parametrize("is_store_down", [False, True])
 @pytest.mark.parametrize("stopping", ["front-1", "back-1"])
-def test_late_request_with_long_work_gets_an_answer(stopping):
+def test_late_request_with_long_work_gets_an_answer(stopping, is_store_down):
     """Guards against a request that was taken late and is cut at the end of a stop."""
 
     async def scenario(cluster):
         front, back = await start_pair(cluster)
         back.target.work_s = 20.0
+        cluster.store.is_down = is_store_down
         ending = asyncio.ensure_future(end(cluster.members[stopping]))
         await asyncio.sleep(LATE_S)
         request = Request("POST", "/b/x", HEADERS, b"1")
@@ -171,3 +173,23 @@
         await ending
 
     run_cluster(scenario)
+
+
+def test_late_request_for_an_upgrade_gets_an_answer():
+    """Guards against a request that is cut as no other protocol is supported."""
+
+    async def scenario(cluster):
+        front, back = await start_pair(cluster)
+        ending = asyncio.ensure_future(end(front))
+        await asyncio.sleep(LATE_S)
+        reader, writer = await asyncio.open_connection(*front.node.addresses.outbound)
+        headers = (*HEADERS, ("Connection", "upgrade"), ("Upgrade", "h2c"))
+        head = "".join(f"{name}: {value}\r\n" for name, value in headers)
+        writer.write(f"GET /b/x HTTP/1.1\r\n{head}\r\n".encode())
+        answer = await reader.read()
+        assert answer.startswith(b"HTTP/1.1 200 ")
+        assert answer.endswith(b"done:")
+        writer.close()
+        await ending
+
+    run_cluster(scenario)
