--- a/tests/platform_adapter/test_late_requests_of_a_stop.py
+++ b/tests/platform_adapter/test_late_requests_of_a_stop.py
@@ -68,6 +68,12 @@
     await member.node.close()
 
 
+async def send_to(cluster, member):
+    """Send a request to a node and return the outcome."""
+    request = Request("POST", "/b/x", HEADERS, b"1")
+    return await cluster.client.send(member.node.addresses.outbound, request)
+
+
 @pytest.mark.parametrize("is_store_down", [False, True])
 @pytest.mark.parametrize("stopping", ["front-1", "back-1"])
 def test_late_request_with_long_work_gets_an_answer(stopping, is_store_down):
@@ -79,8 +85,7 @@
         cluster.store.is_down = is_store_down
         ending = asyncio.ensure_future(end(cluster.members[stopping]))
         await asyncio.sleep(LATE_S)
-        request = Request("POST", "/b/x", HEADERS, b"1")
-        outcome = await cluster.client.send(front.node.addresses.outbound, request)
+        outcome = await send_to(cluster, front)
         assert isinstance(outcome, Answer)
         # It is the target's own answer.
         assert (outcome.response.status, outcome.response.body) == (504, b"done:1")
@@ -96,12 +101,10 @@
     async def scenario(cluster):
         front, back = await start_pair(cluster)
         back.target.work_s = 4.0
-        request = Request("POST", "/b/x", HEADERS, b"1")
-        address = front.node.addresses.outbound
-        assert (await cluster.client.send(address, request)).response.status == 200
+        assert (await send_to(cluster, front)).response.status == 200
         ending = asyncio.ensure_future(end(front))
         await asyncio.sleep(LATE_S)
-        response = (await cluster.client.send(address, request)).response
+        response = (await send_to(cluster, front)).response
         assert response.status == 503
         assert response.header("Retry-After") is not None
         assert back.target.runs == ["late"]
@@ -140,8 +143,7 @@
     async def scenario(cluster):
         front, back = await start_pair(cluster)
         back.target.modes = ["huge"]
-        request = Request("POST", "/b/x", HEADERS, b"1")
-        outcome = await cluster.client.send(front.node.addresses.outbound, request)
+        outcome = await send_to(cluster, front)
         ending = asyncio.ensure_future(end(front))
         size = 0
         async for piece in outcome.streamed_body.pieces():
@@ -179,7 +181,7 @@
     """Guards against a request that is cut as no other protocol is supported."""
 
     async def scenario(cluster):
-        front, back = await start_pair(cluster)
+        front, _ = await start_pair(cluster)
         ending = asyncio.ensure_future(end(front))
         await asyncio.sleep(LATE_S)
         reader, writer = await asyncio.open_connection(*front.node.addresses.outbound)
