Acknowledge a leave also if neither store nor other nodes answer

A node that starts while the store is away knows no other node, so a target beside it got none until the store was back.

Change: the leave still goes to the store first, and to other nodes while the store does not answer, but is acknowledged after that in any case.

--- a/libs/mimosaloom-relay/mimosaloom_relay/node.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/node.py
@@ -496,23 +496,21 @@
         )
         return is_own
 
-    async def confirm_leave(self) -> bool:
-        """Return whether the leave of the target outlives this process.
+    async def spread_leave(self) -> None:
+        """Wait until the leave of the target is known outside of this process.
 
         An acknowledged leave binds all later incarnations, and this process may end
         right after the acknowledgement. The store keeps the leave even if all processes
-        end. While it does not answer, other nodes keep it.
+        end. While it does not answer, other nodes keep it, as far as any answers.
         """
         if not self.own_target.is_leaving:
-            return True
+            return
         try:
             async with asyncio.timeout(LEAVE_STORE_TIMEOUT_S):
                 await self.own_record.wait_until_stored()
-            return True
         except TimeoutError:
             is_known = await self._leaves.confirm(self.own_record.build())
-        self.log.change("leave_not_stored", is_known_to_others=is_known)
-        return is_known
+            self.log.change("leave_not_stored", is_known_to_others=is_known)
 
     def describe(self) -> dict:
         """Return the configuration in force, the target and the known upstreams."""
