Name the code that a node runs

Cause: cases of the review hold here and fail at the users. What they keep of their runs can't tell a real fault from nodes that run an earlier copy of the sources: in a folder with the target/deps of an earlier build, new sources alone give the users' result.

--- a/libs/mimosaloom-relay/mimosaloom_relay/__init__.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/__init__.py
@@ -1,5 +1,6 @@
 """Relays HTTP requests between nodes, each of which has one target beside it."""
 
+from .code_version import CodeVersion, read_code_version
 from .decision_log import DecisionLog, log_to_descriptor
 from .event_loop import new_event_loop
 from .garbage import configure_garbage_collection
@@ -51,6 +52,7 @@
     "Announcement",
     "Answer",
     "Batch",
+    "CodeVersion",
     "Configuration",
     "DecisionLog",
     "HeaderNames",
@@ -95,6 +97,7 @@
     "log_to_descriptor",
     "match_route",
     "new_event_loop",
+    "read_code_version",
     "read_held_keys",
     "read_target_signals",
 ]
--- a/libs/mimosaloom-relay/mimosaloom_relay/metrics.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/metrics.py
@@ -51,6 +51,12 @@
             ["kind"],
             registry=self.registry,
         )
+        self._code = Gauge(
+            "mimosaloom_code_info",
+            "Code that this process runs, by a digest of its sources; always 1",
+            ["digest"],
+            registry=self.registry,
+        )
         self.version = self._gauge("configuration_version", "Version in force")
         self.peers = self._gauge("known_nodes", "Nodes that are known")
         self._store_calls = Counter(
@@ -123,6 +129,10 @@
         )
         self.ready = self._gauge("ready", "Whether the node takes clients")
 
+    def show_code(self, digest: str) -> None:
+        """Show which code this process runs, by the digest of its sources."""
+        self._code.labels(digest).set(1)
+
     def count_outcome(self, request_class: str, outcome: str, elapsed_s: float) -> None:
         """Count a request and the time to its answer."""
         key = (request_class, outcome)
--- a/tests/cli/test_metrics_page.py
+++ b/tests/cli/test_metrics_page.py
@@ -51,6 +51,7 @@
     metrics = RelayMetrics()
     record_shared_metrics(metrics)
     metrics.count_outcome("lookup", "answered", 0.1)
+    metrics.show_code("0123456789ab")
     metrics.count_dropped_line("success")
     metrics.count_ignored("heartbeat")
     metrics.count_closed_connection("memory")
--- a/tests/platform_adapter/test_process.py
+++ b/tests/platform_adapter/test_process.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from mimosaloom_platform.node_code import read_node_code
 from mimosaloom_platform.program import EXIT_BAD_SETTINGS, SETTINGS_VARIABLE
 
 pytestmark = pytest.mark.sockets
@@ -33,3 +34,19 @@
     _, errors = process.communicate(timeout=EXIT_TIMEOUT_S)
     assert process.returncode == EXIT_BAD_SETTINGS
     assert b"nodeName" in errors
+
+
+def test_version_names_the_code_that_a_node_would_run():
+    """Guards against reports of failures that don't tell which code was running."""
+    command = [sys.executable, "-m", "mimosaloom_platform", "--version"]
+    done = subprocess.run(command, capture_output=True, text=True, check=True)
+    version = read_node_code()
+    assert f"code {version.digest} from {version.folders[0]}" in done.stdout
+
+
+def test_unknown_option_is_refused():
+    """Guards against a node that starts although its command was mistyped."""
+    command = [sys.executable, "-m", "mimosaloom_platform", "--versoin"]
+    done = subprocess.run(command, capture_output=True, text=True, check=False)
+    assert (done.returncode, done.stdout) == (EXIT_BAD_SETTINGS, "")
+    assert "--version" in done.stderr
