Give a slow store the time in which a leave can be acknowledged

Cause: the acknowledgement left after 0.4 s if other nodes answered, while the store was about to take the leave. Store and other nodes were asked one after the other, so that more time for the store would have cost the acknowledgement.

Evidence: with a store that executes a call after 0.45 s, the record still says available when the acknowledgement arrives.

Change: other nodes are asked after 0.2 s, and the time for the store goes on to 0.6 s.

Why it works: both are asked side by side, and the target waits for 1 s.

Before: test_slow_store_has_a_leave_before_it_is_acknowledged fails.

--- a/libs/mimosaloom-relay/mimosaloom_relay/leave_exchange.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/leave_exchange.py
@@ -47,11 +47,11 @@
             request = Request("POST", self._path, (), encode_record(record))
             self._messenger.broadcast(request, TIMEOUT_S)
 
-    async def confirm(self, record: PeerRecord) -> bool:
+    async def confirm(self, record: PeerRecord, timeout_s: float) -> bool:
         """Tell other nodes that the target leaves; return whether one has answered."""
         request = Request("POST", self._path, (), encode_record(record))
         telling = [
-            self._messenger.send(address, request, TIMEOUT_S)
+            self._messenger.send(address, request, timeout_s)
             for address in self._messenger.choose_peers()
         ]
         answers = await asyncio.gather(*telling)
--- a/tests/platform_adapter/test_stops_and_restarts.py
+++ b/tests/platform_adapter/test_stops_and_restarts.py
@@ -6,8 +6,12 @@
 import pytest
 from platform_adapter.cluster import run_cluster, wait_until
 
-from mimosaloom_relay.leave_exchange import TIMEOUT_S
-from mimosaloom_relay.node import KILL_MARGIN_S, LEAVE_STORE_TIMEOUT_S, MIN_STOP_S
+from mimosaloom_relay.node import (
+    KILL_MARGIN_S,
+    LEAVE_NODES_TIMEOUT_S,
+    LEAVE_STORE_TIMEOUT_S,
+    MIN_STOP_S,
+)
 
 pytestmark = pytest.mark.sockets
 
@@ -254,6 +258,21 @@
     run_cluster(scenario)
 
 
+def test_slow_store_has_a_leave_before_it_is_acknowledged():
+    """Guards against a leave in memory only, as other nodes answer before the store."""
+
+    async def scenario(cluster):
+        await cluster.add_member("front-1", "front")
+        back = await cluster.add_member("back-1", "back")
+        await cluster.configure(1, [BACK_ROUTE])
+        await cluster.announce_all()
+        cluster.store.answer_delay_s = 0.45
+        assert (await back.leave()).status == 200
+        assert cluster.is_leaving_in_store("back-1")
+
+    run_cluster(scenario)
+
+
 @pytest.mark.parametrize("is_silent", [False, True])
 def test_acknowledged_leave_is_known_to_others_while_the_store_is_away(is_silent):
     """Guards against a leave that only one process knows of when it is acknowledged."""
@@ -267,7 +286,7 @@
         # The message that is sent without waiting for its answer is lost.
         back.node.messenger.broadcast = lambda request, timeout_s: None
         cluster.store.is_silent, cluster.store.is_down = is_silent, not is_silent
-        assert LEAVE_STORE_TIMEOUT_S + TIMEOUT_S < MAX_ACKNOWLEDGEMENT_S
+        assert LEAVE_STORE_TIMEOUT_S + LEAVE_NODES_TIMEOUT_S < MAX_ACKNOWLEDGEMENT_S
         assert (await back.announce("draining")).status == 200
         assert front.node.upstreams.peers.find_left_start("back-1") == start
 
