Check a target before its first heartbeat is believed

What callers saw: all nodes were killed after a leave that the store had not taken (slow, or rejecting appends).

Cause: the first heartbeat since the start of a process was believed unasked. What was acknowledged before the start may be known to nobody, whatever an acknowledgement waits for.

Change: a target that a node first hears of by a heartbeat is used once it has answered a health check (TargetCheck), or has sent heartbeats for longer than messages are delayed. Its record is published with the result of the first check. The health check waits 2 s, as no heartbeat stands in for a late answer any more.

Why it works: a target that leaves fails its health check, so no memory of the leave is needed.

Before: 4 cases of test_leave_that_neither_store_nor_nodes_keep_is_not_revoked and 2 tests of the check fail.

--- a/libs/mimosaloom-bench/mimosaloom_bench/path_cost/node_process.py
+++ b/libs/mimosaloom-bench/mimosaloom_bench/path_cost/node_process.py
@@ -110,7 +110,7 @@
 
     node.put_configuration(b"", "bench")
     await node.start(learn_peer)
-    heartbeat = Announcement(
+    announcement = Announcement(
         target_id=f"target-{plan.name}",
         born_ms=1,
         sequence=1,
@@ -122,7 +122,7 @@
         slots=plan.slots,
         cold_left_s=0.0,
     )
-    node.apply_heartbeat(heartbeat)
+    node.resume_target(announcement)
     stop_requested = asyncio.Event()
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stop_requested.set)
--- a/libs/mimosaloom-relay/mimosaloom_relay/node.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/node.py
@@ -46,6 +46,7 @@
 from .settings import Listeners, RelaySettings
 from .status import describe_admission, describe_configuration, describe_peers
 from .store_era import StoreEra
+from .target_check import TargetCheck
 from .target_side import TargetSide
 from .task_set import TaskSet
 from .upstreams import Upstreams
@@ -196,6 +197,15 @@
         )
         self.target_side.on_unreachable = self._publish_own_record
         self.target_side.on_leaving = self._publish_own_record
+        self._target_check = TargetCheck(
+            self.own_target,
+            self._find_health_path,
+            self.target_side.is_serving,
+            self._publish_own_record,
+            self._tasks,
+            clock=clock,
+            log=self.log,
+        )
         self.own_record = OwnRecord(
             settings,
             incarnation,
@@ -385,6 +395,7 @@
         )
         self.record_fanout.note_version()
         self._resume_target()
+        self._target_check.start_if_needed()
 
     def put_record(self, name: str, value: bytes | None) -> None:
         """Process the published record of a node.
@@ -457,15 +468,23 @@
 
     def apply_heartbeat(self, heartbeat: Announcement) -> HeartbeatResult:
         """Apply a heartbeat of this node's target."""
-        was_leaving = self.own_target.is_leaving
-        result = self.own_target.apply_heartbeat(heartbeat)
+        own = self.own_target
+        was_leaving = own.is_leaving
+        is_first_word = own.announcement is None or own.is_unchecked
+        result = own.apply_heartbeat(heartbeat)
         if result is HeartbeatResult.NEW:
             if not was_leaving:
                 self.target_side.note_new_start()
             self.target_side.reset_admission(heartbeat.slots)
             self._restore_leaving()
-        if result in (HeartbeatResult.NEW, HeartbeatResult.CHANGED):
+            if is_first_word and not own.is_leaving:
+                own.require_check()
+            else:
+                own.end_check()
+        is_changed = result in (HeartbeatResult.NEW, HeartbeatResult.CHANGED)
+        if is_changed and not own.is_unchecked:
             self._publish_own_record()
+        self._target_check.start_if_needed()
         if result is not HeartbeatResult.UNCHANGED:
             self.log.change(
                 "target_reported",
@@ -478,6 +497,12 @@
             )
         return result
 
+    def resume_target(self, announcement: Announcement) -> None:
+        """Use a target that is known to serve, before its next heartbeat."""
+        self.own_target.resume(announcement)
+        self.target_side.reset_admission(announcement.slots)
+        self._publish_own_record()
+
     def _restore_leaving(self) -> bool:
         """Exclude a target that left before this node started; return if it is new."""
         own = self.own_target
@@ -639,15 +664,12 @@
 
     def _resume_target(self) -> None:
         """Resume the target of the previous incarnation if it still answers."""
-        profile = None
-        if self.origin.configuration is not None:
-            services = self.origin.configuration.services
-            profile = services.get(self.settings.service)
-        if profile is None or self.own_target.announcement is not None:
+        health_path = self._find_health_path()
+        if health_path is None or self.own_target.announcement is not None:
             return
         previous = self.own_record.pop_resumable_target()
         if previous is not None:
-            self._tasks.spawn(self._resume_if_serving(previous, profile.health_path))
+            self._tasks.spawn(self._resume_if_serving(previous, health_path))
 
     async def _resume_if_serving(
         self, previous: Announcement, health_path: str
@@ -662,12 +684,17 @@
             slots=previous.slots,
         )
         if is_serving:
-            self.own_target.resume(previous)
-            self.target_side.reset_admission(previous.slots)
-            self._publish_own_record()
+            self.resume_target(previous)
         else:
             self.own_record.withdraw()
 
+    def _find_health_path(self) -> str | None:
+        """Return the path of the target's health check; None while it is not known."""
+        if self.origin.configuration is None:
+            return None
+        profile = self.origin.configuration.services.get(self.settings.service)
+        return None if profile is None else profile.health_path
+
     def _own_document(self) -> bytes:
         configuration = self.origin.configuration
         return b"" if configuration is None else configuration.document
--- a/libs/mimosaloom-relay/mimosaloom_relay/own_record.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/own_record.py
@@ -90,7 +90,7 @@
     def handle_stored_record(self, value: bytes | None) -> None:
         """Process the record that the store holds under the name of this node.
 
-        Until a target is announced, it is the record of the previous incarnation.
+        Until a target is in use, it is the record of the previous incarnation.
 
         Args:
             value: The record in its published form; None if the store has none.
@@ -98,7 +98,8 @@
         record = None if value is None else decode_record(value)
         if record is not None and record.is_leaving:
             self._left_start = record.start_key
-        if self._own_target.announcement is not None:
+        own_target = self._own_target
+        if own_target.announcement is not None and not own_target.is_unchecked:
             if value != self._published:
                 # A late write of an earlier incarnation has replaced the own record.
                 self.send(self._published)
--- a/libs/mimosaloom-relay/mimosaloom_relay/own_target.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/own_target.py
@@ -121,6 +121,8 @@
         # that have been current and may still be alive.
         self._heard_s = 0.0
         self._newest_born_ms = 0
+        # When the check of a start was required that has to answer one.
+        self._unchecked_since_s: float | None = None
         # Start with an earlier time that has sent a heartbeat since the current one.
         self._contender: _Start | None = None
         self._sequences: dict[_Start, int] = {}
@@ -135,11 +137,19 @@
         current = self.announcement
         return current is not None and _start_of(current) in self._left_starts
 
+    @property
+    def is_unchecked(self) -> bool:
+        """Whether the target must answer a health check before it is used."""
+        return self._unchecked_since_s is not None and not self.is_leaving
+
     @property
     def is_available(self) -> bool:
         """Whether the target takes new calls."""
         return (
-            self.announcement is not None and self.is_reachable and not self.is_leaving
+            self.announcement is not None
+            and self.is_reachable
+            and not self.is_leaving
+            and not self.is_unchecked
         )
 
     @property
@@ -177,6 +187,8 @@
         self._record_sequence(heartbeat)
         was_available = self.is_available
         self._set_current(heartbeat)
+        if is_same_start and self._has_outlasted_late_messages():
+            self.end_check()
         # A draining target takes new calls again only after a restart.
         if is_draining or self._has_left_by_id(start):
             self._record_leave(start)
@@ -192,6 +204,18 @@
         """Continue with a target that kept running while the node restarted."""
         self._set_current(announcement)
 
+    def require_check(self) -> None:
+        """Use the current start only once it has answered a health check.
+
+        A start that goes on to send heartbeats for longer than messages are delayed has
+        not left before, and is used also if its health check fails.
+        """
+        self._unchecked_since_s = self._clock.monotonic_s()
+
+    def end_check(self) -> None:
+        """Use the current start without a further check."""
+        self._unchecked_since_s = None
+
     def mark_leaving(self, target_id: str, born_ms: int | None = None) -> bool:
         """Mark a start of a target as leaving, whether or not it has been heard of.
 
@@ -263,6 +287,13 @@
         """Return whether late messages of starts before the current one have ended."""
         return self._clock.monotonic_s() - self._heard_s > MAX_LATENESS_S
 
+    def _has_outlasted_late_messages(self) -> bool:
+        """Return whether an unchecked start has sent heartbeats for long enough."""
+        since_s = self._unchecked_since_s
+        return (
+            since_s is not None and self._clock.monotonic_s() - since_s > MAX_LATENESS_S
+        )
+
     def _set_current(self, announcement: Announcement) -> None:
         newest_born_ms = 0 if self._is_silent() else self._newest_born_ms
         self._newest_born_ms = max(newest_born_ms, announcement.born_ms)
--- a/libs/mimosaloom-relay/mimosaloom_relay/target_side.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/target_side.py
@@ -50,9 +50,8 @@
 # answer to arrive.
 DEADLINE_SLACK_S = 0.05
 RETRY_AFTER_S = 0.5
-# A heartbeat of the target arrives about this often and carries the same information,
-# so a longer wait gains nothing.
-HEALTH_TIMEOUT_S = 1.0
+# A health check waits for a slot, and a slow target answers late.
+HEALTH_TIMEOUT_S = 2.0
 # A line with the keys of all lost calls could be longer than a line may be.
 MAX_LOGGED_KEYS = 16
 
--- a/tests/platform_adapter/test_stops_and_restarts.py
+++ b/tests/platform_adapter/test_stops_and_restarts.py
@@ -6,12 +6,14 @@
 import pytest
 from platform_adapter.cluster import run_cluster, wait_until
 
+from mimosaloom_relay import decode_record
 from mimosaloom_relay.node import (
     KILL_MARGIN_S,
     LEAVE_NODES_TIMEOUT_S,
     LEAVE_STORE_TIMEOUT_S,
     MIN_STOP_S,
 )
+from mimosaloom_relay.target_check import RETRY_DELAY_S
 
 pytestmark = pytest.mark.sockets
 
@@ -273,6 +275,89 @@
     run_cluster(scenario)
 
 
+@pytest.mark.parametrize("fault", ["slow", "rejecting"])
+@pytest.mark.parametrize("is_delete", [False, True])
+def test_leave_that_neither_store_nor_nodes_keep_is_not_revoked(fault, is_delete):
+    """Guards against a late heartbeat that puts a target in use which has left.
+
+    All nodes are killed right after the acknowledgement; the store has got nothing.
+    """
+
+    async def scenario(cluster):
+        await cluster.add_member("front-1", "front")
+        back = await cluster.add_member("back-1", "back")
+        await cluster.configure(1, [BACK_ROUTE])
+        await cluster.announce_all()
+        if fault == "slow":
+            cluster.store.answer_delay_s = 2.0
+        else:
+            cluster.store.is_down = True
+        back.target.is_healthy = False
+        answer = await (back.leave() if is_delete else back.announce("draining"))
+        assert answer.status == 200
+        for task in cluster.tasks:
+            task.cancel()
+        assert not cluster.is_leaving_in_store("back-1")
+        cluster.store.answer_delay_s, cluster.store.is_down = 0.0, False
+        front, back = [await cluster.restart(name) for name in ("front-1", "back-1")]
+        await wait_until(lambda: back.node.version == 1)
+        await back.announce()
+        await check_unused(back.target, (front, back))
+
+    run_cluster(scenario)
+
+
+def test_target_that_fails_its_first_check_is_used_once_it_passes_one():
+    """Guards against a target that was full at a check and stays idle."""
+
+    async def scenario(cluster):
+        back = await cluster.add_member("back-1", "back")
+        await cluster.configure(1, [BACK_ROUTE])
+        back.target.is_healthy = False
+        await back.announce()
+        # The node is known to others meanwhile.
+        await wait_until(lambda: "back-1" in cluster.store.newest_values("keyed.nodes"))
+        await asyncio.sleep(2 * RETRY_DELAY_S)
+        assert back.node.own_target.is_unchecked
+        assert (await back.send_request("/b/x", "early")).status == 503
+        back.target.is_healthy = True
+        await wait_until(lambda: back.node.own_target.is_available)
+        assert (await back.send_request("/b/x", "id-1")).status == 200
+        assert back.target.runs == ["id-1"]
+
+    run_cluster(scenario)
+
+
+def test_target_that_is_heard_of_before_the_configuration_is_checked_with_it():
+    """Guards against a target that stays idle until its next heartbeat.
+
+    The path of the health check is part of the configuration.
+    """
+
+    async def scenario(cluster):
+        back = await cluster.add_member("back-1", "back")
+        await back.announce()
+        assert not back.node.own_target.is_available
+        await cluster.configure(1, [BACK_ROUTE])
+        await wait_until(lambda: back.node.own_target.is_available)
+
+    run_cluster(scenario)
+
+
+def test_record_of_an_unchecked_target_is_not_published():
+    """Guards against two writes to the store at each start, and a record of no use."""
+
+    async def scenario(cluster):
+        back = await cluster.add_member("back-1", "back")
+        await cluster.configure(1, [BACK_ROUTE])
+        await back.announce()
+        await wait_until(lambda: "back-1" in cluster.store.newest_values("keyed.nodes"))
+        records = cluster.store.topics["keyed.nodes"]
+        assert [decode_record(value).is_available for _, value in records] == [True]
+
+    run_cluster(scenario)
+
+
 @pytest.mark.parametrize("is_silent", [False, True])
 def test_acknowledged_leave_is_known_to_others_while_the_store_is_away(is_silent):
     """Guards against a leave that only one process knows of when it is acknowledged."""
--- a/tests/relay/test_own_target.py
+++ b/tests/relay/test_own_target.py
@@ -255,3 +255,37 @@
     draining = announce(born_ms=5, sequence=2, state=TargetState.DRAINING)
     assert target.apply_heartbeat(draining) is HeartbeatResult.STALE
     assert target.is_available
+
+
+def test_start_that_needs_a_check_is_used_once_it_has_answered_one():
+    """Guards against a late heartbeat that puts a target in use which has left."""
+    target = OwnTarget("s", ADDRESS, clock=ManualClock())
+    target.apply_heartbeat(announce(sequence=1))
+    target.require_check()
+    assert target.apply_heartbeat(announce(sequence=2)) is HeartbeatResult.UNCHANGED
+    assert (target.is_unchecked, target.is_available) == (True, False)
+    target.end_check()
+    assert (target.is_unchecked, target.is_available) == (False, True)
+
+
+def test_start_that_needs_a_check_is_used_when_its_heartbeats_can_not_be_late():
+    """Guards against a running target that is idle for good as its checks fail."""
+    clock = ManualClock()
+    target = OwnTarget("s", ADDRESS, clock=clock)
+    target.apply_heartbeat(announce(sequence=1))
+    target.require_check()
+    clock.advance(timedelta(seconds=MAX_LATENESS_S))
+    target.apply_heartbeat(announce(sequence=2))
+    assert not target.is_available
+    clock.advance(timedelta(seconds=0.1))
+    assert target.apply_heartbeat(announce(sequence=3)) is HeartbeatResult.CHANGED
+    assert target.is_available
+
+
+def test_leave_of_a_start_that_needs_a_check_ends_the_need():
+    """Guards against checks of a target that is known to leave."""
+    target = OwnTarget("s", ADDRESS, clock=ManualClock())
+    target.apply_heartbeat(announce())
+    target.require_check()
+    target.mark_leaving("a")
+    assert (target.is_unchecked, target.is_available) == (False, False)
