Use a node again that restarts while the store is away

What callers saw: requests to the service of its target were refused, or went to its other targets, until the store was back.

Cause: a probe of a node that was down ends with its first answer. If the target took no calls yet, nobody asked again. Since the check of targets the node also needs the configuration, which only hops told it of.

Change: a node whose target takes no calls yet is asked until it does, and the query names the version in force at the asker, from which the node fetches it.

Why it works: the others learn of the target from the node itself, and the node gets what it needs to check it from whoever asks.

--- a/libs/mimosaloom-relay/mimosaloom_relay/hop_messages.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/hop_messages.py
@@ -11,9 +11,11 @@
 from .decoding import decode_json
 
 __all__ = [
+    "ASKER_HEADER",
     "HOP_HEADER",
     "HOP_RESULT_HEADER",
     "NO_RANK",
+    "Asker",
     "HeaderNames",
     "HopContext",
     "HopResult",
@@ -24,6 +26,7 @@
 ]
 
 HOP_HEADER = "Mimosaloom-Hop"
+ASKER_HEADER = "Mimosaloom-Asker"
 HOP_RESULT_HEADER = "Mimosaloom-Hop-Result"
 # Rank of a request that follows from its id and priority alone. The encoder compares
 # defaults by identity, so only this object is left out of messages.
@@ -117,6 +120,18 @@
     rank: float = NO_RANK
 
 
+class Asker(msgspec.Struct, frozen=True):
+    """Node that asks another one for its record.
+
+    Attributes:
+        address: Address where the asking node accepts hops, as HOST:PORT.
+        version: Version of the configuration in force there; 0 for none.
+    """
+
+    address: str
+    version: int
+
+
 class HopResult(msgspec.Struct, frozen=True, omit_defaults=True):
     """Result of a hop that the node beside a target adds to the answer.
 
--- a/libs/mimosaloom-relay/mimosaloom_relay/incoming_hops.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/incoming_hops.py
@@ -10,8 +10,10 @@
 
 from .addresses import parse_address
 from .hop_messages import (
+    ASKER_HEADER,
     HOP_HEADER,
     HOP_RESULT_HEADER,
+    Asker,
     HeaderNames,
     HopContext,
     HopResult,
@@ -102,6 +104,7 @@
         if request.path == QUOTA_PATH:
             return await self._quotas.handle(request)
         if request.path == SELF_PATH:
+            self._learn_version(request)
             return Answer(Response(200, (), msgspec.json.encode(self._own_record())))
         if request.path == NODES_PATH:
             return Answer(Response(200, (), msgspec.json.encode(self._records())))
@@ -149,6 +152,13 @@
             self._on_newer_version(context.version, origin)
         self._quarantine.compare_digest(context.quarantine_digest, origin)
 
+    def _learn_version(self, request: Request) -> None:
+        """Fetch the configuration of a node that asks for the own record, if newer."""
+        asker = decode_header(request.header(ASKER_HEADER), Asker)
+        address = None if asker is None else parse_address(asker.address)
+        if address is not None and asker.version > self._own_version():
+            self._on_newer_version(asker.version, address)
+
     def _exchange_left_start(self, request: Request) -> Answer:
         name = unquote(request.path.removeprefix(LEFT_PATH))
         if request.method == "GET":
--- a/libs/mimosaloom-relay/mimosaloom_relay/node.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/node.py
@@ -229,6 +229,7 @@
             rng=rng,
             log=self.log,
         )
+        self.peer_prober.own_address = self._format_inbound
         retry_policy = RetryPolicy(
             settings.retry_budget,
             lambda: len(self.upstreams.peers),
@@ -240,7 +241,7 @@
         self.origin = Origin(
             settings.name,
             settings.service,
-            lambda: f"{self.addresses.inbound.host}:{self.addresses.inbound.port}",
+            self._format_inbound,
             names,
             self.upstreams,
             self.target_side,
@@ -695,6 +696,10 @@
         profile = self.origin.configuration.services.get(self.settings.service)
         return None if profile is None else profile.health_path
 
+    def _format_inbound(self) -> str:
+        """Return the address where this node accepts hops, as HOST:PORT."""
+        return f"{self.addresses.inbound.host}:{self.addresses.inbound.port}"
+
     def _own_document(self) -> bytes:
         configuration = self.origin.configuration
         return b"" if configuration is None else configuration.document
--- a/libs/mimosaloom-relay/mimosaloom_relay/peer_prober.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/peer_prober.py
@@ -10,6 +10,7 @@
 from mimosaloom_policy import Candidate
 
 from .decision_log import DecisionLog
+from .hop_messages import ASKER_HEADER, Asker, encode_header
 from .incoming_hops import CONFIGURATION_PATH, NODES_PATH, SELF_PATH
 from .isolation import Isolation
 from .peer_messenger import PeerMessenger
@@ -44,6 +45,9 @@
         own_version: Returns the version of the configuration in force; 0 for none.
         rng: Source of the random choice of nodes to probe.
         log: Receives the log lines of lost and regained nodes.
+
+    Attributes:
+        own_address: Returns the address where this node accepts hops, as HOST:PORT.
     """
 
     def __init__(
@@ -58,6 +62,7 @@
         rng: random.Random,
         log: DecisionLog,
     ):
+        self.own_address: Callable[[], str] = lambda: ""
         self._own_name = own_name
         self._upstreams = upstreams
         self._messenger = messenger
@@ -104,7 +109,7 @@
 
     async def _ask(self, record: PeerRecord, on_no_answer: Callable[[], None]) -> None:
         async with self._asking:
-            outcome = await self.fetch(record.address, SELF_PATH, PROBE_TIMEOUT_S)
+            outcome = await self._fetch_record(record.address)
         found = None
         if isinstance(outcome, Response) and outcome.status == 200:
             found = decode_record(outcome.body)
@@ -120,7 +125,7 @@
                 record = self._upstreams.peers.get(name)
                 if record is None:
                     return
-                outcome = await self.fetch(record.address, SELF_PATH, PROBE_TIMEOUT_S)
+                outcome = await self._fetch_record(record.address)
                 if isinstance(outcome, Response) and outcome.status == 200:
                     self._put_record(name, outcome.body)
                 record = self._upstreams.peers.get(name)
@@ -152,7 +157,7 @@
         """Fetch the record of a node; return whether it answered with one."""
         name = record.name
         was_isolated = self.is_isolated
-        outcome = await self.fetch(record.address, SELF_PATH, PROBE_TIMEOUT_S)
+        outcome = await self._fetch_record(record.address)
         if outcome is None:
             if self._upstreams.mark_unreachable(name):
                 self._log.change("peer_unreachable", peer=name)
@@ -167,6 +172,9 @@
             if self._upstreams.peers.is_unreachable(name):
                 self._upstreams.mark_reachable(name)
                 self._log.change("peer_reachable", peer=name)
+            found = self._upstreams.peers.get(name)
+            if found is not None and not found.is_available:
+                self.refresh_record(name)
             return True
         return False
 
@@ -210,6 +218,18 @@
             if self._upstreams.peers.get(record.name) is None:
                 self._put_record(record.name, encode_record(record))
 
+    async def _fetch_record(self, address: Address) -> Response | FailedSend | None:
+        """Ask a node for its record.
+
+        The query names the own version: a node that has started while the store is away
+        has no configuration, and no other node sends it hops before it can check its
+        target.
+        """
+        asker = Asker(self.own_address(), self._own_version())
+        headers = ((ASKER_HEADER, encode_header(asker)),)
+        request = Request("GET", SELF_PATH, headers)
+        return await self._messenger.send(address, request, PROBE_TIMEOUT_S)
+
     async def fetch(
         self, address: Address, path: str, timeout_s: float
     ) -> Response | FailedSend | None:
--- a/tests/platform_adapter/cluster.py
+++ b/tests/platform_adapter/cluster.py
@@ -135,7 +135,7 @@
             **options: `target`, a running target to use instead of a new one;
                 `target_id`, the id of a new target; `base`, the base of the retry
                 budget; `grace_s`, the time in seconds between the stop signal and the
-                kill of the process.
+                kill of the process; `listen`, the addresses of the node.
         """
         target = options.get("target")
         if target is None:
@@ -146,7 +146,7 @@
             failure_domain="z",
             service=service,
             target=Address("127.0.0.1", target.port),
-            listen=Listeners(ANY_PORT, ANY_PORT, ANY_PORT, ANY_PORT, ANY_PORT),
+            listen=options.get("listen", Listeners(*[ANY_PORT] * 5)),
             retry_budget=SharedRetryBudget(0.2, options.get("base", 50.0), 10.0),
             grace_s=options.get("grace_s", 1.0),
         )
@@ -175,14 +175,19 @@
         member = self.members[name] = Member(node, target, self.client)
         return member
 
-    async def restart(self, name: str) -> Member:
-        """Kill a node and start it again while its target keeps running."""
+    async def restart(self, name: str, **options) -> Member:
+        """Kill a node and start it again while its target keeps running.
+
+        Args:
+            name: Name of the node.
+            **options: Further options of `add_member`.
+        """
         old = self.members[name]
         old.node.own_record.send = lambda record: None
         old.node.quarantine.publish = lambda news: None
         await old.node.close()
         service = old.node.settings.service
-        new = await self.add_member(name, service, target=old.target)
+        new = await self.add_member(name, service, target=old.target, **options)
         new.sequence = old.sequence
         return new
 
--- a/tests/platform_adapter/test_stops_and_restarts.py
+++ b/tests/platform_adapter/test_stops_and_restarts.py
@@ -1,6 +1,7 @@
 """Stops and restarts of nodes while their targets keep running, over real sockets."""
 
 import asyncio
+import itertools
 
 import msgspec
 import pytest
@@ -358,6 +359,45 @@
     run_cluster(scenario)
 
 
+@pytest.mark.parametrize("is_killed", [False, True])
+def test_restarted_node_is_used_again_while_the_store_is_away(is_killed):
+    """Guards against a node that others never use again, nor tell the configuration.
+
+    It can check its target only with the configuration.
+    """
+
+    async def scenario(cluster):
+        front = await cluster.add_member("front-1", "front")
+        back = await cluster.add_member("back-1", "back", grace_s=4.0)
+        await cluster.configure(1, [BACK_ROUTE])
+        await cluster.announce_all()
+        cluster.store.is_down = True
+        calling = asyncio.ensure_future(keep_calling(front))
+        if not is_killed:
+            await back.node.stop()
+        addresses = back.node.addresses
+        await back.node.close()
+        # Others find out that the node is down.
+        await wait_until(lambda: not front.node.upstreams.has_upstream("back"))
+        back = await cluster.restart("back-1", listen=addresses)
+        # Others find the node before it hears of its target.
+        await asyncio.sleep(0.5)
+        await back.announce()
+        await wait_until(lambda: back.node.own_target.is_available)
+        runs = len(back.target.runs)
+        await wait_until(lambda: len(back.target.runs) > runs)
+        calling.cancel()
+
+    run_cluster(scenario)
+
+
+async def keep_calling(member):
+    """Send requests to the targets of another service until cancelled."""
+    for number in itertools.count():
+        await member.send_request("/b/x", f"call-{number}")
+        await asyncio.sleep(0.02)
+
+
 @pytest.mark.parametrize("is_silent", [False, True])
 def test_acknowledged_leave_is_known_to_others_while_the_store_is_away(is_silent):
     """Guards against a leave that only one process knows of when it is acknowledged."""
