Kill all nodes after an acknowledged leave in the soak

Cause: the soak never checked that targets which have left get no requests, and no fault of it ends all processes that know of a leave.

Change: a fault kills all nodes right after a leave is acknowledged, at times with a store that does not take it; the target serves on and one of its heartbeats arrives late. Runs at targets later than the drain time are findings, also after ordinary drains. Targets that leave fail their health check, as the platform's do.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -5,9 +5,15 @@
 
 from soak.callers import PROMISES, Exchange
 from soak.operations import Operations, PathKind, Version, kind_of
-from soak.targets import Run
+from soak.targets import DRAIN_S, Leave, Run
 
-__all__ = ["Disturbance", "Finding", "find_broken_rules", "is_in_touch"]
+__all__ = [
+    "Disturbance",
+    "Finding",
+    "find_broken_rules",
+    "find_late_runs",
+    "is_in_touch",
+]
 
 # A request that crosses the close of its connection may end this long after it was
 # sent, if it is not passed on.
@@ -104,6 +110,36 @@
     return broken
 
 
+def find_late_runs(
+    exchanges: list[Exchange],
+    runs: list[Run],
+    leaves: list[Leave],
+    disturbances: list[Disturbance],
+) -> list[Finding]:
+    """Return the runs at targets that had left, of requests sent by calm machines."""
+    exchange_by_id = {exchange.request_id: exchange for exchange in exchanges}
+    due_by_target: dict[str, float] = {}
+    machine_by_target: dict[str, str] = {}
+    for leave in leaves:
+        due_by_target.setdefault(leave.target_id, leave.acknowledged_s + DRAIN_S)
+        machine_by_target[leave.target_id] = leave.machine
+    findings = []
+    for run in runs:
+        exchange = exchange_by_id.get(run.request_id)
+        if exchange is None or run.at_s <= due_by_target.get(run.target_id, run.at_s):
+            continue
+        machines = ("", machine_by_target[run.target_id])
+        is_calm = is_in_touch(exchange, disturbances) and not any(
+            disturbance.machine in machines
+            and disturbance.start_s <= run.at_s
+            and disturbance.end_s >= exchange.sent_s - STABLE_S
+            for disturbance in disturbances
+        )
+        if is_calm:
+            findings.append(_describe("DRAIN", exchange, [run]))
+    return findings
+
+
 def is_in_touch(exchange: Exchange, disturbances: list[Disturbance]) -> bool:
     """Return whether nothing has disturbed a request or its machine for a while."""
     return not any(
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -10,13 +10,13 @@
 from platform_adapter.store_standin import FakeStore
 from soak.bad_requests import BadRequests
 from soak.callers import call_once
-from soak.checks import Disturbance
+from soak.checks import STABLE_S, Disturbance
 from soak.links import LinkMode, LinkProxy
 from soak.machines import READY_PORT, Machine, NodeProcess
 from soak.operations import CONFIG_TOPIC, NODES_TOPIC, Operations
 from soak.signals import LimitSpan
 from soak.stores import CopyKeeper, StoreFault, StoreView
-from soak.targets import TargetHost
+from soak.targets import DRAIN_S, Leave, TargetHost
 
 __all__ = ["Faults", "Member"]
 
@@ -24,6 +24,10 @@
 READ_S = 0.3
 START_TIMEOUT_S = 20.0
 LIMITED_S = (5.0, 10.0)
+# A heartbeat of before a leave arrives up to this long after the nodes have started.
+MAX_LATE_HEARTBEAT_S = 3.0
+# How long a target that has left serves, after the nodes near it are in touch again.
+LINGER_S = 2.0
 
 Fault = Callable[[], Awaitable[None]]
 
@@ -100,6 +104,7 @@
             (self.drop_history, 1),
             (self.crash_target, 2),
             (self.replace_target, 2),
+            (self.kill_all_after_leave, 1),
             (self.spoil_answers, 3),
             (self.limit_target, 3),
             (self.send_bad_request, 1),
@@ -311,6 +316,57 @@
                 await asyncio.sleep(self._rng.uniform(0.05, 0.5))
                 await member.host.start()
 
+    async def kill_all_after_leave(self) -> None:
+        """Kill all nodes right after one has acknowledged that its target leaves.
+
+        At times the store does not take the leave. The target serves on, and one of its
+        heartbeats of before arrives when the nodes have started again.
+        """
+        async with self._store_lock:
+            with contextlib.ExitStack() as stack:
+                taken = self._take_all(stack)
+                if not taken or taken[0].host.target is None:
+                    return
+                leaving, host = taken[0], taken[0].host
+                heartbeat = host.stop_announcing()
+                fault = self._rng.choice(
+                    [
+                        StoreFault.NONE,
+                        StoreFault.BUSY,
+                        StoreFault.SLOW,
+                        StoreFault.LOSSY,
+                    ]
+                )
+                for member in taken:
+                    member.store.start_fault(fault)
+                await host.leave()
+                await asyncio.gather(*(member.node.kill() for member in taken))
+                for member in taken:
+                    member.store.fault = StoreFault.NONE
+                await asyncio.sleep(self._rng.uniform(0.05, 1.0))
+                await asyncio.gather(*(self._start(member) for member in taken))
+        # Its node is calm, but the target must not be drawn for another fault.
+        leaving.is_busy = True
+        late_s = self._rng.uniform(0, MAX_LATE_HEARTBEAT_S)
+        await asyncio.sleep(late_s)
+        await host.send(heartbeat)
+        await asyncio.sleep(DRAIN_S + STABLE_S + LINGER_S - late_s)
+        host.crash()
+        await asyncio.sleep(self._rng.uniform(0.05, 0.5))
+        await host.start()
+        leaving.is_busy = False
+
+    def _take_all(self, stack: contextlib.ExitStack) -> list[Member]:
+        """Take all machines on which no fault is in progress."""
+        taken = []
+        while (member := stack.enter_context(self._take_member("kill"))) is not None:
+            taken.append(member)
+        return taken
+
+    def list_leaves(self) -> list[Leave]:
+        """Return all acknowledged leaves of targets."""
+        return [leave for member in self._members for leave in member.host.leaves]
+
     async def spoil_answers(self) -> None:
         """Let a target spoil part of its answers."""
         with self._take_member("target faulty") as member:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -11,7 +11,13 @@
 from platform_adapter.store_standin import FakeStore
 from soak.bad_requests import BadRequests, find_unbounded_ends
 from soak.callers import Caller, Exchange, call_once
-from soak.checks import STABLE_S, Finding, count_statuses, find_broken_rules
+from soak.checks import (
+    STABLE_S,
+    Finding,
+    count_statuses,
+    find_broken_rules,
+    find_late_runs,
+)
 from soak.faults import Faults, Member
 from soak.links import LinkProxy
 from soak.machines import (
@@ -296,6 +302,9 @@
     findings = find_broken_rules(
         soak.exchanges, soak.runs, soak.operations, soak.faults.disturbances
     )
+    findings += find_late_runs(
+        soak.exchanges, soak.runs, soak.faults.list_leaves(), soak.faults.disturbances
+    )
     findings += find_unbounded_ends(
         soak.bad_requests.sent, soak.exchanges, soak.runs, soak.faults.disturbances
     )
@@ -307,6 +316,7 @@
         count_statuses(soak.exchanges),
         soak.faults.count_faults()
         | {
+            "leave": len(soak.faults.list_leaves()),
             "target limited": len(soak.faults.limits),
             "bad request": len(soak.bad_requests.sent),
         },
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -1,7 +1,6 @@
 """Targets of a soak: they announce themselves, drain, crash and come back."""
 
 import asyncio
-import contextlib
 import random
 from collections.abc import Callable
 from typing import NamedTuple
@@ -11,7 +10,7 @@
 from soak.callers import call_once
 from soak.machines import ADMIN_PORT, TARGET_PORT, Machine
 
-__all__ = ["Run", "SoakTarget", "TargetHost"]
+__all__ = ["DRAIN_S", "Leave", "Run", "SoakTarget", "TargetHost"]
 
 HEARTBEAT_S = 0.5
 # A heartbeat is acknowledged within this time or sent again.
@@ -45,6 +44,20 @@
     at_s: float
 
 
+class Leave(NamedTuple):
+    """An acknowledged leave of a target.
+
+    Attributes:
+        target_id: Id of the target.
+        machine: Name of the machine whose node acknowledged it.
+        acknowledged_s: When, on the clock of the event loop.
+    """
+
+    target_id: str
+    machine: str
+    acknowledged_s: float
+
+
 class SoakTarget(FakeTarget):
     """A target that works for a while on each request, and records its runs.
 
@@ -89,6 +102,7 @@
 
     Attributes:
         target: The target that runs now; None while there is none.
+        leaves: Acknowledged leaves of all its targets.
     """
 
     def __init__(
@@ -101,6 +115,7 @@
     ):
         self.machine = machine
         self.target: SoakTarget | None = None
+        self.leaves: list[Leave] = []
         self._record = record
         self._rng = rng
         self._now_ms = now_ms
@@ -138,15 +153,30 @@
         self.target.signals = ["Server-Leaving: 1"]
         await asyncio.sleep(self._rng.choice([0, 0.1, MAX_EARLY_LEAVING_S]))
         self._announcing.cancel()
+        self.target.is_healthy = False
         while not await self._send_heartbeat("draining"):
             await asyncio.sleep(HEARTBEAT_S)
+        self._note_leave()
         await asyncio.sleep(DRAIN_S + self._rng.uniform(0, LINGER_S))
+        await self.leave()
+        self.crash()
+
+    def stop_announcing(self) -> bytes:
+        """Send no more heartbeats; return the next one, which may arrive late."""
+        self._announcing.cancel()
+        return self._build_heartbeat("ready")
+
+    async def leave(self) -> None:
+        """Announce that the target has left, which goes on to serve."""
+        self.target.is_healthy = False
         path = f"/-/instances/{self._id}"
-        address = self.machine.address(ADMIN_PORT)
         body = msgspec.json.encode({"born": self._born_ms})
-        with contextlib.suppress(OSError, TimeoutError):
-            await call_once(address, "DELETE", path, body, timeout_s=ACKNOWLEDGE_S)
-        self.crash()
+        if await self._call("DELETE", path, body):
+            self._note_leave()
+
+    def _note_leave(self) -> None:
+        now_s = asyncio.get_running_loop().time()
+        self.leaves.append(Leave(self._id, self.machine.name, now_s))
 
     async def _announce(self) -> None:
         while True:
@@ -154,6 +184,9 @@
             await asyncio.sleep(HEARTBEAT_S if is_acknowledged else 0.1)
 
     async def _send_heartbeat(self, state: str) -> bool:
+        return await self.send(self._build_heartbeat(state))
+
+    def _build_heartbeat(self, state: str) -> bytes:
         self._sequence += 1
         machine = self.machine
         body = {
@@ -162,12 +195,19 @@
             "status": {"state": state, "seq": self._sequence, "coldLeftMs": 0},
             "born": self._born_ms,
         }
+        return msgspec.json.encode(body)
+
+    async def send(self, heartbeat: bytes) -> bool:
+        """Send a heartbeat; return whether it is acknowledged."""
+        return await self._call("PUT", f"/-/instances/{self._id}", heartbeat)
+
+    async def _call(self, method: str, path: str, body: bytes) -> bool:
         try:
             status = await call_once(
-                machine.address(ADMIN_PORT),
-                "PUT",
-                f"/-/instances/{self._id}",
-                msgspec.json.encode(body),
+                self.machine.address(ADMIN_PORT),
+                method,
+                path,
+                body,
                 timeout_s=ACKNOWLEDGE_S,
             )
         except (OSError, TimeoutError):
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -6,10 +6,10 @@
 from platform_adapter.store_standin import FakeStore
 from soak.bad_requests import BadRequest, find_unbounded_ends
 from soak.callers import Exchange
-from soak.checks import STABLE_S, Disturbance, find_broken_rules
+from soak.checks import STABLE_S, Disturbance, find_broken_rules, find_late_runs
 from soak.machines import build_machines
 from soak.operations import Operations
-from soak.targets import Run
+from soak.targets import DRAIN_S, Leave, Run
 
 MACHINE = build_machines(0, ["alpha", "beta"], 1)[0]
 ONCE, OFTEN = "/once-alpha/x", "/often-alpha/x"
@@ -157,3 +157,28 @@
     assert [finding.rule for finding in found] == (["BUDGET"] if is_broken else [])
     everywhere = [Disturbance("", 0.0, 10 * SENT_S, False, "store down")]
     assert not find_unbounded_ends([bad], exchanges, runs, everywhere)
+
+
+LEAVING = "i-leaving"
+
+
+def find_late(at_s, *, sent_s=SENT_S, disturbances=()):
+    """Return the findings on a run at a target whose leave was acknowledged at 0 s."""
+    exchange = build_exchange(sent_s=sent_s, ended_s=at_s + 0.1)
+    runs = [Run(exchange.request_id, "alpha", LEAVING, at_s)]
+    leaves = [Leave(LEAVING, "machine", 0.0)]
+    return find_late_runs([exchange], runs, leaves, list(disturbances))
+
+
+def test_run_at_a_target_that_has_left_is_found():
+    """Guards against a check of leaves that finds nothing."""
+    assert [finding.rule for finding in find_late(SENT_S)] == ["DRAIN"]
+    assert not find_late(DRAIN_S, sent_s=DRAIN_S)
+
+
+@pytest.mark.parametrize("machine", ["", "machine", MACHINE.name])
+def test_late_run_is_excused_while_a_machine_is_not_in_touch(machine):
+    """Guards against findings on requests of machines that were just started."""
+    near = Disturbance(machine, SENT_S - 9.0, SENT_S - STABLE_S + 0.1, False, "kill")
+    assert not find_late(SENT_S, disturbances=[near])
+    assert find_late(SENT_S, disturbances=[near._replace(end_s=SENT_S - STABLE_S - 1)])
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -17,7 +17,12 @@
 
 @pytest.mark.parametrize(
     ("seed", "only"),
-    [(1, ()), (22, ()), (40, ("send_bad_request", "kill_node", "crash_target"))],
+    [
+        (1, ()),
+        (22, ()),
+        (40, ("send_bad_request", "kill_node", "crash_target")),
+        (501, ("kill_all_after_leave",)),
+    ],
 )
 def test_promises_hold_under_random_faults(seed, only, tmp_path):
     """Guards against duplicate runs, false refusals and nodes that do not recover."""
