--- a/libs/mimosaloom-relay/mimosaloom_relay/hop_messages.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/hop_messages.py
@@ -11,14 +11,14 @@
 from .decoding import decode_json
 
 __all__ = [
-    "ASKER_HEADER",
     "HOP_HEADER",
     "HOP_RESULT_HEADER",
     "NO_RANK",
-    "Asker",
+    "REQUESTER_HEADER",
     "HeaderNames",
     "HopContext",
     "HopResult",
+    "Requester",
     "decode_header",
     "encode_header",
     "forwarded_headers",
@@ -26,7 +26,7 @@
 ]
 
 HOP_HEADER = "Mimosaloom-Hop"
-ASKER_HEADER = "Mimosaloom-Asker"
+REQUESTER_HEADER = "Mimosaloom-Requester"
 HOP_RESULT_HEADER = "Mimosaloom-Hop-Result"
 # Rank of a request that follows from its id and priority alone. The encoder compares
 # defaults by identity, so only this object is left out of messages.
@@ -120,11 +120,11 @@
     rank: float = NO_RANK
 
 
-class Asker(msgspec.Struct, frozen=True):
+class Requester(msgspec.Struct, frozen=True):
     """Node that asks another one for its record.
 
     Attributes:
-        address: Address where the asking node accepts hops, as HOST:PORT.
+        address: Address where that node accepts hops, as HOST:PORT.
         version: Version of the configuration in force there; 0 for none.
     """
 
--- a/libs/mimosaloom-relay/mimosaloom_relay/incoming_hops.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/incoming_hops.py
@@ -10,13 +10,13 @@
 
 from .addresses import parse_address
 from .hop_messages import (
-    ASKER_HEADER,
     HOP_HEADER,
     HOP_RESULT_HEADER,
-    Asker,
+    REQUESTER_HEADER,
     HeaderNames,
     HopContext,
     HopResult,
+    Requester,
     decode_header,
     encode_header,
     read_kind,
@@ -154,10 +154,10 @@
 
     def _learn_version(self, request: Request) -> None:
         """Fetch the configuration of a node that asks for the own record, if newer."""
-        asker = decode_header(request.header(ASKER_HEADER), Asker)
-        address = None if asker is None else parse_address(asker.address)
-        if address is not None and asker.version > self._own_version():
-            self._on_newer_version(asker.version, address)
+        requester = decode_header(request.header(REQUESTER_HEADER), Requester)
+        address = None if requester is None else parse_address(requester.address)
+        if address is not None and requester.version > self._own_version():
+            self._on_newer_version(requester.version, address)
 
     def _exchange_left_start(self, request: Request) -> Answer:
         name = unquote(request.path.removeprefix(LEFT_PATH))
--- a/libs/mimosaloom-relay/mimosaloom_relay/node.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/node.py
@@ -77,10 +77,6 @@
 STOP_POLL_S = 0.05
 # After a pause of the process, the first poll may come before what has arrived is read.
 IDLE_POLLS = 2
-# Time for the store to accept a leave before other nodes are asked to remember it, and
-# from then to the acknowledgement. A target takes a later answer than 1 s for none.
-LEAVE_STORE_TIMEOUT_S = 0.2
-LEAVE_NODES_TIMEOUT_S = 0.4
 # A node is removed if its record is still missing this long after the store was read.
 MISSING_GRACE_S = 2.0
 # Share of the memory of the process that answers may take which wait for those before
@@ -164,7 +160,7 @@
             self.reader_role, self.store_progress, lambda: self.version, clock=clock
         )
         self._leaves = LeaveExchange(
-            settings.name, self.messenger, self._handle_left_start
+            settings.name, self.messenger, self._handle_left_start, self.log
         )
         self.quarantine = QuarantineExchange(
             Quarantine(rng),
@@ -524,33 +520,11 @@
         return is_own
 
     async def spread_leave(self) -> None:
-        """Wait until the leave of the target is known outside of this process.
-
-        An acknowledged leave binds all later incarnations, and this process may end
-        right after the acknowledgement. The store keeps the leave even if all processes
-        end. While it does not answer, other nodes keep it, as far as any answers. The
-        time for the store goes on meanwhile, as it may only be slow.
-        """
-        if not self.own_target.is_leaving:
-            return
-        if await self._is_stored_within(LEAVE_STORE_TIMEOUT_S):
-            return
-        record = self.own_record.build()
-        confirming = self._tasks.spawn(
-            self._leaves.confirm(record, LEAVE_NODES_TIMEOUT_S)
-        )
-        if not await self._is_stored_within(LEAVE_NODES_TIMEOUT_S):
-            is_known = await confirming
-            self.log.change("leave_not_stored", is_known_to_others=is_known)
-
-    async def _is_stored_within(self, timeout_s: float) -> bool:
-        """Return whether the store confirms the newest own record in time."""
-        try:
-            async with asyncio.timeout(timeout_s):
-                await self.own_record.wait_until_stored()
-        except TimeoutError:
-            return False
-        return True
+        """Wait until a leave of the target is known outside of this process."""
+        if self.own_target.is_leaving:
+            await self._leaves.spread(
+                self.own_record.build(), self.own_record.wait_until_stored
+            )
 
     def describe(self) -> dict:
         """Return the configuration in force, the target and the known upstreams."""
--- a/libs/mimosaloom-relay/mimosaloom_relay/peer_prober.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/peer_prober.py
@@ -10,7 +10,7 @@
 from mimosaloom_policy import Candidate
 
 from .decision_log import DecisionLog
-from .hop_messages import ASKER_HEADER, Asker, encode_header
+from .hop_messages import REQUESTER_HEADER, Requester, encode_header
 from .incoming_hops import CONFIGURATION_PATH, NODES_PATH, SELF_PATH
 from .isolation import Isolation
 from .peer_messenger import PeerMessenger
@@ -225,8 +225,8 @@
         has no configuration, and no other node sends it hops before it can check its
         target.
         """
-        asker = Asker(self.own_address(), self._own_version())
-        headers = ((ASKER_HEADER, encode_header(asker)),)
+        requester = Requester(self.own_address(), self._own_version())
+        headers = ((REQUESTER_HEADER, encode_header(requester)),)
         request = Request("GET", SELF_PATH, headers)
         return await self._messenger.send(address, request, PROBE_TIMEOUT_S)
 
