Name the version in force in all queries to other nodes

Cause: the queries for records had got a function of their own, beside the one for configurations and nodes.

Change: the common function adds the version.

--- a/libs/mimosaloom-relay/mimosaloom_relay/hop_messages.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/hop_messages.py
@@ -121,7 +121,7 @@
 
 
 class Requester(msgspec.Struct, frozen=True):
-    """Node that asks another one for its record.
+    """Node that sends a query to another one.
 
     Attributes:
         address: Address where that node accepts hops, as HOST:PORT.
--- a/libs/mimosaloom-relay/mimosaloom_relay/peer_prober.py
+++ b/libs/mimosaloom-relay/mimosaloom_relay/peer_prober.py
@@ -109,7 +109,7 @@
 
     async def _ask(self, record: PeerRecord, on_no_answer: Callable[[], None]) -> None:
         async with self._asking:
-            outcome = await self._fetch_record(record.address)
+            outcome = await self.fetch(record.address, SELF_PATH, PROBE_TIMEOUT_S)
         found = None
         if isinstance(outcome, Response) and outcome.status == 200:
             found = decode_record(outcome.body)
@@ -125,7 +125,7 @@
                 record = self._upstreams.peers.get(name)
                 if record is None:
                     return
-                outcome = await self._fetch_record(record.address)
+                outcome = await self.fetch(record.address, SELF_PATH, PROBE_TIMEOUT_S)
                 if isinstance(outcome, Response) and outcome.status == 200:
                     self._put_record(name, outcome.body)
                 record = self._upstreams.peers.get(name)
@@ -157,7 +157,7 @@
         """Fetch the record of a node; return whether it answered with one."""
         name = record.name
         was_isolated = self.is_isolated
-        outcome = await self._fetch_record(record.address)
+        outcome = await self.fetch(record.address, SELF_PATH, PROBE_TIMEOUT_S)
         if outcome is None:
             if self._upstreams.mark_unreachable(name):
                 self._log.change("peer_unreachable", peer=name)
@@ -218,24 +218,19 @@
             if self._upstreams.peers.get(record.name) is None:
                 self._put_record(record.name, encode_record(record))
 
-    async def _fetch_record(self, address: Address) -> Response | FailedSend | None:
-        """Ask a node for its record.
-
-        The query names the own version: a node that has started while the store is away
-        has no configuration, and no other node sends it hops before it can check its
-        target.
-        """
-        requester = Requester(self.own_address(), self._own_version())
-        headers = ((REQUESTER_HEADER, encode_header(requester)),)
-        request = Request("GET", SELF_PATH, headers)
-        return await self._messenger.send(address, request, PROBE_TIMEOUT_S)
-
     async def fetch(
         self, address: Address, path: str, timeout_s: float
     ) -> Response | FailedSend | None:
         """Send a GET request to another node.
 
+        It names the own version: a node that has started while the store is away has no
+        configuration, and no other node sends it hops before it can check its target.
+
         Returns:
             The response; `FailedSend` if the connection failed; None after the timeout.
         """
-        return await self._messenger.send(address, Request("GET", path), timeout_s)
+        requester = Requester(self.own_address(), self._own_version())
+        headers = ((REQUESTER_HEADER, encode_header(requester)),)
+        return await self._messenger.send(
+            address, Request("GET", path, headers), timeout_s
+        )
